--- /dev/null
+++ b/include/lovagedale/billing/bill.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "lovagedale/catalog/catalog.h"
+
+namespace lovagedale {
+
+/// Whether the caller received the whole answer.
+enum class bill_status : std::uint8_t {
+  kPartial,   ///< the caller left or the answer broke off: what was delivered
+  kComplete,  ///< a whole answer
+};
+
+/// The bill of one request; all attempts and cascade rungs are one bill.
+struct bill_record {
+  std::string request_id;
+  std::string customer;
+  std::string version;  ///< that gave the answer, or the service's pool
+  std::uint64_t input_tokens = 0;
+  std::uint64_t output_tokens = 0;
+  micros cost = 0;
+  std::uint32_t attempts = 0;
+  bill_status status = bill_status::kPartial;
+  std::string entry;
+  std::int64_t at_ms = 0;  ///< wall clock
+
+  auto operator==(const bill_record&) const -> bool = default;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(request_id, customer, version, input_tokens, output_tokens, cost,
+            attempts, status, entry, at_ms);
+  }
+};
+
+/// The one of two records of the same request that stands. Commutative,
+/// associative and idempotent, so copies that were apart agree after they
+/// have exchanged their records in any order.
+auto MergeBills(const bill_record& left, const bill_record& right)
+    -> const bill_record&;
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/claim/claim_machine.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "lovagedale/claim/messages.h"
+#include "lovagedale/replication/messages.h"
+
+namespace lovagedale {
+
+/// The ledger's replicated claims: which attempt may run a non-repeatable
+/// request, and the answer it gave. A granted claim is never granted to
+/// another attempt until it is released as not run. Satisfies
+/// replicated_machine.
+class claim_machine {
+ public:
+  /// Applies a claim_command; returns an encoded claim_result.
+  auto Apply(const log_entry& entry) -> std::string;
+  auto Decide(const claim_command& command) -> claim_result;
+  auto TakeSnapshot() const -> std::string;
+  auto Restore(const std::string& state) -> void;
+  auto size() const -> std::size_t { return claims_.size(); }
+
+ private:
+  struct claim_record {
+    std::uint64_t body_hash = 0;
+    std::string attempt;
+    std::int64_t at_ms = 0;
+    bool finished = false;
+    stored_answer answer;
+    template <typename Archive>
+    auto serialize(Archive& archive) -> void {
+      archive(body_hash, attempt, at_ms, finished, answer);
+    }
+  };
+
+  auto Handle(const begin_claim& command) -> claim_result;
+  auto Handle(const finish_claim& command) -> claim_result;
+  auto Handle(const release_claim& command) -> claim_result;
+  auto Handle(const expire_claims& command) -> claim_result;
+
+  std::map<claim_key, claim_record> claims_;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/claim/messages.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace lovagedale {
+
+/// Names one non-repeatable request: a customer's idempotency key.
+struct claim_key {
+  std::string customer;
+  std::string key;
+
+  auto operator<=>(const claim_key&) const = default;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(customer, key);
+  }
+};
+
+/// An answer kept for callers that send the request again.
+struct stored_answer {
+  std::uint32_t status = 0;
+  std::string content_type;
+  std::string body;
+  std::string request_id;
+
+  auto operator==(const stored_answer&) const -> bool = default;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(status, content_type, body, request_id);
+  }
+};
+
+/// Asks for the right to run a request. The same `attempt` may ask again
+/// after losing the answer.
+struct begin_claim {
+  claim_key key;
+  std::uint64_t body_hash = 0;
+  std::string attempt;
+  std::int64_t at_ms = 0;  ///< wall clock, for expiry only
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(key, body_hash, attempt, at_ms);
+  }
+};
+
+/// The request ran; keeps its answer.
+struct finish_claim {
+  claim_key key;
+  std::string attempt;
+  stored_answer answer;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(key, attempt, answer);
+  }
+};
+
+/// No byte of the request reached a server: the key may be claimed again.
+struct release_claim {
+  claim_key key;
+  std::string attempt;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(key, attempt);
+  }
+};
+
+/// Forgets claims that began before a time.
+struct expire_claims {
+  std::int64_t before_ms = 0;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(before_ms);
+  }
+};
+
+using claim_command =
+    std::variant<begin_claim, finish_claim, release_claim, expire_claims>;
+
+enum class claim_status : std::uint8_t {
+  kGranted,       ///< this attempt, and no other, may run the request
+  kRunning,       ///< another attempt holds the claim and may have run it
+  kFinished,      ///< it ran; the answer is kept
+  kOtherRequest,  ///< the key belongs to a request with another body
+  kDone,          ///< a finish, release or expiry was carried out
+  kRefused,       ///< a finish or release by an attempt without the claim
+};
+
+struct claim_result {
+  claim_status status = claim_status::kRefused;
+  stored_answer answer;
+
+  auto operator==(const claim_result&) const -> bool = default;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(status, answer);
+  }
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/common/fiber_event.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <memory>
+
+namespace lovagedale {
+
+/// Lets a fiber wait for a callback on the same thread. Copies share state,
+/// so a callback may outlive the fiber that waited.
+class fiber_event {
+ public:
+  explicit fiber_event(const boost::asio::any_io_executor& executor)
+      : state_(std::make_shared<state>(executor)) {}
+
+  auto Set() const -> void {
+    state_->is_set = true;
+    state_->timer.cancel();
+  }
+  /// Returns false if `timeout` passed first.
+  auto Wait(std::chrono::milliseconds timeout,
+            boost::asio::yield_context yield) const -> bool {
+    if (state_->is_set) return true;
+    const auto keep = state_;
+    keep->timer.expires_after(timeout);
+    boost::system::error_code ignored;
+    keep->timer.async_wait(yield[ignored]);
+    return keep->is_set;
+  }
+
+ private:
+  struct state {
+    explicit state(const boost::asio::any_io_executor& executor)
+        : timer(executor) {}
+    boost::asio::steady_timer timer;
+    bool is_set = false;
+  };
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/common/settings_fields.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "lovagedale/common/json_reader.h"
+#include "lovagedale/common/log.h"
+#include "lovagedale/rpc/channel.h"
+
+namespace lovagedale {
+
+/// A port from 0 to 65535; 0 lets the kernel choose a free one.
+auto ReadPort(object_reader& reader, std::string_view key) -> std::uint16_t;
+
+/// A list of our processes: name, zone, host and port of each.
+auto ReadProcesses(object_reader& reader, std::string_view key)
+    -> std::vector<process_address>;
+
+/// The keys `log_file` and `log_level`.
+auto ReadLogSettings(object_reader& reader, std::string& file,
+                     std::string& level) -> void;
+
+auto ParseLogLevel(std::string_view name) -> log_level;
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/configuration/control_machine.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lovagedale/configuration/changes.h"
+#include "lovagedale/configuration/fleet_view.h"
+#include "lovagedale/replication/messages.h"
+
+namespace lovagedale {
+
+/// What the history keeps of a change.
+struct change_record {
+  std::string change_id;
+  std::string author;
+  std::int64_t at_ms = 0;
+  std::string summary;
+  std::uint64_t content_hash = 0;
+  /// Whether a zone without a permit already acts as this change demands.
+  bool permit_gated = false;
+  log_index index = 0;
+  change_result result;
+
+  auto operator==(const change_record&) const -> bool = default;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(change_id, author, at_ms, summary, content_hash, permit_gated,
+            index, result);
+  }
+};
+
+/// Control's replicated state: the fleet's view, the registered entries and
+/// the results of past changes. Deterministic: the same log gives the same
+/// state on each replica. Satisfies replicated_machine.
+class control_machine {
+ public:
+  /// Results kept for resent changes; older ones are forgotten.
+  static constexpr std::size_t kKeptResults = 20'000;
+
+  /// Applies a control_command; returns an encoded change_result.
+  auto Apply(const log_entry& entry) -> std::string;
+  auto TakeSnapshot() const -> std::string;
+  auto Restore(const std::string& state) -> void;
+
+  auto view() const -> const fleet_view& { return view_; }
+  auto nodes() const -> const std::map<std::string, register_node>& {
+    return nodes_;
+  }
+  /// Oldest first.
+  auto history() const -> const std::deque<change_record>& { return history_; }
+  auto FindRecord(const std::string& change_id) const -> const change_record*;
+  /// The change that made a revision, if it is still kept.
+  auto RecordOfRevision(config_revision revision) const
+      -> const change_record*;
+
+ private:
+  auto ApplyChange(const change& item, log_index index) -> change_result;
+  auto Check(const change& item) const -> std::optional<std::string>;
+  auto Perform(const change_action& action) -> void;
+  auto IsPermitGated(const change_action& action) const -> bool;
+  auto Remember(change_record record) -> void;
+  auto MutableStatus(const std::string& version) -> version_status&;
+
+  fleet_view view_;
+  std::map<std::string, register_node> nodes_;
+  std::deque<change_record> history_;
+  std::uint64_t forgotten_ = 0;  // Records dropped from the front of history_.
+  std::map<std::string, std::uint64_t> by_id_;
+};
+
+/// One word and the version or fingerprint it concerns, for logs.
+auto DescribeAction(const change_action& action) -> std::string;
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/control/messages.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "lovagedale/configuration/fleet_view.h"
+#include "lovagedale/quality/evidence.h"
+#include "lovagedale/replication/messages.h"
+
+namespace lovagedale {
+
+/// Life of one entry process; drawn at its start.
+using process_incarnation = std::uint64_t;
+
+/// A server stopped while it ran these requests.
+struct crash_report {
+  std::string server;
+  std::vector<std::uint64_t> fingerprints;
+  std::string report_id;  ///< the same crash reported again counts once
+
+  auto operator==(const crash_report&) const -> bool = default;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(server, fingerprints, report_id);
+  }
+};
+
+/// Sent by each entry to each control replica once a second.
+struct entry_heartbeat {
+  std::string node;
+  std::string zone;
+  process_incarnation incarnation = 0;
+  config_revision revision = 0;  ///< the one the entry follows
+  bool leaving = false;          ///< the last one of a planned stop
+  /// Cumulative; left out when nothing has changed.
+  evidence_table evidence;
+  std::vector<crash_report> crashes;
+  std::vector<std::uint64_t> cleared;  ///< suspects that finished elsewhere
+
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(node, zone, incarnation, revision, leaving, evidence, crashes,
+            cleared);
+  }
+};
+
+struct heartbeat_response {
+  bool is_leader = false;
+  std::string leader;  ///< name of the leader, if known
+  config_revision revision = 0;
+  /// Present if the sender follows an older revision.
+  std::optional<fleet_view> view;
+  /// How long the entry may use versions under roll-out, counted from when it
+  /// sent the heartbeat, once it follows `revision`. 0: no permit.
+  monotonic_ms permit_ms = 0;
+  /// Fleet-wide sums; empty when not due.
+  evidence_table evidence;
+  std::uint32_t live_entries = 0;  ///< for shares of fleet-wide limits
+
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(is_leader, leader, revision, view, permit_ms, evidence,
+            live_entries);
+  }
+};
+
+using control_request = std::variant<replica_envelope, entry_heartbeat>;
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/control/service.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lovagedale/configuration/control_machine.h"
+#include "lovagedale/configuration/in_force.h"
+#include "lovagedale/control/messages.h"
+#include "lovagedale/control/settings.h"
+#include "lovagedale/health/crash_attribution.h"
+#include "lovagedale/quality/evidence.h"
+#include "lovagedale/replication/replica_node.h"
+#include "lovagedale/rollout/guard.h"
+#include "lovagedale/rpc/server.h"
+
+namespace lovagedale {
+
+/// What came of a proposed change.
+struct change_outcome {
+  propose_status proposal = propose_status::kNotLeader;
+  change_result result;
+};
+
+/// One control replica: the replicated configuration, the entries' heartbeats
+/// and the roll-out guard. Everything runs on one thread.
+class control_service {
+ public:
+  control_service(boost::asio::io_context& context, replica_settings settings,
+                  log_store& store);
+
+  auto Start() -> void;
+  /// Hands leadership over and stops taking part.
+  auto Stop() -> void;
+
+  auto SubmitChange(const change& item,
+                    std::function<void(const change_outcome&)> done) -> void;
+  auto RemoveNode(const std::string& name,
+                  std::function<void(propose_status)> done) -> void;
+
+  auto settings() const -> const replica_settings& { return settings_; }
+  auto node() const -> const replica_node<control_machine>& { return node_; }
+  auto machine() const -> const control_machine& { return machine_; }
+  /// How far a revision has spread; meaningful on the leader only.
+  auto ForceStatusOf(config_revision revision) const -> force_status;
+  auto SilentFor(const std::string& node) const -> monotonic_ms;
+  auto evidence() const -> evidence_table { return evidence_.Total(); }
+
+ private:
+  /// A heartbeat whose answer waits for news.
+  struct held_heartbeat {
+    entry_heartbeat heartbeat;
+    rpc_reply reply;
+    monotonic_ms until = 0;
+  };
+
+  auto HandleRpc(const std::string& body, rpc_reply reply) -> void;
+  auto HandleHeartbeat(entry_heartbeat heartbeat, rpc_reply reply) -> void;
+  auto RegisterIfNew(const entry_heartbeat& heartbeat) -> void;
+  auto HandleCrashes(const entry_heartbeat& heartbeat) -> void;
+  auto Answer(const held_heartbeat& held) -> void;
+  auto AnswerHeld(bool all) -> void;
+  auto ScheduleTick() -> void;
+  auto Tick() -> void;
+  auto TrackLeadership() -> void;
+  auto JudgeRollouts() -> void;
+  auto JudgeVersion(const version_status& status) -> void;
+  auto ProposeOwnChange(const std::string& change_id, change_action action,
+                        const std::string& reason) -> void;
+  auto ParsedCatalog() -> const catalog&;
+
+  boost::asio::io_context& context_;
+  replica_settings settings_;
+  system_monotonic_clock clock_;
+  control_machine machine_;
+  replica_node<control_machine> node_;
+  rpc_server server_;
+  boost::asio::steady_timer timer_;
+  std::optional<force_tracker> tracker_;  // Present while leading.
+  std::list<held_heartbeat> held_;
+  std::map<std::string, bool> registering_;
+  evidence_collector evidence_;
+  crash_attribution crashes_;
+  guard_options guard_;
+  /// Requests of a version when its present stage began, by version.
+  std::map<std::string, std::pair<std::uint32_t, std::uint64_t>> stage_start_;
+  catalog parsed_;
+  std::optional<std::uint64_t> parsed_hash_;
+  config_revision answered_revision_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/entry/routing_table.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lovagedale/cascade/plan.h"
+#include "lovagedale/catalog/catalog.h"
+#include "lovagedale/configuration/fleet_view.h"
+#include "lovagedale/placement/placement.h"
+
+namespace lovagedale {
+
+/// A version's place in the routing table.
+struct version_route {
+  version_phase phase = version_phase::kSteady;
+  double share = 1;           ///< of requests, while under roll-out
+  bool needs_permit = false;  ///< stops when control's permit has ended
+  bool paused = false;
+  std::string successor;      ///< after a withdrawal; may be empty
+};
+
+/// Everything a traffic thread reads to route a request, at one revision.
+/// Built by the control thread and never changed afterwards.
+class routing_table {
+ public:
+  /// Throws settings_invalid if the view's document is refused.
+  routing_table(const fleet_view& view, const std::string& zone,
+                server_registry& registry);
+
+  auto revision() const -> config_revision { return view_.revision; }
+  auto config() const -> const catalog& { return *config_; }
+  auto view() const -> const fleet_view& { return view_; }
+  auto Route(version_id version) const -> const version_route& {
+    return routes_[version];
+  }
+  auto ServersOf(version_id version) const -> const placement_group& {
+    return version_groups_[version];
+  }
+  auto ServersOfService(pool_id pool) const -> const placement_group& {
+    return service_groups_[pool];
+  }
+  auto State(server_id server) const -> server_state& {
+    return *states_[server];
+  }
+  /// Reason for which a request is refused, or nullptr.
+  auto QuarantineOf(std::uint64_t fingerprint, std::int64_t wall_ms) const
+      -> const quarantine*;
+  /// Whether a version may receive new work now.
+  auto MayRun(version_id version, bool has_permit) const -> bool;
+  /// Follows recorded successors from a withdrawn version to one that is not;
+  /// nothing if the chain ends.
+  auto ResolveSession(version_id version) const -> std::optional<version_id>;
+
+ private:
+  fleet_view view_;
+  std::shared_ptr<const catalog> config_;
+  std::vector<version_route> routes_;
+  std::vector<placement_group> version_groups_;
+  std::vector<placement_group> service_groups_;
+  std::vector<std::shared_ptr<server_state>> states_;
+  std::unordered_map<std::uint64_t, quarantine> quarantines_;
+};
+
+/// Plans by customer and task class, made by the control thread from the
+/// fleet's evidence.
+class plan_table {
+ public:
+  /// `evidence` is copied; plans are made when first asked for, as task
+  /// classes are not known beforehand.
+  plan_table(std::shared_ptr<const routing_table> table,
+             evidence_table evidence);
+
+  /// Plan for a customer's requests of a class over its steady versions.
+  auto PlanFor(customer_id customer, const std::string& task_class) const
+      -> mixed_plan;
+  auto evidence() const -> const evidence_table& { return evidence_; }
+  auto revision() const -> config_revision { return table_->revision(); }
+
+ private:
+  std::shared_ptr<const routing_table> table_;
+  evidence_table evidence_;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/http/client.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "lovagedale/http/server.h"
+
+namespace lovagedale {
+
+/// A request to another HTTP server failed.
+class http_call_error : public std::runtime_error {
+ public:
+  enum class stage {
+    kNotSent,     ///< no byte of the request was written
+    kSent,        ///< it may have been handled; no answer arrived
+    kAnswerBroken ///< the answer began and did not end
+  };
+  http_call_error(stage at, const std::string& reason)
+      : std::runtime_error(reason), stage_(at) {}
+  auto at() const -> stage { return stage_; }
+
+ private:
+  stage stage_;
+};
+
+struct http_deadlines {
+  std::chrono::milliseconds connect{500};
+  std::chrono::milliseconds first_byte{30'000};
+  std::chrono::milliseconds between_reads{10'000};
+
+  auto operator==(const http_deadlines&) const -> bool = default;
+};
+
+struct http_response_head {
+  unsigned status = 0;
+  std::string content_type;
+  header_list headers;
+
+  auto Header(std::string_view name) const -> std::string_view;
+};
+
+/// A connection to one server that carries one request at a time. After any
+/// error it must be dropped: a late answer could be taken for the next one's.
+class http_connection {
+ public:
+  http_connection(boost::asio::io_context& context, std::string host,
+                  std::uint16_t port);
+  ~http_connection();
+  http_connection(const http_connection&) = delete;
+  auto operator=(const http_connection&) -> http_connection& = delete;
+
+  auto Connect(const http_deadlines& deadlines, boost::asio::yield_context yield)
+      -> void;
+  /// Sends the request and reads the head of the answer.
+  auto Send(const http_request& request, const http_deadlines& deadlines,
+            boost::asio::yield_context yield) -> http_response_head;
+  /// Next part of the answer's body; empty at its end. The view is valid until
+  /// the next call.
+  auto ReadSome(const http_deadlines& deadlines,
+                boost::asio::yield_context yield) -> std::string_view;
+  /// Whether the answer has been read whole and another request may follow.
+  auto IsReusable() const -> bool;
+  /// Whether the peer has closed the connection or sent something unasked.
+  auto IsStale() -> bool;
+  auto Close() -> void;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+struct http_answer {
+  http_response_head head;
+  std::string body;
+};
+
+/// One request on a connection of its own, with its whole answer. Simpler
+/// than a pool and slower: for operators, ratings and orders.
+auto HttpCall(boost::asio::io_context& context, const std::string& host,
+              std::uint16_t port, const http_request& request,
+              const http_deadlines& deadlines, boost::asio::yield_context yield)
+    -> http_answer;
+
+/// Like HttpCall, for a program with nothing else to do: blocks the caller.
+auto BlockingHttpCall(const std::string& host, std::uint16_t port,
+                      const http_request& request,
+                      const http_deadlines& deadlines) -> http_answer;
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/ledger/messages.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "lovagedale/billing/bill_store.h"
+#include "lovagedale/claim/messages.h"
+#include "lovagedale/replication/messages.h"
+
+namespace lovagedale {
+
+/// A claim command from an entry; answered with claim_response.
+struct claim_request {
+  claim_command command;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(command);
+  }
+};
+
+enum class claim_reply : std::uint8_t {
+  kDecided,    ///< see `result`
+  kNotLeader,  ///< nothing happened here; `leader` may know
+  kUnknown,    ///< ask again with the same attempt
+};
+
+struct claim_response {
+  claim_reply reply = claim_reply::kUnknown;
+  std::string leader;
+  claim_result result;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(reply, leader, result);
+  }
+};
+
+/// Records to store; answered with an empty body once they last.
+struct bill_batch {
+  std::vector<bill_record> records;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(records);
+  }
+};
+
+/// Asks another ledger for its records from a position on; answered with
+/// bill_page.
+struct bills_since {
+  bill_sequence from = 0;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(from);
+  }
+};
+
+using ledger_request =
+    std::variant<replica_envelope, claim_request, bill_batch, bills_since>;
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/ledger/service.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lovagedale/billing/bill_store.h"
+#include "lovagedale/claim/claim_machine.h"
+#include "lovagedale/control/settings.h"
+#include "lovagedale/http/server.h"
+#include "lovagedale/ledger/messages.h"
+#include "lovagedale/replication/replica_node.h"
+#include "lovagedale/rpc/server.h"
+
+namespace lovagedale {
+
+/// One ledger: a replica of the claims, and a bill store that exchanges its
+/// records with the other ledgers. Everything runs on one thread.
+class ledger_service {
+ public:
+  ledger_service(boost::asio::io_context& context, replica_settings settings,
+                 log_store& store, bill_store& bills);
+
+  auto Start() -> void;
+  auto Stop() -> void;
+  /// GET /health, /ready, /v1/status and /v1/bills?customer=NAME.
+  auto HandleHttp(http_exchange& exchange) -> void;
+
+ private:
+  struct waiting_bills {
+    std::vector<bill_record> records;
+    rpc_reply reply;
+  };
+  struct peer_cursor {
+    std::unique_ptr<rpc_channel> channel;
+    std::uint64_t store_id = 0;
+    bill_sequence next = 0;
+  };
+
+  auto HandleRpc(const std::string& body, const rpc_reply& reply) -> void;
+  auto HandleClaim(const claim_request& request, const rpc_reply& reply)
+      -> void;
+  auto QueueBills(bill_batch batch, const rpc_reply& reply) -> void;
+  auto StoreQueuedBills() -> void;
+  auto ExchangeLoop(peer_cursor& peer, boost::asio::yield_context yield)
+      -> void;
+  auto HousekeepingLoop(boost::asio::yield_context yield) -> void;
+  auto HandleStatus(http_exchange& exchange) -> void;
+  auto HandleBills(http_exchange& exchange) -> void;
+
+  boost::asio::io_context& context_;
+  replica_settings settings_;
+  claim_machine claims_;
+  bill_store& bills_;
+  replica_node<claim_machine> node_;
+  rpc_server server_;
+  std::vector<waiting_bills> queued_;
+  std::map<std::string, peer_cursor> peers_;
+  bool store_scheduled_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/process/process.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace lovagedale {
+
+/// Exit codes of all our programs.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailure = 1;
+inline constexpr int kExitBadSettings = 2;
+inline constexpr int kExitStorage = 3;
+
+/// What a program does with the text of its settings file.
+struct process_main {
+  std::string name;
+  std::string description;
+  /// Throws settings_invalid if the settings are refused.
+  std::function<void(const std::string& settings)> check;
+  /// Runs until the process is told to stop; returns the exit code.
+  std::function<int(const std::string& settings)> run;
+};
+
+/// Parses --config, --check_config, --help and --version, reads and checks the
+/// settings and runs the program. Errors go to standard error.
+auto RunProcess(int argc, char** argv, const process_main& program) -> int;
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/replication/batch_file.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace lovagedale {
+
+/// Bytes before each batch: u32 length and u64 checksum, little-endian.
+inline constexpr std::size_t kBatchHeaderBytes = 12;
+
+/// One batch as stored: header and payload. A batch is the unit of one sync,
+/// so only the last batch of a file can be incomplete after a crash.
+auto EncodeBatch(std::string_view payload) -> std::string;
+
+/// Result of reading a batch file.
+struct batch_scan {
+  std::size_t batches = 0;
+  /// Bytes of whole batches; what follows is an incomplete last batch.
+  std::size_t valid_bytes = 0;
+  std::size_t file_bytes = 0;
+
+  auto HasTornTail() const -> bool { return valid_bytes < file_bytes; }
+};
+
+/// Calls `visit` with the payload of each whole batch of the file's content.
+/// Throws storage_error, naming `path` and the offset, if a batch that is not
+/// the last one is damaged: that is a lost record, not an unfinished write.
+auto ScanBatches(const std::string& path, std::string_view content,
+                 const std::function<void(std::string_view)>& visit)
+    -> batch_scan;
+
+/// A file's content, empty if it does not exist. Throws storage_error.
+auto ReadWholeFile(const std::string& path) -> std::string;
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/replication/log_store-inl.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <optional>
+
+#include "lovagedale/replication/log_store.h"
+
+namespace lovagedale {
+
+/// Content of one batch of the log.
+struct log_batch {
+  std::optional<hard_state> hard;
+  std::optional<log_index> truncate_from;
+  std::vector<log_entry> entries;
+
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(hard, truncate_from, entries);
+  }
+};
+
+/// The folder's state and the number of its last segment.
+struct opened_folder {
+  stored_state state;
+  std::uint64_t last_segment = 0;
+};
+
+auto OpenDataFolder(const std::string& folder) -> opened_folder;
+auto SegmentPath(const std::string& folder, std::uint64_t number)
+    -> std::string;
+auto ListSegments(const std::string& folder) -> std::vector<std::uint64_t>;
+auto EncodeLogBatch(const log_batch& batch) -> std::string;
+auto EncodeSnapshotFile(const log_snapshot& snapshot) -> std::string;
+
+template <durable_disk Disk>
+basic_log_store<Disk>::basic_log_store(Disk& disk, std::string folder)
+    : disk_(disk), folder_(std::move(folder)) {
+  auto opened = OpenDataFolder(folder_);
+  recovered_ = std::move(opened.state);
+  segment_ = opened.last_segment;
+  StartSegment();
+}
+
+template <durable_disk Disk>
+basic_log_store<Disk>::~basic_log_store() {
+  if (fd_ < 0) return;
+  try {
+    disk_.CloseFile(fd_);
+  } catch (const std::exception&) {
+    // Every record was synced before it was relied on.
+  }
+}
+
+template <durable_disk Disk>
+auto basic_log_store<Disk>::StartSegment() -> void {
+  if (fd_ >= 0) disk_.CloseFile(fd_);
+  ++segment_;
+  fd_ = disk_.OpenAppend(SegmentPath(folder_, segment_));
+  disk_.SyncFolder(folder_);
+}
+
+template <durable_disk Disk>
+auto basic_log_store<Disk>::Persist(const replica_output& output) -> void {
+  if (output.installed) {
+    WriteSnapshotFile(*output.installed);
+  }
+  if (!output.hard && !output.truncate_from && output.appended.empty() &&
+      !output.installed) {
+    return;
+  }
+  log_batch batch{output.hard, output.truncate_from, output.appended};
+  // An installed snapshot replaces the whole log before it.
+  if (output.installed) batch.truncate_from = 1;
+  disk_.Write(fd_, EncodeLogBatch(batch));
+  disk_.SyncFile(fd_);
+}
+
+template <durable_disk Disk>
+auto basic_log_store<Disk>::SaveSnapshot(const log_snapshot& snapshot,
+                                         const hard_state& hard,
+                                         const std::vector<log_entry>& entries)
+    -> void {
+  WriteSnapshotFile(snapshot);
+  StartSegment();
+  disk_.Write(fd_, EncodeLogBatch({hard, snapshot.index + 1, entries}));
+  disk_.SyncFile(fd_);
+  RemoveOldSegments();
+}
+
+template <durable_disk Disk>
+auto basic_log_store<Disk>::WriteSnapshotFile(const log_snapshot& snapshot)
+    -> void {
+  const auto temporary = folder_ + "/snapshot.new";
+  disk_.Remove(temporary);
+  const int fd = disk_.OpenAppend(temporary);
+  disk_.Write(fd, EncodeSnapshotFile(snapshot));
+  disk_.SyncFile(fd);
+  disk_.CloseFile(fd);
+  disk_.Rename(temporary, folder_ + "/snapshot");
+  disk_.SyncFolder(folder_);
+}
+
+template <durable_disk Disk>
+auto basic_log_store<Disk>::RemoveOldSegments() -> void {
+  for (const auto number : ListSegments(folder_)) {
+    if (number < segment_) disk_.Remove(SegmentPath(folder_, number));
+  }
+  disk_.SyncFolder(folder_);
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/replication/replica_core.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lovagedale/common/time.h"
+#include "lovagedale/replication/messages.h"
+
+namespace lovagedale {
+
+struct replication_options {
+  monotonic_ms heartbeat_ms = 60;
+  /// An election starts after a random time between these two without a word
+  /// from a leader. Votes are refused for the smaller one after each word.
+  monotonic_ms election_min_ms = 300;
+  monotonic_ms election_max_ms = 600;
+  /// Shorter than election_min_ms by the clock drift that is tolerated.
+  monotonic_ms lease_ms = 270;
+  std::size_t max_append_bytes = 1UL << 20U;
+  /// Entries kept behind a snapshot for replicas that lag a little.
+  std::size_t kept_entries = 1'000;
+
+  auto operator==(const replication_options&) const -> bool = default;
+};
+
+enum class replica_role { kFollower, kCandidate, kLeader };
+
+/// What the driver must do after a step, in this order: store, send, apply.
+/// No message may leave before everything above it is synced.
+struct replica_output {
+  std::optional<hard_state> hard;
+  std::optional<log_snapshot> installed;
+  /// Stored entries from this index on are dropped before `appended`.
+  std::optional<log_index> truncate_from;
+  std::vector<log_entry> appended;
+  std::vector<replica_envelope> messages;
+  std::vector<log_entry> committed;
+
+  auto NeedsSync() const -> bool {
+    return hard || installed || truncate_from || !appended.empty();
+  }
+};
+
+/// A replica of a majority log: leader election with pre-vote, a leader lease,
+/// replication, snapshots and one-at-a-time membership changes. Pure logic: it
+/// does no I/O and reads no clock; `now` never steps backwards.
+///
+/// The log is the one of the Raft paper (Ongaro and Ousterhout, 2014). A
+/// member that answers under a new incarnation lost its disk: the leader first
+/// takes its vote away, then lets it catch up, then gives it a vote again.
+class replica_core {
+ public:
+  /// `stored` is what the disk holds; a snapshot without members means that
+  /// this replica is blank and waits to be contacted by a leader.
+  replica_core(std::string name, stored_state stored,
+               replication_options options, std::uint64_t seed,
+               monotonic_ms now);
+
+  auto Tick(monotonic_ms now) -> void;
+  auto Receive(const replica_envelope& envelope, monotonic_ms now) -> void;
+  /// Appends a command; returns its index, or nothing if not the leader.
+  auto Propose(std::string command, monotonic_ms now)
+      -> std::optional<log_index>;
+  /// Leader: gives up the lease for good and asks the most advanced voter to
+  /// take over. Used when the process is about to stop.
+  auto TransferLeadership(monotonic_ms now) -> void;
+  /// Records that the machine's state up to `index` is in a snapshot, drops
+  /// older entries and returns the snapshot to store. `index` must have been
+  /// returned as committed.
+  auto Compact(log_index index, std::string state) -> log_snapshot;
+  /// Takes what has to be done since the last call.
+  auto TakeOutput() -> replica_output;
+
+  auto role() const -> replica_role { return role_; }
+  auto term() const -> term_number { return hard_.term; }
+  auto leader() const -> const std::string& { return leader_; }
+  auto commit_index() const -> log_index { return commit_; }
+  auto last_index() const -> log_index;
+  auto members() const -> const member_set& { return members_; }
+  auto snapshot() const -> const log_snapshot& { return snapshot_; }
+  auto hard() const -> const hard_state& { return hard_; }
+  auto incarnation() const -> incarnation_id { return incarnation_; }
+  /// Entries after the snapshot, for storing beside it.
+  auto EntriesAfter(log_index index) const -> std::vector<log_entry>;
+  /// When the leader's lease ends; no other leader can exist before then.
+  /// 0 if not the leader, or if no entry of this term is committed yet.
+  auto LeaseUntil() const -> monotonic_ms;
+  /// Last entry that a member is known to have synced (leader only).
+  auto MatchIndex(const std::string& member) const -> log_index;
+
+ private:
+  struct peer_progress {
+    log_index next = 1;
+    log_index match = 0;
+    monotonic_ms acked_sent_at = -1;
+    monotonic_ms last_sent_at = -1;
+    bool snapshot_sent = false;
+  };
+
+  auto Handle(const replica_envelope& from, const vote_request& request,
+              monotonic_ms now) -> void;
+  auto Handle(const replica_envelope& from, const vote_response& response,
+              monotonic_ms now) -> void;
+  auto Handle(const replica_envelope& from, const append_request& request,
+              monotonic_ms now) -> void;
+  auto Handle(const replica_envelope& from, const append_response& response,
+              monotonic_ms now) -> void;
+  auto Handle(const replica_envelope& from, const install_request& request,
+              monotonic_ms now) -> void;
+  auto Handle(const replica_envelope& from, const transfer_request& request,
+              monotonic_ms now) -> void;
+
+  auto BecomeFollower(term_number term, std::string leader, monotonic_ms now)
+      -> void;
+  auto StartElection(bool pre_vote, bool transfer, monotonic_ms now) -> void;
+  auto BecomeLeader(monotonic_ms now) -> void;
+  auto HasWonVote() const -> bool;
+  auto HeardFromLeader(const std::string& leader, monotonic_ms now) -> void;
+  auto ResetElectionTimer(monotonic_ms now) -> void;
+  auto HasQuorumContact(monotonic_ms now) const -> bool;
+  auto SendAppends(bool heartbeat, monotonic_ms now) -> void;
+  auto SendAppendTo(const std::string& peer, bool heartbeat, monotonic_ms now)
+      -> void;
+  auto AdvanceCommit() -> void;
+  auto CommitTo(log_index index) -> void;
+  auto ReconcileMember(const replica_envelope& from) -> void;
+  auto PromoteLearners() -> void;
+  auto ProposeMembers(const member_set& members) -> void;
+  auto AppendAsLeader(entry_kind kind, std::string payload) -> log_index;
+  auto AppendEntry(const log_entry& entry) -> void;
+  auto TruncateFrom(log_index index) -> void;
+  auto RecomputeMembers() -> void;
+  auto MembersAt(log_index index) const -> member_set;
+  auto TermAt(log_index index) const -> std::optional<term_number>;
+  auto EntryAt(log_index index) const -> const log_entry&;
+  auto SetHardState(term_number term, std::string voted_for) -> void;
+  auto Send(const std::string& to, replica_message message) -> void;
+  auto IsVoter() const -> bool {
+    return members_.IsVoter(name_, incarnation_);
+  }
+
+  std::string name_;
+  incarnation_id incarnation_;
+  replication_options options_;
+  std::mt19937_64 random_;
+
+  hard_state hard_;
+  log_snapshot snapshot_;  // Latest, held for replicas that lag behind it.
+  log_index log_start_ = 1;
+  term_number term_before_log_ = 0;
+  std::deque<log_entry> log_;
+  member_set members_;
+  log_index members_index_ = 0;
+  log_index commit_ = 0;
+
+  replica_role role_ = replica_role::kFollower;
+  std::string leader_;
+  monotonic_ms heard_leader_at_;
+  monotonic_ms election_at_ = 0;
+  monotonic_ms heartbeat_at_ = 0;
+  bool collecting_pre_votes_ = false;
+  bool transfer_election_ = false;
+  bool transferring_ = false;
+  std::set<std::string> votes_;
+  std::map<std::string, peer_progress> peers_;
+  monotonic_ms leader_since_ = 0;
+  log_index leader_start_index_ = 0;
+  monotonic_ms now_ = 0;  // Time of the latest step.
+
+  replica_output output_;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/replication/replica_node-inl.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+
+#include "lovagedale/common/hash.h"
+#include "lovagedale/common/log.h"
+#include "lovagedale/replication/replica_node.h"
+
+namespace lovagedale {
+
+inline constexpr std::chrono::milliseconds kReplicaTick{15};
+/// A snapshot is taken after this many entries or payload bytes.
+inline constexpr log_index kSnapshotEveryEntries = 10'000;
+inline constexpr std::size_t kSnapshotEveryBytes = 16UL << 20U;
+
+inline auto RoleName(replica_role role) -> const char* {
+  switch (role) {
+    case replica_role::kFollower:
+      return "follower";
+    case replica_role::kCandidate:
+      return "candidate";
+    case replica_role::kLeader:
+      return "leader";
+  }
+  return "unknown";
+}
+
+template <replicated_machine Machine>
+replica_node<Machine>::replica_node(
+    boost::asio::io_context& context, std::string name,
+    const std::vector<process_address>& peers, replication_options options,
+    log_store& store, Machine& machine,
+    std::function<std::string(const replica_envelope&)> wrap)
+    : context_(context),
+      store_(store),
+      machine_(machine),
+      wrap_(std::move(wrap)),
+      core_(name, store.recovered(), options,
+            HashFields(name) ^ store.recovered().incarnation, clock_.Now()),
+      timer_(context),
+      applied_(store.recovered().snapshot.index) {
+  if (!store.recovered().snapshot.state.empty()) {
+    machine_.Restore(store.recovered().snapshot.state);
+  }
+  for (const auto& peer : peers) {
+    if (peer.name == name) continue;
+    peers_.emplace(peer.name, std::make_unique<rpc_channel>(context, peer));
+  }
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::Start() -> void {
+  ScheduleTick();
+  ScheduleFlush();
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::Stop() -> void {
+  stopped_ = true;
+  timer_.cancel();
+  for (auto& [name, channel] : peers_) channel->Close();
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::ScheduleTick() -> void {
+  timer_.expires_after(kReplicaTick);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (error || stopped_) return;
+    core_.Tick(clock_.Now());
+    Flush();
+    ScheduleTick();
+  });
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::Receive(const replica_envelope& envelope) -> void {
+  if (stopped_) return;
+  core_.Receive(envelope, clock_.Now());
+  ScheduleFlush();
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::Propose(std::string command, propose_callback done)
+    -> void {
+  const auto index = core_.Propose(std::move(command), clock_.Now());
+  if (!index) {
+    done({propose_status::kNotLeader, ""});
+    return;
+  }
+  waiting_[*index] = {core_.term(), std::move(done)};
+  ScheduleFlush();
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::TransferLeadership() -> void {
+  core_.TransferLeadership(clock_.Now());
+  Flush();
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::LeaseRemainingMs() const -> monotonic_ms {
+  return core_.LeaseUntil() - clock_.Now();
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::IsCurrent() const -> bool {
+  return HasLease() && applied_ == core_.commit_index();
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::ScheduleFlush() -> void {
+  if (flush_scheduled_) return;
+  flush_scheduled_ = true;
+  // Handlers that are ready now run first, so their entries share one sync.
+  boost::asio::post(context_, [this] {
+    flush_scheduled_ = false;
+    if (!stopped_) Flush();
+  });
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::Flush() -> void {
+  const auto output = core_.TakeOutput();
+  if (output.NeedsSync()) store_.Persist(output);
+  if (output.installed) {
+    machine_.Restore(output.installed->state);
+    applied_ = output.installed->index;
+    log_line(log_level::kInfo, "snapshot_installed").With("index", applied_);
+  }
+  for (const auto& envelope : output.messages) {
+    const auto peer = peers_.find(envelope.to);
+    if (peer != peers_.end()) peer->second->SendOneWay(wrap_(envelope));
+  }
+  ApplyCommitted(output.committed);
+  if (core_.role() != replica_role::kLeader) FailLostProposals();
+  if (core_.role() != logged_role_) {
+    logged_role_ = core_.role();
+    log_line(log_level::kInfo, "replica_role")
+        .With("role", RoleName(logged_role_))
+        .With("term", core_.term())
+        .With("leader", core_.leader())
+        .With("last_index", core_.last_index());
+  }
+  MaybeCompact();
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::ApplyCommitted(
+    const std::vector<log_entry>& entries) -> void {
+  for (const auto& entry : entries) {
+    std::string result;
+    if (entry.kind == entry_kind::kCommand) result = machine_.Apply(entry);
+    applied_ = entry.index;
+    bytes_since_snapshot_ += entry.payload.size();
+    const auto found = waiting_.find(entry.index);
+    if (found == waiting_.end()) continue;
+    auto proposal = std::move(found->second);
+    waiting_.erase(found);
+    // An entry of another term took this index: the command was not chosen.
+    const bool is_ours = proposal.term == entry.term;
+    proposal.done(
+        {is_ours ? propose_status::kCommitted : propose_status::kNotLeader,
+         std::move(result)});
+  }
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::FailLostProposals() -> void {
+  auto lost = std::move(waiting_);
+  waiting_.clear();
+  for (auto& [index, proposal] : lost) {
+    proposal.done({propose_status::kUnknown, ""});
+  }
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::MaybeCompact() -> void {
+  const auto entries = applied_ - core_.snapshot().index;
+  if (entries < kSnapshotEveryEntries &&
+      bytes_since_snapshot_ < kSnapshotEveryBytes) {
+    return;
+  }
+  if (entries == 0) return;
+  bytes_since_snapshot_ = 0;
+  const auto snapshot = core_.Compact(applied_, machine_.TakeSnapshot());
+  store_.SaveSnapshot(snapshot, core_.hard(), core_.EntriesAfter(applied_));
+  log_line(log_level::kInfo, "snapshot_saved")
+      .With("index", snapshot.index)
+      .With("bytes", snapshot.state.size());
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/replication/replica_node.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <concepts>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lovagedale/common/time.h"
+#include "lovagedale/replication/log_store.h"
+#include "lovagedale/replication/replica_core.h"
+#include "lovagedale/rpc/channel.h"
+
+namespace lovagedale {
+
+/// A deterministic machine whose commands are replicated. `Apply` must depend
+/// on nothing but the state and the entry.
+template <typename T>
+concept replicated_machine =
+    requires(T& machine, const log_entry& entry, const std::string& state) {
+      { machine.Apply(entry) } -> std::same_as<std::string>;
+      { machine.TakeSnapshot() } -> std::same_as<std::string>;
+      { machine.Restore(state) } -> std::same_as<void>;
+    };
+
+enum class propose_status {
+  kCommitted,  ///< applied; the result is the machine's
+  kNotLeader,  ///< not appended here; nothing happened
+  kUnknown,    ///< leadership was lost first; it may still be committed
+};
+
+struct propose_result {
+  propose_status status = propose_status::kNotLeader;
+  std::string result;
+};
+
+using propose_callback = std::function<void(const propose_result&)>;
+
+/// Runs a replica_core: its timer, its disk and its peers. One thread, the
+/// control thread; a failed disk write throws out of the event loop.
+template <replicated_machine Machine>
+class replica_node {
+ public:
+  /// `peers` are the other replicas. `store` and `machine` outlive the node.
+  /// `wrap` encodes an envelope into this process's RPC message.
+  replica_node(boost::asio::io_context& context, std::string name,
+               const std::vector<process_address>& peers,
+               replication_options options, log_store& store, Machine& machine,
+               std::function<std::string(const replica_envelope&)> wrap);
+
+  auto Start() -> void;
+  auto Stop() -> void;
+  auto Receive(const replica_envelope& envelope) -> void;
+  /// Replicates a command; `done` is called once, on this thread. Commands
+  /// proposed while an earlier sync runs share the next one.
+  auto Propose(std::string command, propose_callback done) -> void;
+  /// Gives up leadership before a planned stop.
+  auto TransferLeadership() -> void;
+
+  auto core() const -> const replica_core& { return core_; }
+  /// Whether this replica leads and its lease holds.
+  auto HasLease() const -> bool { return LeaseRemainingMs() > 0; }
+  auto LeaseRemainingMs() const -> monotonic_ms;
+  /// Commits and applies everything up to now, then returns true; false if the
+  /// machine may be behind. Reads that must be current check this.
+  auto IsCurrent() const -> bool;
+
+ private:
+  struct waiting_proposal {
+    term_number term;
+    propose_callback done;
+  };
+
+  auto ScheduleTick() -> void;
+  auto ScheduleFlush() -> void;
+  auto Flush() -> void;
+  auto ApplyCommitted(const std::vector<log_entry>& entries) -> void;
+  auto FailLostProposals() -> void;
+  auto MaybeCompact() -> void;
+
+  boost::asio::io_context& context_;
+  log_store& store_;
+  Machine& machine_;
+  std::function<std::string(const replica_envelope&)> wrap_;
+  system_monotonic_clock clock_;
+  replica_core core_;
+  std::map<std::string, std::unique_ptr<rpc_channel>> peers_;
+  std::map<log_index, waiting_proposal> waiting_;
+  boost::asio::steady_timer timer_;
+  log_index applied_ = 0;
+  std::size_t bytes_since_snapshot_ = 0;
+  replica_role logged_role_ = replica_role::kFollower;
+  bool flush_scheduled_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace lovagedale
+
+#include "lovagedale/replication/replica_node-inl.h"
--- /dev/null
+++ b/include/lovagedale/rpc/channel.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "lovagedale/rpc/errors.h"
+
+namespace lovagedale {
+
+class frame_connection;
+
+/// Address of one of our processes.
+struct process_address {
+  std::string name;
+  std::string host;  ///< IP number
+  std::uint16_t port = 0;
+  std::string zone;
+
+  auto operator==(const process_address&) const -> bool = default;
+};
+
+/// Client end of a framed connection, with many calls under way at once. It
+/// connects when first used and again after a failure. One thread only.
+class rpc_channel {
+ public:
+  rpc_channel(boost::asio::io_context& context, process_address address);
+  ~rpc_channel();
+  rpc_channel(const rpc_channel&) = delete;
+  auto operator=(const rpc_channel&) -> rpc_channel& = delete;
+
+  /// Sends `body` and waits for the answer. Throws rpc_error, which says
+  /// whether the request may have reached the peer. A call that times out with
+  /// no byte received meanwhile closes the connection, as its state may be
+  /// lost in the network.
+  auto Call(const std::string& body, std::chrono::milliseconds timeout,
+            boost::asio::yield_context yield) -> std::string;
+  /// Sends without an answer; dropped if there is no connection yet.
+  auto SendOneWay(const std::string& body) -> void;
+  auto Close() -> void;
+  auto address() const -> const process_address& { return address_; }
+
+ private:
+  struct pending_call {
+    boost::asio::steady_timer* wake;
+    std::optional<std::string> answer;
+    bool failed = false;
+  };
+
+  auto EnsureConnected() -> void;
+  auto Connect(boost::asio::yield_context yield) -> void;
+  auto FailPending() -> void;
+
+  boost::asio::io_context& context_;
+  process_address address_;
+  std::shared_ptr<frame_connection> connection_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::unordered_map<std::uint64_t, pending_call*> pending_;
+  std::chrono::steady_clock::time_point retry_at_{};
+  std::chrono::steady_clock::time_point last_received_{};
+  std::uint64_t next_call_id_ = 1;
+  bool connecting_ = false;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/rpc/connection.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "lovagedale/rpc/frame.h"
+
+namespace lovagedale {
+
+/// Sets TCP_NODELAY, keepalive and TCP_USER_TIMEOUT, so that a connection
+/// whose peer no longer acknowledges data fails after `dead_after_ms`.
+auto ConfigureSocket(boost::asio::ip::tcp::socket& socket, int dead_after_ms)
+    -> void;
+
+/// A framed TCP connection used by one thread. Frames queued while a write is
+/// under way leave together in the next one.
+class frame_connection : public std::enable_shared_from_this<frame_connection> {
+ public:
+  using frame_handler = std::function<void(const frame_header&, std::string)>;
+  using close_handler = std::function<void()>;
+
+  explicit frame_connection(boost::asio::ip::tcp::socket socket);
+
+  /// Reads frames until the connection closes, then calls `on_close` once.
+  auto Start(frame_handler on_frame, close_handler on_close) -> void;
+  /// Queues a frame. Closes the connection if the peer reads so slowly that
+  /// more than kMaxFrameBytes would be queued.
+  auto Send(std::uint64_t call_id, frame_kind kind, const std::string& body)
+      -> void;
+  auto Close() -> void;
+  auto IsOpen() const -> bool { return open_; }
+
+ private:
+  auto ReadLoop(boost::asio::yield_context yield) -> void;
+  auto WriteQueued() -> void;
+
+  boost::asio::ip::tcp::socket socket_;
+  frame_handler on_frame_;
+  close_handler on_close_;
+  std::string queued_;
+  std::string writing_;
+  bool write_active_ = false;
+  bool open_ = true;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/configuration/control_machine.cpp
@@ -0,0 +1,337 @@
+#include "lovagedale/configuration/control_machine.h"
+
+#include <algorithm>
+
+#include "lovagedale/catalog/catalog.h"
+#include "lovagedale/common/codec.h"
+#include "lovagedale/common/hash.h"
+#include "lovagedale/common/json_reader.h"
+
+namespace lovagedale {
+namespace {
+
+template <typename... Handlers>
+struct overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+
+constexpr std::size_t kMaxStages = 16;
+constexpr std::size_t kMaxQuarantines = 1'000;
+
+auto CheckStages(const std::vector<double>& shares)
+    -> std::optional<std::string> {
+  if (shares.empty() || shares.size() > kMaxStages) {
+    return "stage_shares: got " + std::to_string(shares.size()) +
+           " stages; allowed: 1 to " + std::to_string(kMaxStages);
+  }
+  double previous = 0;
+  for (const auto share : shares) {
+    if (!(share > previous && share <= 1)) {
+      return "stage_shares: each must be greater than the one before it and "
+             "at most 1";
+    }
+    previous = share;
+  }
+  return std::nullopt;
+}
+
+auto CheckDocument(const std::string& document) -> std::optional<std::string> {
+  try {
+    ParseCatalog(document);
+    return std::nullopt;
+  } catch (const settings_invalid& error) {
+    return error.what();
+  }
+}
+
+auto HasVersion(const std::string& document, const std::string& version)
+    -> bool {
+  if (document.empty()) return false;
+  return ParseCatalog(document).FindVersion(version).has_value();
+}
+
+auto UnknownVersion(const std::string& version) -> std::string {
+  return "version: got \"" + version +
+         "\"; allowed: a model@version of the configuration";
+}
+
+}  // namespace
+
+auto version_status::Share() const -> double {
+  if (phase == version_phase::kWithdrawn) return 0;
+  if (phase == version_phase::kSteady || stage >= stage_shares.size()) return 1;
+  return stage_shares[stage];
+}
+
+auto fleet_view::StatusOf(const std::string& version) const
+    -> const version_status* {
+  const auto found = std::find_if(
+      versions.begin(), versions.end(),
+      [&](const auto& status) { return status.version == version; });
+  return found == versions.end() ? nullptr : &*found;
+}
+
+auto DescribeAction(const change_action& action) -> std::string {
+  return std::visit(
+      overloaded{
+          [](const set_configuration&) {
+            return std::string("set_configuration");
+          },
+          [](const start_rollout& a) { return "start_rollout " + a.version; },
+          [](const advance_rollout& a) {
+            return "advance_rollout " + a.version + " to stage " +
+                   std::to_string(a.to_stage);
+          },
+          [](const pause_rollout& a) {
+            return (a.paused ? "pause_rollout " : "resume_rollout ") +
+                   a.version;
+          },
+          [](const withdraw_version& a) {
+            return "withdraw_version " + a.version;
+          },
+          [](const restore_version& a) {
+            return "restore_version " + a.version;
+          },
+          [](const set_quarantine& a) {
+            return "set_quarantine " + ToHex(a.item.fingerprint);
+          },
+          [](const lift_quarantine& a) {
+            return "lift_quarantine " + ToHex(a.fingerprint);
+          }},
+      action);
+}
+
+auto control_machine::Apply(const log_entry& entry) -> std::string {
+  const auto command = Decode<control_command>(entry.payload);
+  return Encode(std::visit(
+      overloaded{[&](const change& item) {
+                   return ApplyChange(item, entry.index);
+                 },
+                 [&](const register_node& node) {
+                   nodes_[node.name] = node;
+                   return change_result{change_status::kApplied,
+                                        view_.revision, ""};
+                 },
+                 [&](const remove_node& node) {
+                   nodes_.erase(node.name);
+                   return change_result{change_status::kApplied,
+                                        view_.revision, ""};
+                 }},
+      command));
+}
+
+auto control_machine::ApplyChange(const change& item, log_index index)
+    -> change_result {
+  const auto content_hash = Hash64(Encode(item.action));
+  if (const auto* known = FindRecord(item.change_id)) {
+    if (known->content_hash == content_hash) return known->result;
+    return {change_status::kInvalid, view_.revision,
+            "change_id: \"" + item.change_id +
+                "\" was already used for another change"};
+  }
+  change_result result;
+  const bool permit_gated = IsPermitGated(item.action);
+  if (item.expected_revision != kAnyRevision &&
+      item.expected_revision != view_.revision) {
+    result = {change_status::kConflict, view_.revision,
+              "expected_revision: got " +
+                  std::to_string(item.expected_revision) +
+                  "; the current revision is " +
+                  std::to_string(view_.revision)};
+  } else if (const auto problem = Check(item)) {
+    result = {change_status::kInvalid, view_.revision, *problem};
+  } else {
+    Perform(item.action);
+    ++view_.revision;
+    result = {change_status::kApplied, view_.revision, ""};
+  }
+  Remember({item.change_id, item.author, item.at_ms,
+            DescribeAction(item.action), content_hash, permit_gated, index,
+            result});
+  return result;
+}
+
+auto control_machine::Check(const change& item) const
+    -> std::optional<std::string> {
+  const auto check_version =
+      [&](const std::string& version) -> std::optional<std::string> {
+    if (!HasVersion(view_.document, version)) return UnknownVersion(version);
+    return std::nullopt;
+  };
+  const auto check_rollout =
+      [&](const std::string& version) -> std::optional<std::string> {
+    const auto* status = view_.StatusOf(version);
+    if (status == nullptr || status->phase != version_phase::kRollout) {
+      return "version: \"" + version + "\" is not under roll-out";
+    }
+    return std::nullopt;
+  };
+  using problem = std::optional<std::string>;
+  return std::visit(
+      overloaded{
+          [&](const set_configuration& a) { return CheckDocument(a.document); },
+          [&](const start_rollout& a) -> problem {
+            if (auto unknown = check_version(a.version)) return unknown;
+            return CheckStages(a.stage_shares);
+          },
+          [&](const advance_rollout& a) -> problem {
+            if (auto other = check_rollout(a.version)) return other;
+            const auto* status = view_.StatusOf(a.version);
+            if (a.to_stage == status->stage + 1) return std::nullopt;
+            return "to_stage: got " + std::to_string(a.to_stage) +
+                   "; allowed: " + std::to_string(status->stage + 1);
+          },
+          [&](const pause_rollout& a) { return check_rollout(a.version); },
+          [&](const withdraw_version& a) -> problem {
+            if (auto unknown = check_version(a.version)) return unknown;
+            if (a.successor.empty()) return std::nullopt;
+            if (a.successor == a.version) {
+              return "successor: must differ from the withdrawn version";
+            }
+            return check_version(a.successor);
+          },
+          [&](const restore_version& a) { return check_version(a.version); },
+          [&](const set_quarantine&) -> problem {
+            if (view_.quarantines.size() < kMaxQuarantines) return std::nullopt;
+            return "quarantines: the limit is " +
+                   std::to_string(kMaxQuarantines);
+          },
+          [](const lift_quarantine&) -> problem { return std::nullopt; }},
+      item.action);
+}
+
+auto control_machine::IsPermitGated(const change_action& action) const -> bool {
+  const auto is_gated = [&](const std::string& version) {
+    const auto* status = view_.StatusOf(version);
+    if (status != nullptr && status->phase == version_phase::kRollout) {
+      return true;
+    }
+    if (view_.document.empty()) return false;
+    const auto parsed = ParseCatalog(view_.document);
+    const auto id = parsed.FindVersion(version);
+    return id && parsed.versions[*id].when_cut_off == cut_off_policy::kRefuse;
+  };
+  if (const auto* a = std::get_if<withdraw_version>(&action)) {
+    return is_gated(a->version);
+  }
+  if (const auto* a = std::get_if<pause_rollout>(&action)) {
+    return is_gated(a->version);
+  }
+  return false;
+}
+
+auto control_machine::MutableStatus(const std::string& version)
+    -> version_status& {
+  auto& list = view_.versions;
+  const auto place = std::lower_bound(
+      list.begin(), list.end(), version,
+      [](const auto& status, const auto& name) {
+        return status.version < name;
+      });
+  if (place != list.end() && place->version == version) return *place;
+  version_status fresh;
+  fresh.version = version;
+  return *list.insert(place, std::move(fresh));
+}
+
+auto control_machine::Perform(const change_action& action) -> void {
+  std::visit(
+      overloaded{
+          [&](const set_configuration& a) { view_.document = a.document; },
+          [&](const start_rollout& a) {
+            MutableStatus(a.version) = {a.version, version_phase::kRollout,
+                                        0,         a.stage_shares,
+                                        false,     "",
+                                        ""};
+          },
+          [&](const advance_rollout& a) {
+            auto& status = MutableStatus(a.version);
+            status.stage = a.to_stage;
+            if (a.to_stage >= status.stage_shares.size()) {
+              status.phase = version_phase::kSteady;
+              status.stage_shares.clear();
+              status.stage = 0;
+            }
+          },
+          [&](const pause_rollout& a) {
+            MutableStatus(a.version).paused = a.paused;
+          },
+          [&](const withdraw_version& a) {
+            auto& status = MutableStatus(a.version);
+            status.phase = version_phase::kWithdrawn;
+            status.successor = a.successor;
+            status.reason = a.reason;
+          },
+          [&](const restore_version& a) {
+            MutableStatus(a.version) = {a.version, version_phase::kSteady, 0,
+                                        {},        false,                  "",
+                                        ""};
+          },
+          [&](const set_quarantine& a) {
+            std::erase_if(view_.quarantines, [&](const auto& item) {
+              return item.fingerprint == a.item.fingerprint;
+            });
+            view_.quarantines.push_back(a.item);
+          },
+          [&](const lift_quarantine& a) {
+            std::erase_if(view_.quarantines, [&](const auto& item) {
+              return item.fingerprint == a.fingerprint;
+            });
+          }},
+      action);
+}
+
+auto control_machine::Remember(change_record record) -> void {
+  by_id_[record.change_id] = forgotten_ + history_.size();
+  history_.push_back(std::move(record));
+  while (history_.size() > kKeptResults) {
+    by_id_.erase(history_.front().change_id);
+    history_.pop_front();
+    ++forgotten_;
+  }
+}
+
+auto control_machine::FindRecord(const std::string& change_id) const
+    -> const change_record* {
+  const auto found = by_id_.find(change_id);
+  if (found == by_id_.end()) return nullptr;
+  return &history_[found->second - forgotten_];
+}
+
+auto control_machine::RecordOfRevision(config_revision revision) const
+    -> const change_record* {
+  const auto found = std::find_if(
+      history_.rbegin(), history_.rend(), [&](const auto& record) {
+        return record.result.status == change_status::kApplied &&
+               record.result.revision == revision;
+      });
+  return found == history_.rend() ? nullptr : &*found;
+}
+
+auto control_machine::TakeSnapshot() const -> std::string {
+  std::vector<change_record> records(history_.begin(), history_.end());
+  std::vector<register_node> nodes;
+  for (const auto& [name, node] : nodes_) nodes.push_back(node);
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive(out);
+  archive(view_, nodes, records, forgotten_);
+  return std::move(out).str();
+}
+
+auto control_machine::Restore(const std::string& state) -> void {
+  *this = control_machine{};
+  if (state.empty()) return;
+  memory_streambuf buffer(state);
+  std::istream in(&buffer);
+  cereal::PortableBinaryInputArchive archive(in);
+  std::vector<change_record> records;
+  std::vector<register_node> nodes;
+  archive(view_, nodes, records, forgotten_);
+  for (auto& node : nodes) nodes_[node.name] = node;
+  for (auto& record : records) {
+    by_id_[record.change_id] = forgotten_ + history_.size();
+    history_.push_back(std::move(record));
+  }
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/configuration/in_force.cpp
@@ -0,0 +1,53 @@
+#include "lovagedale/configuration/in_force.h"
+
+#include <algorithm>
+
+namespace lovagedale {
+
+auto force_tracker::Heartbeat(const std::string& node,
+                              std::uint64_t incarnation,
+                              config_revision revision, monotonic_ms now)
+    -> void {
+  auto& state = nodes_[node];
+  const bool is_same_process = state.incarnation == incarnation;
+  // Heartbeats may arrive out of order; a process never goes back.
+  state.revision =
+      is_same_process ? std::max(state.revision, revision) : revision;
+  state.incarnation = incarnation;
+  state.last_heard = std::max(state.last_heard, now);
+}
+
+auto force_tracker::SilentFor(const std::string& node, monotonic_ms now) const
+    -> monotonic_ms {
+  const auto found = nodes_.find(node);
+  return now - (found == nodes_.end()
+                    ? leader_since_
+                    : std::max(found->second.last_heard, leader_since_));
+}
+
+auto force_tracker::IsPermitOver(const std::string& node,
+                                 monotonic_ms now) const -> bool {
+  return SilentFor(node, now) > kPermitMs + kPermitMarginMs;
+}
+
+auto force_tracker::StatusOf(
+    config_revision revision, bool permit_gated,
+    const std::map<std::string, register_node>& registered,
+    monotonic_ms now) const -> force_status {
+  force_status status;
+  status.revision = revision;
+  status.nodes = registered.size();
+  for (const auto& [name, node] : registered) {
+    const auto found = nodes_.find(name);
+    if (found != nodes_.end() && found->second.revision >= revision) {
+      ++status.in_force;
+    } else if (permit_gated && IsPermitOver(name, now)) {
+      ++status.without_permit;
+    } else {
+      status.waiting_for.push_back(name);
+    }
+  }
+  return status;
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/control/service.cpp
@@ -0,0 +1,330 @@
+#include "lovagedale/control/service.h"
+
+#include <algorithm>
+
+#include "lovagedale/common/codec.h"
+#include "lovagedale/common/hash.h"
+#include "lovagedale/common/log.h"
+
+namespace lovagedale {
+namespace {
+
+/// A heartbeat is answered at once when there is news, else after this time.
+constexpr monotonic_ms kHoldHeartbeatMs = 1'000;
+constexpr std::chrono::milliseconds kServiceTick{100};
+/// Entries heard within this time share the fleet-wide limits.
+constexpr monotonic_ms kLiveEntryMs = 5'000;
+constexpr std::int64_t kQuarantineMs = 60LL * 60 * 1'000;
+
+auto WrapEnvelope(const replica_envelope& envelope) -> std::string {
+  return Encode(control_request(envelope));
+}
+
+}  // namespace
+
+control_service::control_service(boost::asio::io_context& context,
+                                 replica_settings settings, log_store& store)
+    : context_(context),
+      settings_(std::move(settings)),
+      node_(context, settings_.name, settings_.replicas, settings_.replication,
+            store, machine_, WrapEnvelope),
+      server_(context, settings_.host, settings_.rpc_port,
+              [this](std::string body, rpc_reply reply) {
+                HandleRpc(body, std::move(reply));
+              }),
+      timer_(context) {}
+
+auto control_service::Start() -> void {
+  node_.Start();
+  ScheduleTick();
+  log_line(log_level::kInfo, "control_started")
+      .With("name", settings_.name)
+      .With("zone", settings_.zone)
+      .With("incarnation", node_.core().incarnation())
+      .With("revision", machine_.view().revision)
+      .With("last_index", node_.core().last_index());
+}
+
+auto control_service::Stop() -> void {
+  if (stopped_) return;
+  stopped_ = true;
+  node_.TransferLeadership();
+  AnswerHeld(/*all=*/true);
+  timer_.cancel();
+}
+
+auto control_service::HandleRpc(const std::string& body, rpc_reply reply)
+    -> void {
+  auto request = Decode<control_request>(body);
+  if (const auto* envelope = std::get_if<replica_envelope>(&request)) {
+    node_.Receive(*envelope);
+    return;
+  }
+  HandleHeartbeat(std::get<entry_heartbeat>(std::move(request)),
+                  std::move(reply));
+}
+
+auto control_service::HandleHeartbeat(entry_heartbeat heartbeat,
+                                      rpc_reply reply) -> void {
+  const auto now = clock_.Now();
+  TrackLeadership();
+  if (!heartbeat.evidence.empty()) {
+    evidence_.Report(heartbeat.node, heartbeat.incarnation,
+                     heartbeat.evidence);
+  }
+  const bool urgent = !heartbeat.crashes.empty() || heartbeat.leaving;
+  held_heartbeat held{std::move(heartbeat), std::move(reply),
+                      now + kHoldHeartbeatMs};
+  if (tracker_) {
+    if (held.heartbeat.leaving) {
+      RemoveNode(held.heartbeat.node, [](propose_status) {});
+      tracker_->Forget(held.heartbeat.node);
+    } else {
+      RegisterIfNew(held.heartbeat);
+      tracker_->Heartbeat(held.heartbeat.node, held.heartbeat.incarnation,
+                          held.heartbeat.revision, now);
+    }
+    HandleCrashes(held.heartbeat);
+  }
+  const bool has_news =
+      held.heartbeat.revision != machine_.view().revision || !tracker_;
+  if (has_news || urgent || stopped_) {
+    Answer(held);
+    return;
+  }
+  held_.push_back(std::move(held));
+}
+
+auto control_service::RegisterIfNew(const entry_heartbeat& heartbeat) -> void {
+  const register_node node{heartbeat.node, heartbeat.zone};
+  const auto known = machine_.nodes().find(node.name);
+  if (known != machine_.nodes().end() && known->second == node) return;
+  if (registering_[node.name]) return;
+  registering_[node.name] = true;
+  node_.Propose(Encode(control_command(node)),
+                [this, name = node.name](const propose_result&) {
+                  registering_.erase(name);
+                  AnswerHeld(/*all=*/false);
+                });
+}
+
+auto control_service::RemoveNode(const std::string& name,
+                                 std::function<void(propose_status)> done)
+    -> void {
+  node_.Propose(Encode(control_command(remove_node{name})),
+                [done = std::move(done)](const propose_result& result) {
+                  done(result.status);
+                });
+}
+
+auto control_service::HandleCrashes(const entry_heartbeat& heartbeat) -> void {
+  const auto now = clock_.Now();
+  for (const auto& report : heartbeat.crashes) {
+    log_line(log_level::kWarning, "server_crash_reported")
+        .With("server", report.server)
+        .With("entry", heartbeat.node)
+        .With("report", report.report_id)
+        .With("suspects", report.fingerprints.size());
+    const auto condemned = crashes_.ReportCrash(
+        report.report_id, report.server, report.fingerprints, now);
+    for (const auto fingerprint : condemned) {
+      ProposeOwnChange("quarantine/" + report.report_id + "/" +
+                           ToHex(fingerprint),
+                       set_quarantine{{fingerprint,
+                                       WallClockMs() + kQuarantineMs,
+                                       "ran on two servers that crashed"}},
+                       "ran on two servers that crashed");
+    }
+  }
+  for (const auto fingerprint : heartbeat.cleared) crashes_.Clear(fingerprint);
+  crashes_.Expire(now);
+}
+
+auto control_service::Answer(const held_heartbeat& held) -> void {
+  heartbeat_response response;
+  response.is_leader = tracker_.has_value() && node_.HasLease();
+  response.leader = node_.core().leader();
+  response.revision = machine_.view().revision;
+  if (held.heartbeat.revision < response.revision) {
+    response.view = machine_.view();
+  }
+  const bool is_registered = machine_.nodes().contains(held.heartbeat.node);
+  // Only a leader whose lease holds knows that no newer revision exists.
+  if (response.is_leader && node_.IsCurrent() && is_registered) {
+    response.permit_ms = kPermitMs;
+    tracker_->Heartbeat(held.heartbeat.node, held.heartbeat.incarnation,
+                        held.heartbeat.revision, clock_.Now());
+  }
+  if (response.is_leader) {
+    response.evidence = evidence_.Total();
+    for (const auto& [name, node] : machine_.nodes()) {
+      if (SilentFor(name) < kLiveEntryMs) ++response.live_entries;
+    }
+  }
+  held.reply(Encode(response));
+}
+
+auto control_service::AnswerHeld(bool all) -> void {
+  const auto now = clock_.Now();
+  const auto revision = machine_.view().revision;
+  for (auto held = held_.begin(); held != held_.end();) {
+    const bool is_registered =
+        machine_.nodes().contains(held->heartbeat.node);
+    const bool is_due = all || now >= held->until || !is_registered ||
+                        held->heartbeat.revision != revision;
+    if (!is_due) {
+      ++held;
+      continue;
+    }
+    auto due = std::move(*held);
+    held = held_.erase(held);
+    Answer(due);
+  }
+}
+
+auto control_service::ScheduleTick() -> void {
+  timer_.expires_after(kServiceTick);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (error || stopped_) return;
+    Tick();
+    ScheduleTick();
+  });
+}
+
+auto control_service::Tick() -> void {
+  TrackLeadership();
+  const bool has_new_revision =
+      answered_revision_ != machine_.view().revision;
+  answered_revision_ = machine_.view().revision;
+  AnswerHeld(/*all=*/has_new_revision || !tracker_);
+  if (tracker_) JudgeRollouts();
+}
+
+auto control_service::TrackLeadership() -> void {
+  const bool leads = node_.core().role() == replica_role::kLeader;
+  if (leads && !tracker_) tracker_.emplace(clock_.Now());
+  if (!leads && tracker_) {
+    tracker_.reset();
+    stage_start_.clear();
+  }
+}
+
+auto control_service::ForceStatusOf(config_revision revision) const
+    -> force_status {
+  if (!tracker_) return {revision, machine_.nodes().size(), 0, 0, {"leader"}};
+  const auto* record = machine_.RecordOfRevision(revision);
+  auto status =
+      tracker_->StatusOf(revision, record != nullptr && record->permit_gated,
+                         machine_.nodes(), clock_.Now());
+  if (record == nullptr) return status;
+  // An entry that restarts in a cut-off zone asks the zone's control replica,
+  // so the replica must have stored the revision as well.
+  for (const auto& member : node_.core().members().members) {
+    if (!member.voter || node_.core().MatchIndex(member.name) < record->index) {
+      status.waiting_for.push_back(member.name);
+    }
+  }
+  return status;
+}
+
+auto control_service::SilentFor(const std::string& node) const
+    -> monotonic_ms {
+  return tracker_ ? tracker_->SilentFor(node, clock_.Now()) : 0;
+}
+
+auto control_service::SubmitChange(
+    const change& item, std::function<void(const change_outcome&)> done)
+    -> void {
+  if (!node_.HasLease()) {
+    done({propose_status::kNotLeader, {}});
+    return;
+  }
+  log_line(log_level::kInfo, "change_proposed")
+      .With("change_id", item.change_id)
+      .With("author", item.author)
+      .With("expected_revision", item.expected_revision)
+      .With("action", DescribeAction(item.action));
+  node_.Propose(
+      Encode(control_command(item)),
+      [this, item, done = std::move(done)](const propose_result& proposal) {
+        change_outcome outcome{proposal.status, {}};
+        if (proposal.status == propose_status::kCommitted) {
+          outcome.result = Decode<change_result>(proposal.result);
+        }
+        log_line(log_level::kInfo, "change_decided")
+            .With("change_id", item.change_id)
+            .With("committed", proposal.status == propose_status::kCommitted)
+            .With("applied", outcome.result.status == change_status::kApplied)
+            .With("revision", outcome.result.revision)
+            .With("message", outcome.result.message);
+        done(outcome);
+        AnswerHeld(/*all=*/false);
+      });
+}
+
+auto control_service::ProposeOwnChange(const std::string& change_id,
+                                       change_action action,
+                                       const std::string& reason) -> void {
+  if (machine_.FindRecord(change_id) != nullptr) return;
+  log_line(log_level::kInfo, "rollout_decision")
+      .With("action", DescribeAction(action))
+      .With("reason", reason);
+  SubmitChange({change_id, kAnyRevision, settings_.name, WallClockMs(),
+                std::move(action)},
+               [](const change_outcome&) {});
+}
+
+auto control_service::ParsedCatalog() -> const catalog& {
+  const auto hash = Hash64(machine_.view().document);
+  if (parsed_hash_ != hash) {
+    parsed_ = machine_.view().document.empty()
+                  ? catalog{}
+                  : ParseCatalog(machine_.view().document);
+    parsed_hash_ = hash;
+  }
+  return parsed_;
+}
+
+auto control_service::JudgeRollouts() -> void {
+  if (!node_.IsCurrent()) return;
+  // Copied: a decision may change the list.
+  const auto versions = machine_.view().versions;
+  for (const auto& status : versions) {
+    if (status.phase == version_phase::kRollout) JudgeVersion(status);
+  }
+}
+
+auto control_service::JudgeVersion(const version_status& status) -> void {
+  const auto& config = ParsedCatalog();
+  const auto id = config.FindVersion(status.version);
+  if (!id) return;
+  guard_input input;
+  input.candidate = evidence_.TotalFor(status.version);
+  input.baseline = BaselineEvidence(config, machine_.view(), status.version,
+                                    evidence_.Total());
+  input.expected_quality = config.versions[*id].expected_quality;
+  input.stage = status.stage;
+  std::uint64_t requests = 0;
+  for (const auto& [key, counts] : input.candidate) requests += counts.requests;
+  auto& start = stage_start_[status.version];
+  if (start.first != status.stage) start = {status.stage, requests};
+  input.requests_at_stage_start = std::min(start.second, requests);
+
+  const auto decision = JudgeRollout(input, guard_);
+  const auto change_id = "rollout/" + status.version + "/" +
+                         std::to_string(machine_.view().revision);
+  if (decision.verdict == guard_verdict::kWithdraw) {
+    ProposeOwnChange(change_id,
+                     withdraw_version{status.version,
+                                      DefaultSuccessor(config, machine_.view(),
+                                                       status.version),
+                                      decision.reason},
+                     decision.reason);
+  } else if (decision.verdict == guard_verdict::kAdvance && !status.paused) {
+    ProposeOwnChange(change_id,
+                     advance_rollout{status.version, status.stage + 1},
+                     decision.reason);
+  }
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/entry/routing_table.cpp
@@ -0,0 +1,112 @@
+#include "lovagedale/entry/routing_table.h"
+
+#include <algorithm>
+
+namespace lovagedale {
+namespace {
+
+constexpr std::size_t kMaxSuccessors = 16;
+/// What an interactive customer's millisecond is worth, in micros per 1k
+/// tokens.
+constexpr double kInteractiveCostPerMs = 1.0;
+
+auto MakeRoute(const model_version& version, const version_status* status)
+    -> version_route {
+  version_route route;
+  route.needs_permit = version.when_cut_off == cut_off_policy::kRefuse;
+  route.successor = version.successor;
+  if (status == nullptr) return route;
+  route.phase = status->phase;
+  route.share = status->Share();
+  route.paused = status->paused;
+  if (status->phase == version_phase::kRollout) route.needs_permit = true;
+  if (!status->successor.empty()) route.successor = status->successor;
+  return route;
+}
+
+}  // namespace
+
+routing_table::routing_table(const fleet_view& view, const std::string& zone,
+                             server_registry& registry)
+    : view_(view),
+      config_(std::make_shared<const catalog>(
+          view.document.empty() ? catalog{} : ParseCatalog(view.document))) {
+  for (const auto& version : config_->versions) {
+    routes_.push_back(MakeRoute(version, view_.StatusOf(version.name)));
+  }
+  for (const auto& server : config_->servers) {
+    states_.push_back(registry.Get(server.name));
+  }
+  version_groups_.resize(config_->versions.size());
+  service_groups_.resize(config_->pools.size());
+  const auto add = [&](placement_group& group, server_id id) {
+    const auto& server = config_->servers[id];
+    auto& list = server.zone == zone ? group.local : group.remote;
+    list.push_back({id, server.slots, states_[id].get()});
+  };
+  for (version_id version = 0; version < version_groups_.size(); ++version) {
+    for (const auto id : config_->ServersOf(version)) {
+      add(version_groups_[version], id);
+    }
+  }
+  for (pool_id pool = 0; pool < service_groups_.size(); ++pool) {
+    for (const auto id : config_->pools[pool].servers) {
+      add(service_groups_[pool], id);
+    }
+  }
+  for (const auto& item : view_.quarantines) {
+    quarantines_[item.fingerprint] = item;
+  }
+}
+
+auto routing_table::QuarantineOf(std::uint64_t fingerprint,
+                                 std::int64_t wall_ms) const
+    -> const quarantine* {
+  const auto found = quarantines_.find(fingerprint);
+  if (found == quarantines_.end() || found->second.until_ms <= wall_ms) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+auto routing_table::MayRun(version_id version, bool has_permit) const -> bool {
+  const auto& route = routes_[version];
+  if (route.phase == version_phase::kWithdrawn) return false;
+  return has_permit || !route.needs_permit;
+}
+
+auto routing_table::ResolveSession(version_id version) const
+    -> std::optional<version_id> {
+  for (std::size_t i = 0; i < kMaxSuccessors; ++i) {
+    const auto& route = routes_[version];
+    if (route.phase != version_phase::kWithdrawn) return version;
+    const auto next = config_->FindVersion(route.successor);
+    if (!next) return std::nullopt;
+    version = *next;
+  }
+  return std::nullopt;
+}
+
+plan_table::plan_table(std::shared_ptr<const routing_table> table,
+                       evidence_table evidence)
+    : table_(std::move(table)), evidence_(std::move(evidence)) {}
+
+auto plan_table::PlanFor(customer_id customer,
+                         const std::string& task_class) const -> mixed_plan {
+  const auto& config = table_->config();
+  const auto& item = config.customers[customer];
+  std::vector<version_knowledge> versions;
+  for (const auto version : item.versions) {
+    if (table_->Route(version).phase != version_phase::kSteady) continue;
+    const auto& group = table_->ServersOf(version);
+    if (group.local.empty() && group.remote.empty()) continue;
+    versions.push_back(KnowledgeOf(config, version, task_class, evidence_));
+  }
+  planning_options options;
+  if (item.patience == patience_class::kInteractive) {
+    options.cost_per_ms = kInteractiveCostPerMs;
+  }
+  return PlanCascade(versions, item.target_quality, options);
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,201 @@
+#include "lovagedale/http/client.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+#include "lovagedale/rpc/connection.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using stage = http_call_error::stage;
+
+constexpr int kDeadServerMs = 10'000;
+constexpr std::size_t kReadBytes = 16UL << 10U;
+constexpr std::uint64_t kMaxAnswerBytes = 64ULL << 20U;
+constexpr std::size_t kMaxBufferBytes = 64UL << 10U;
+
+auto IsHopByHop(std::string_view name) -> bool {
+  return beast::iequals(name, "Connection") ||
+         beast::iequals(name, "Keep-Alive") ||
+         beast::iequals(name, "Transfer-Encoding") ||
+         beast::iequals(name, "Content-Length") ||
+         beast::iequals(name, "Upgrade") || beast::iequals(name, "TE") ||
+         beast::iequals(name, "Trailer") || beast::iequals(name, "Expect") ||
+         beast::iequals(name, "Proxy-Authorization");
+}
+
+}  // namespace
+
+auto http_response_head::Header(std::string_view name) const
+    -> std::string_view {
+  for (const auto& [key, value] : headers) {
+    if (beast::iequals(key, name)) return value;
+  }
+  return {};
+}
+
+struct http_connection::impl {
+  impl(asio::io_context& context, std::string to_host, std::uint16_t to_port)
+      : stream(context), host(std::move(to_host)), port(to_port) {}
+
+  beast::tcp_stream stream;
+  std::string host;
+  std::uint16_t port;
+  beast::flat_buffer buffer{kMaxBufferBytes};
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  std::array<char, kReadBytes> read_buffer{};
+  bool failed = false;
+};
+
+http_connection::http_connection(asio::io_context& context, std::string host,
+                                 std::uint16_t port)
+    : impl_(std::make_unique<impl>(context, std::move(host), port)) {}
+
+http_connection::~http_connection() = default;
+
+auto http_connection::Connect(const http_deadlines& deadlines,
+                              asio::yield_context yield) -> void {
+  beast::error_code error;
+  const auto ip = asio::ip::make_address(impl_->host, error);
+  if (!error) {
+    impl_->stream.expires_after(deadlines.connect);
+    impl_->stream.async_connect(tcp::endpoint(ip, impl_->port), yield[error]);
+  }
+  if (error) {
+    impl_->failed = true;
+    throw http_call_error(stage::kNotSent, "cannot connect to " + impl_->host +
+                                               ":" +
+                                               std::to_string(impl_->port) +
+                                               ": " + error.message());
+  }
+  ConfigureSocket(impl_->stream.socket(), kDeadServerMs);
+}
+
+auto http_connection::Send(const http_request& request,
+                           const http_deadlines& deadlines,
+                           asio::yield_context yield) -> http_response_head {
+  http::request<http::span_body<const char>> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  for (const auto& [name, value] : request.headers) {
+    if (!IsHopByHop(name)) message.insert(name, value);
+  }
+  message.set(http::field::host,
+              impl_->host + ":" + std::to_string(impl_->port));
+  message.body() = {request.body.data(), request.body.size()};
+  message.prepare_payload();
+
+  beast::error_code error;
+  impl_->stream.expires_after(deadlines.first_byte);
+  const auto written =
+      http::async_write(impl_->stream, message, yield[error]);
+  if (error) {
+    impl_->failed = true;
+    throw http_call_error(written == 0 ? stage::kNotSent : stage::kSent,
+                          "write failed: " + error.message());
+  }
+  impl_->parser.emplace();
+  impl_->parser->body_limit(kMaxAnswerBytes);
+  if (request.method == "HEAD") impl_->parser->skip(true);
+  http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
+                          yield[error]);
+  if (error) {
+    impl_->failed = true;
+    throw http_call_error(stage::kSent, "no answer: " + error.message());
+  }
+  const auto& head = impl_->parser->get();
+  http_response_head result;
+  result.status = head.result_int();
+  result.content_type = std::string(head[http::field::content_type]);
+  for (const auto& field : head) {
+    const auto name = field.name_string();
+    if (!IsHopByHop(name) && field.name() != http::field::content_type) {
+      result.headers.emplace_back(name, field.value());
+    }
+  }
+  return result;
+}
+
+auto http_connection::ReadSome(const http_deadlines& deadlines,
+                               asio::yield_context yield) -> std::string_view {
+  auto& parser = *impl_->parser;
+  while (!parser.is_done()) {
+    auto& body = parser.get().body();
+    body.data = impl_->read_buffer.data();
+    body.size = impl_->read_buffer.size();
+    beast::error_code error;
+    impl_->stream.expires_after(deadlines.between_reads);
+    http::async_read_some(impl_->stream, impl_->buffer, parser, yield[error]);
+    if (error == http::error::need_buffer) error = {};
+    if (error) {
+      impl_->failed = true;
+      throw http_call_error(stage::kAnswerBroken,
+                            "answer broke off: " + error.message());
+    }
+    const auto bytes = impl_->read_buffer.size() - parser.get().body().size;
+    if (bytes > 0) return {impl_->read_buffer.data(), bytes};
+  }
+  return {};
+}
+
+auto http_connection::IsReusable() const -> bool {
+  return !impl_->failed && impl_->parser && impl_->parser->is_done() &&
+         impl_->parser->keep_alive() && impl_->buffer.size() == 0;
+}
+
+auto http_connection::IsStale() -> bool {
+  auto& socket = impl_->stream.socket();
+  if (!socket.is_open()) return true;
+  char byte = 0;
+  const auto result = ::recv(socket.native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+  // An idle connection has nothing to read: bytes or an end are both faults.
+  return !(result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+auto http_connection::Close() -> void {
+  impl_->failed = true;
+  impl_->stream.close();
+}
+
+auto HttpCall(asio::io_context& context, const std::string& host,
+              std::uint16_t port, const http_request& request,
+              const http_deadlines& deadlines, asio::yield_context yield)
+    -> http_answer {
+  http_connection connection(context, host, port);
+  connection.Connect(deadlines, yield);
+  http_answer answer;
+  answer.head = connection.Send(request, deadlines, yield);
+  for (;;) {
+    const auto part = connection.ReadSome(deadlines, yield);
+    if (part.empty()) return answer;
+    answer.body += part;
+  }
+}
+
+auto BlockingHttpCall(const std::string& host, std::uint16_t port,
+                      const http_request& request,
+                      const http_deadlines& deadlines) -> http_answer {
+  asio::io_context context(1);
+  std::optional<http_answer> answer;
+  std::exception_ptr failure;
+  asio::spawn(
+      context,
+      [&](asio::yield_context yield) {
+        answer = HttpCall(context, host, port, request, deadlines, yield);
+      },
+      [&](std::exception_ptr error) { failure = error; });
+  context.run();
+  if (failure) std::rethrow_exception(failure);
+  return std::move(*answer);
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,370 @@
+#include "lovagedale/http/server.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <list>
+
+#include "lovagedale/common/log.h"
+#include "lovagedale/rpc/connection.h"
+#include "lovagedale/rpc/server.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr int kDeadCallerMs = 30'000;
+constexpr std::size_t kMaxReadBufferBytes = 64UL << 10U;
+
+using caller_stream = beast::tcp_stream;
+
+}  // namespace
+
+auto http_request::Header(std::string_view name) const -> std::string_view {
+  for (const auto& [key, value] : headers) {
+    if (beast::iequals(key, name)) return value;
+  }
+  return {};
+}
+
+auto http_request::Path() const -> std::string_view {
+  return std::string_view(target).substr(0, target.find('?'));
+}
+
+auto http_request::Query(std::string_view name) const -> std::string_view {
+  const std::string_view text(target);
+  auto position = text.find('?');
+  while (position != std::string_view::npos) {
+    const auto start = position + 1;
+    position = text.find('&', start);
+    const auto pair = text.substr(
+        start, position == std::string_view::npos ? position
+                                                  : position - start);
+    const auto equals = pair.find('=');
+    if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
+      return pair.substr(equals + 1);
+    }
+  }
+  return {};
+}
+
+struct http_server::shared_state {
+  http_limits limits;
+  http_handler handler;
+  bool draining = false;
+  std::size_t active = 0;
+  std::list<caller_stream*> idle;
+};
+
+namespace {
+
+/// Answers one request on a caller's connection.
+class beast_exchange : public http_exchange {
+ public:
+  beast_exchange(caller_stream& stream, asio::yield_context& yield,
+                 const http_limits& limits, http_request request,
+                 bool keep_alive)
+      : stream_(stream),
+        yield_(yield),
+        limits_(limits),
+        request_(std::move(request)),
+        keep_alive_(keep_alive) {}
+
+  auto request() const -> const http_request& override { return request_; }
+  auto yield() -> asio::yield_context& override { return yield_; }
+  auto HasStarted() const -> bool override { return started_; }
+  auto IsComplete() const -> bool { return complete_; }
+  auto KeepAlive() const -> bool { return keep_alive_ && complete_; }
+  auto CloseAfterwards() -> void { keep_alive_ = false; }
+
+  auto Respond(unsigned status, std::string_view content_type,
+               std::string_view body, const header_list& headers)
+      -> void override {
+    started_ = true;
+    http::response<http::span_body<const char>> response;
+    FillHeader(response, status, content_type, headers);
+    response.body() = {body.data(), body.size()};
+    if (request_.method == "HEAD") {
+      response.content_length(body.size());
+      response.body() = {};
+    } else {
+      response.prepare_payload();
+    }
+    beast::error_code error;
+    stream_.expires_after(limits_.write_timeout);
+    http::async_write(stream_, response, yield_[error]);
+    Check(error);
+    complete_ = true;
+  }
+
+  auto StartStream(unsigned status, std::string_view content_type,
+                   const header_list& headers) -> void override {
+    started_ = true;
+    http::response<http::empty_body> response;
+    FillHeader(response, status, content_type, headers);
+    response.chunked(true);
+    http::response_serializer<http::empty_body> serializer(response);
+    beast::error_code error;
+    stream_.expires_after(limits_.write_timeout);
+    http::async_write_header(stream_, serializer, yield_[error]);
+    Check(error);
+  }
+
+  auto Write(std::string_view bytes) -> void override {
+    if (bytes.empty()) return;
+    beast::error_code error;
+    stream_.expires_after(limits_.write_timeout);
+    asio::async_write(
+        stream_, http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())),
+        yield_[error]);
+    Check(error);
+  }
+
+  auto EndStream() -> void override {
+    beast::error_code error;
+    stream_.expires_after(limits_.write_timeout);
+    asio::async_write(stream_, http::make_chunk_last(), yield_[error]);
+    Check(error);
+    complete_ = true;
+  }
+
+ private:
+  template <typename Response>
+  auto FillHeader(Response& response, unsigned status,
+                  std::string_view content_type, const header_list& headers)
+      -> void {
+    response.version(11);
+    response.result(status);
+    response.set(http::field::content_type, content_type);
+    for (const auto& [name, value] : headers) response.set(name, value);
+    response.keep_alive(keep_alive_);
+  }
+
+  auto Check(const beast::error_code& error) -> void {
+    if (!error) return;
+    keep_alive_ = false;
+    throw caller_gone("caller's connection failed: " + error.message());
+  }
+
+  caller_stream& stream_;
+  asio::yield_context& yield_;
+  const http_limits& limits_;
+  http_request request_;
+  bool keep_alive_;
+  bool started_ = false;
+  bool complete_ = false;
+};
+
+auto RefusalStatus(const beast::error_code& error) -> unsigned {
+  if (error == http::error::body_limit || error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    return 413;
+  }
+  if (error == beast::error::timeout) return 408;
+  return 400;
+}
+
+auto RefusalBody(unsigned status, const http_limits& limits) -> std::string {
+  switch (status) {
+    case 413:
+      return R"({"error":{"type":"too_large","message":"request exceeds the limit: header )" +
+             std::to_string(limits.max_header_bytes) + " bytes, body " +
+             std::to_string(limits.max_body_bytes) + R"( bytes"}})";
+    case 408:
+      return R"({"error":{"type":"timeout","message":"request did not arrive within the time limit"}})";
+    default:
+      return R"({"error":{"type":"malformed","message":"request is not valid HTTP/1.1"}})";
+  }
+}
+
+template <typename Parser>
+auto TakeRequest(Parser& parser) -> http_request {
+  auto message = parser.release();
+  http_request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.emplace_back(field.name_string(), field.value());
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+/// Reads and answers the requests of one connection, one after the other.
+template <typename State>
+class caller_session {
+ public:
+  caller_session(tcp::socket socket, std::shared_ptr<State> state,
+                 asio::yield_context yield)
+      : stream_(std::move(socket)), state_(std::move(state)), yield_(yield) {}
+
+  auto Run() -> void {
+    ConfigureSocket(stream_.socket(), kDeadCallerMs);
+    while (ServeOne()) {
+    }
+    beast::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+ private:
+  auto ServeOne() -> bool {
+    if (!WaitForRequest()) return false;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(
+        state_->limits.max_header_bytes));
+    parser.body_limit(state_->limits.max_body_bytes);
+    beast::error_code error;
+    stream_.expires_after(state_->limits.header_timeout);
+    http::async_read_header(stream_, buffer_, parser, yield_[error]);
+    if (!error && !parser.is_done()) {
+      AnswerExpectation(parser, error);
+      stream_.expires_after(state_->limits.body_timeout);
+      if (!error) http::async_read(stream_, buffer_, parser, yield_[error]);
+    }
+    if (error) {
+      Refuse(error);
+      return false;
+    }
+    const bool keep_alive = parser.keep_alive();
+    return Answer(TakeRequest(parser), keep_alive);
+  }
+
+  /// Waits on an idle connection; false if it closes or must be closed.
+  auto WaitForRequest() -> bool {
+    if (buffer_.size() > 0) return true;
+    const auto place = state_->idle.insert(state_->idle.end(), &stream_);
+    beast::error_code error;
+    stream_.expires_after(state_->limits.idle_timeout);
+    const auto bytes = stream_.async_read_some(buffer_.prepare(4096),
+                                               yield_[error]);
+    state_->idle.erase(place);
+    buffer_.commit(bytes);
+    return !error;
+  }
+
+  template <typename Parser>
+  auto AnswerExpectation(Parser& parser, beast::error_code& error) -> void {
+    if (!beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+      return;
+    }
+    http::response<http::empty_body> go_on;
+    go_on.version(11);
+    go_on.result(http::status::continue_);
+    http::async_write(stream_, go_on, yield_[error]);
+  }
+
+  auto Refuse(const beast::error_code& error) -> void {
+    if (error == http::error::end_of_stream ||
+        error == asio::error::connection_reset) {
+      return;
+    }
+    const auto status = RefusalStatus(error);
+    log_line(log_level::kInfo, "request_refused")
+        .With("status", status)
+        .With("reason", error.message());
+    beast_exchange exchange(stream_, yield_, state_->limits, {}, false);
+    try {
+      exchange.RespondJson(status, RefusalBody(status, state_->limits),
+                           {{"Lovagedale-Ran", "no"}});
+    } catch (const caller_gone&) {
+      // Nobody is left to tell.
+    }
+  }
+
+  auto Answer(http_request request, bool keep_alive) -> bool {
+    beast_exchange exchange(stream_, yield_, state_->limits, std::move(request),
+                            keep_alive && !state_->draining);
+    ++state_->active;
+    try {
+      state_->handler(exchange);
+    } catch (const caller_gone&) {
+      // The handler has noted what that means for the request.
+    } catch (const std::exception& error) {
+      log_line(log_level::kError, "handler_failed").With("reason", error.what());
+      TryInternalError(exchange);
+    }
+    --state_->active;
+    return exchange.KeepAlive() && !state_->draining;
+  }
+
+  auto TryInternalError(beast_exchange& exchange) -> void {
+    if (exchange.HasStarted()) return;
+    try {
+      exchange.RespondJson(
+          500, R"({"error":{"type":"internal","message":"internal error"}})",
+          {{"Lovagedale-Ran", "maybe"}});
+    } catch (const caller_gone&) {
+      // Nobody is left to tell.
+    }
+  }
+
+  caller_stream stream_;
+  std::shared_ptr<State> state_;
+  asio::yield_context yield_;
+  beast::flat_buffer buffer_{kMaxReadBufferBytes};
+};
+
+}  // namespace
+
+http_server::http_server(asio::io_context& context, const std::string& host,
+                         std::uint16_t port, bool share_port,
+                         http_limits limits, http_handler handler)
+    : acceptor_(Listen(context, host, port, share_port)),
+      state_(std::make_shared<shared_state>()) {
+  state_->limits = limits;
+  state_->handler = std::move(handler);
+  asio::spawn(
+      context, [this](asio::yield_context yield) { AcceptLoop(yield); },
+      asio::detached);
+}
+
+http_server::~http_server() { StopAccepting(); }
+
+auto http_server::port() const -> std::uint16_t {
+  return acceptor_.local_endpoint().port();
+}
+
+auto http_server::ActiveRequests() const -> std::size_t {
+  return state_->active;
+}
+
+auto http_server::BeginDrain() -> void {
+  state_->draining = true;
+  for (auto* stream : state_->idle) stream->cancel();
+}
+
+auto http_server::StopAccepting() -> void {
+  beast::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+auto http_server::AcceptLoop(asio::yield_context yield) -> void {
+  for (;;) {
+    beast::error_code error;
+    tcp::socket socket(acceptor_.get_executor());
+    acceptor_.async_accept(socket, yield[error]);
+    if (error == asio::error::operation_aborted) return;
+    if (error) {
+      // Out of descriptors, for example: do not spin.
+      asio::steady_timer pause(acceptor_.get_executor(),
+                               std::chrono::milliseconds(10));
+      pause.async_wait(yield[error]);
+      continue;
+    }
+    asio::spawn(
+        acceptor_.get_executor(),
+        [state = state_, socket = std::move(socket)](
+            asio::yield_context session_yield) mutable {
+          caller_session<shared_state> session(std::move(socket), state,
+                                               session_yield);
+          session.Run();
+        },
+        asio::detached);
+  }
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/ledger/service.cpp
@@ -0,0 +1,227 @@
+#include "lovagedale/ledger/service.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+#include "lovagedale/common/codec.h"
+#include "lovagedale/common/time.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds kExchangePeriod{500};
+constexpr std::chrono::milliseconds kExchangeTimeout{2'000};
+constexpr std::chrono::milliseconds kHousekeepingPeriod{10'000};
+constexpr std::size_t kPageRecords = 2'000;
+/// Claims and their stored answers are kept this long.
+constexpr std::int64_t kClaimRetentionMs = 6LL * 60 * 60 * 1'000;
+constexpr std::size_t kShownBills = 10'000;
+
+auto WrapEnvelope(const replica_envelope& envelope) -> std::string {
+  return Encode(ledger_request(envelope));
+}
+
+auto StatusName(bill_status status) -> const char* {
+  return status == bill_status::kComplete ? "complete" : "partial";
+}
+
+}  // namespace
+
+ledger_service::ledger_service(asio::io_context& context,
+                               replica_settings settings, log_store& store,
+                               bill_store& bills)
+    : context_(context),
+      settings_(std::move(settings)),
+      bills_(bills),
+      node_(context, settings_.name, settings_.replicas, settings_.replication,
+            store, claims_, WrapEnvelope),
+      server_(context, settings_.host, settings_.rpc_port,
+              [this](std::string body, rpc_reply reply) {
+                HandleRpc(body, reply);
+              }) {
+  for (const auto& peer : settings_.replicas) {
+    if (peer.name == settings_.name) continue;
+    peers_[peer.name].channel = std::make_unique<rpc_channel>(context, peer);
+  }
+}
+
+auto ledger_service::Start() -> void {
+  node_.Start();
+  for (auto& [name, peer] : peers_) {
+    asio::spawn(
+        context_,
+        [this, &peer = peer](asio::yield_context yield) {
+          ExchangeLoop(peer, yield);
+        },
+        asio::detached);
+  }
+  asio::spawn(
+      context_,
+      [this](asio::yield_context yield) { HousekeepingLoop(yield); },
+      asio::detached);
+  log_line(log_level::kInfo, "ledger_started")
+      .With("name", settings_.name)
+      .With("zone", settings_.zone)
+      .With("bills", bills_.size())
+      .With("claims", claims_.size());
+}
+
+auto ledger_service::Stop() -> void {
+  stopped_ = true;
+  StoreQueuedBills();
+  node_.TransferLeadership();
+}
+
+auto ledger_service::HandleRpc(const std::string& body, const rpc_reply& reply)
+    -> void {
+  auto request = Decode<ledger_request>(body);
+  if (const auto* envelope = std::get_if<replica_envelope>(&request)) {
+    node_.Receive(*envelope);
+  } else if (const auto* claim = std::get_if<claim_request>(&request)) {
+    HandleClaim(*claim, reply);
+  } else if (auto* batch = std::get_if<bill_batch>(&request)) {
+    QueueBills(std::move(*batch), reply);
+  } else {
+    const auto& since = std::get<bills_since>(request);
+    reply(Encode(bills_.Since(since.from, kPageRecords)));
+  }
+}
+
+auto ledger_service::HandleClaim(const claim_request& request,
+                                 const rpc_reply& reply) -> void {
+  const auto& leader = node_.core().leader();
+  // An isolated leader without a lease must not keep callers waiting.
+  if (!node_.HasLease()) {
+    reply(Encode(claim_response{claim_reply::kNotLeader, leader, {}}));
+    return;
+  }
+  node_.Propose(Encode(request.command), [this, reply](
+                                             const propose_result& result) {
+    claim_response response{claim_reply::kUnknown, node_.core().leader(), {}};
+    if (result.status == propose_status::kCommitted) {
+      response.reply = claim_reply::kDecided;
+      response.result = Decode<claim_result>(result.result);
+    } else if (result.status == propose_status::kNotLeader) {
+      response.reply = claim_reply::kNotLeader;
+    }
+    reply(Encode(response));
+  });
+}
+
+auto ledger_service::QueueBills(bill_batch batch, const rpc_reply& reply)
+    -> void {
+  queued_.push_back({std::move(batch.records), reply});
+  if (store_scheduled_) return;
+  store_scheduled_ = true;
+  // Batches that are ready now share one sync.
+  asio::post(context_, [this] { StoreQueuedBills(); });
+}
+
+auto ledger_service::StoreQueuedBills() -> void {
+  store_scheduled_ = false;
+  auto queued = std::move(queued_);
+  queued_.clear();
+  std::vector<bill_record> records;
+  for (auto& item : queued) {
+    records.insert(records.end(), item.records.begin(), item.records.end());
+  }
+  bills_.Add(records);
+  for (const auto& item : queued) item.reply("");
+}
+
+auto ledger_service::ExchangeLoop(peer_cursor& peer, asio::yield_context yield)
+    -> void {
+  asio::steady_timer timer(context_);
+  boost::system::error_code ignored;
+  while (!stopped_) {
+    bool is_behind = false;
+    try {
+      const auto page = Decode<bill_page>(
+          peer.channel->Call(Encode(ledger_request(bills_since{peer.next})),
+                             kExchangeTimeout, yield));
+      if (page.store_id != peer.store_id) {
+        peer.store_id = page.store_id;
+        is_behind = peer.next != 0;
+        peer.next = is_behind ? 0 : page.next;
+      } else {
+        peer.next = page.next;
+      }
+      bills_.Add(page.records);
+      is_behind = is_behind || page.records.size() == kPageRecords;
+    } catch (const rpc_error&) {
+      // The peer is down or cut off; its records come later.
+    }
+    if (is_behind) continue;
+    timer.expires_after(kExchangePeriod);
+    timer.async_wait(yield[ignored]);
+  }
+}
+
+auto ledger_service::HousekeepingLoop(asio::yield_context yield) -> void {
+  asio::steady_timer timer(context_);
+  boost::system::error_code ignored;
+  while (!stopped_) {
+    timer.expires_after(kHousekeepingPeriod);
+    timer.async_wait(yield[ignored]);
+    if (!node_.HasLease() || claims_.size() == 0) continue;
+    node_.Propose(Encode(claim_command(
+                      expire_claims{WallClockMs() - kClaimRetentionMs})),
+                  [](const propose_result&) {});
+  }
+}
+
+auto ledger_service::HandleHttp(http_exchange& exchange) -> void {
+  const auto path = exchange.request().Path();
+  if (path == "/health") return exchange.RespondJson(200, R"({"ok":true})");
+  if (path == "/ready") {
+    const bool ready = !node_.core().leader().empty();
+    return exchange.RespondJson(ready ? 200 : 503, ready
+                                                       ? R"({"ready":true})"
+                                                       : R"({"ready":false})");
+  }
+  if (path == "/v1/status") return HandleStatus(exchange);
+  if (path == "/v1/bills") return HandleBills(exchange);
+  exchange.RespondJson(404, R"({"error":{"type":"not_found"}})");
+}
+
+auto ledger_service::HandleStatus(http_exchange& exchange) -> void {
+  json::array members;
+  for (const auto& member : node_.core().members().members) {
+    members.push_back({{"name", member.name}, {"voter", member.voter}});
+  }
+  exchange.RespondJson(
+      200, json::serialize(json::value{
+               {"name", settings_.name},
+               {"role", RoleName(node_.core().role())},
+               {"leader", node_.core().leader()},
+               {"has_lease", node_.HasLease()},
+               {"members", std::move(members)},
+               {"claims", claims_.size()},
+               {"bills", bills_.size()}}));
+}
+
+auto ledger_service::HandleBills(http_exchange& exchange) -> void {
+  const auto customer = exchange.request().Query("customer");
+  json::array rows;
+  for (const auto& [id, bill] : bills_.bills()) {
+    if (!customer.empty() && bill.customer != customer) continue;
+    if (rows.size() >= kShownBills) break;
+    rows.push_back({{"request_id", id},
+                    {"customer", bill.customer},
+                    {"version", bill.version},
+                    {"input_tokens", bill.input_tokens},
+                    {"output_tokens", bill.output_tokens},
+                    {"cost_micros", bill.cost},
+                    {"attempts", bill.attempts},
+                    {"status", StatusName(bill.status)},
+                    {"entry", bill.entry},
+                    {"at_ms", bill.at_ms}});
+  }
+  exchange.RespondJson(200,
+                       json::serialize(json::value{{"bills", std::move(rows)}}));
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/process/process.cpp
@@ -0,0 +1,75 @@
+#include "lovagedale/process/process.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "lovagedale/common/json_reader.h"
+#include "lovagedale/common/log.h"
+#include "lovagedale/replication/errors.h"
+
+ABSL_FLAG(std::string, config, "", "path of the JSON settings file");
+ABSL_FLAG(bool, check_config, false,
+          "check the settings file and exit: 0 if it is accepted, 2 if not");
+
+namespace lovagedale {
+namespace {
+
+auto LoadSettings(const process_main& program, std::string& text) -> int {
+  const auto path = absl::GetFlag(FLAGS_config);
+  if (path.empty()) {
+    std::cerr << program.name << ": --config: missing; allowed: the path of a "
+              << "JSON settings file\n";
+    return kExitBadSettings;
+  }
+  try {
+    text = ReadFile(path);
+    program.check(text);
+    return kExitOk;
+  } catch (const std::exception& error) {
+    std::cerr << program.name << ": " << path << ": " << error.what() << "\n";
+    return kExitBadSettings;
+  }
+}
+
+}  // namespace
+
+auto RunProcess(int argc, char** argv, const process_main& program) -> int {
+  absl::SetProgramUsageMessage(program.description);
+  absl::FlagsUsageConfig usage;
+  usage.version_string = [&program] {
+    return program.name + " " LOVAGEDALE_VERSION "\n";
+  };
+  usage.contains_help_flags = [](absl::string_view file) {
+    return file.find("process.cpp") != absl::string_view::npos ||
+           file.find("tools/") != absl::string_view::npos;
+  };
+  absl::SetFlagsUsageConfig(usage);
+  absl::ParseCommandLine(argc, argv);
+  // A caller that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string settings;
+  const int loaded = LoadSettings(program, settings);
+  if (loaded != kExitOk) return loaded;
+  if (absl::GetFlag(FLAGS_check_config)) {
+    std::cout << program.name << ": settings accepted\n";
+    return kExitOk;
+  }
+  try {
+    return program.run(settings);
+  } catch (const storage_error& error) {
+    log_line(log_level::kError, "storage_failed").With("reason", error.what());
+    std::cerr << program.name << ": " << error.what() << "\n";
+    return kExitStorage;
+  } catch (const std::exception& error) {
+    log_line(log_level::kError, "process_failed").With("reason", error.what());
+    std::cerr << program.name << ": " << error.what() << "\n";
+    return kExitFailure;
+  }
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/replication/batch_file.cpp
@@ -0,0 +1,79 @@
+#include "lovagedale/replication/batch_file.h"
+
+#include <boost/endian/conversion.hpp>
+#include <cerrno>
+#include <cstdint>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+
+#include "lovagedale/common/hash.h"
+#include "lovagedale/replication/errors.h"
+
+namespace lovagedale {
+namespace {
+
+constexpr std::size_t kChecksumOffset = 4;
+
+struct batch_header {
+  std::size_t length;
+  std::uint64_t checksum;
+};
+
+auto ReadHeader(std::string_view bytes) -> batch_header {
+  const auto* in = reinterpret_cast<const unsigned char*>(bytes.data());
+  return {boost::endian::load_little_u32(in),
+          boost::endian::load_little_u64(in + kChecksumOffset)};
+}
+
+auto IsZeroFilled(std::string_view bytes) -> bool {
+  return bytes.find_first_not_of('\0') == std::string_view::npos;
+}
+
+}  // namespace
+
+auto EncodeBatch(std::string_view payload) -> std::string {
+  std::string bytes(kBatchHeaderBytes, '\0');
+  auto* out = reinterpret_cast<unsigned char*>(bytes.data());
+  boost::endian::store_little_u32(out,
+                                  static_cast<std::uint32_t>(payload.size()));
+  boost::endian::store_little_u64(out + kChecksumOffset, Hash64(payload));
+  bytes += payload;
+  return bytes;
+}
+
+auto ScanBatches(const std::string& path, std::string_view content,
+                 const std::function<void(std::string_view)>& visit)
+    -> batch_scan {
+  batch_scan scan{0, 0, content.size()};
+  while (scan.valid_bytes < content.size()) {
+    const auto rest = content.substr(scan.valid_bytes);
+    if (rest.size() < kBatchHeaderBytes || IsZeroFilled(rest)) return scan;
+    const auto header = ReadHeader(rest);
+    const auto end = kBatchHeaderBytes + header.length;
+    // A batch that reaches the end of the file may be an unfinished write.
+    if (end > rest.size()) return scan;
+    const auto payload = rest.substr(kBatchHeaderBytes, header.length);
+    if (Hash64(payload) != header.checksum) {
+      if (end == rest.size() || IsZeroFilled(rest.substr(end))) return scan;
+      throw storage_error(path + ": checksum mismatch at byte " +
+                          std::to_string(scan.valid_bytes) +
+                          ", before the end of the file");
+    }
+    visit(payload);
+    ++scan.batches;
+    scan.valid_bytes += end;
+  }
+  return scan;
+}
+
+auto ReadWholeFile(const std::string& path) -> std::string {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) {
+    if (errno == ENOENT) return {};
+    throw storage_error("cannot read " + path + ": " + std::strerror(errno));
+  }
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/replication/log_store.cpp
@@ -0,0 +1,196 @@
+#include "lovagedale/replication/log_store.h"
+
+#include <algorithm>
+#include <charconv>
+#include <filesystem>
+#include <random>
+
+#include "lovagedale/common/codec.h"
+#include "lovagedale/common/log.h"
+#include "lovagedale/replication/batch_file.h"
+#include "lovagedale/replication/errors.h"
+
+namespace lovagedale {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::string_view kSegmentPrefix = "log-";
+constexpr int kSegmentDigits = 12;
+/// Incarnation of every replica that is created with the group.
+constexpr incarnation_id kFirstIncarnation = 1;
+
+/// Content of the file `identity`.
+struct folder_identity {
+  incarnation_id incarnation = 0;
+
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(incarnation);
+  }
+};
+
+auto WriteSynced(const std::string& folder, const std::string& name,
+                 const std::string& bytes) -> void {
+  posix_disk disk;
+  const auto temporary = folder + "/" + name + ".new";
+  disk.Remove(temporary);
+  const int fd = disk.OpenAppend(temporary);
+  disk.Write(fd, bytes);
+  disk.SyncFile(fd);
+  disk.CloseFile(fd);
+  disk.Rename(temporary, folder + "/" + name);
+  disk.SyncFolder(folder);
+}
+
+auto ReadSingleBatch(const std::string& path) -> std::optional<std::string> {
+  const auto content = ReadWholeFile(path);
+  if (content.empty()) return std::nullopt;
+  std::optional<std::string> payload;
+  const auto scan = ScanBatches(path, content, [&](std::string_view bytes) {
+    payload = std::string(bytes);
+  });
+  if (scan.batches != 1 || scan.HasTornTail()) {
+    throw storage_error(path + ": damaged (its checksum does not match)");
+  }
+  return payload;
+}
+
+auto CreateFolder(const std::string& folder) -> void {
+  std::error_code error;
+  fs::create_directories(folder, error);
+  if (error) {
+    throw storage_error("cannot create folder " + folder + ": " +
+                        error.message());
+  }
+}
+
+auto NewIncarnation() -> incarnation_id {
+  std::random_device device;
+  const auto high = static_cast<std::uint64_t>(device()) << 32U;
+  return std::max<incarnation_id>(high | device(), kFirstIncarnation + 1);
+}
+
+auto ReadIdentity(const std::string& folder) -> folder_identity {
+  const auto payload = ReadSingleBatch(folder + "/identity");
+  if (payload) return Decode<folder_identity>(*payload);
+  if (!ListSegments(folder).empty() || fs::exists(folder + "/snapshot")) {
+    throw storage_error(folder + ": has a log but no identity file");
+  }
+  const folder_identity identity{NewIncarnation()};
+  WriteSynced(folder, "identity", EncodeBatch(Encode(identity)));
+  return identity;
+}
+
+auto ApplyBatch(const log_batch& batch, stored_state& state) -> void {
+  if (batch.hard) state.hard = *batch.hard;
+  auto& entries = state.entries;
+  if (batch.truncate_from) {
+    std::erase_if(entries, [&](const auto& entry) {
+      return entry.index >= *batch.truncate_from;
+    });
+  }
+  for (const auto& entry : batch.entries) {
+    if (entry.index <= state.snapshot.index) continue;
+    const auto expected =
+        entries.empty() ? state.snapshot.index + 1 : entries.back().index + 1;
+    if (entry.index != expected) {
+      throw storage_error("log entry " + std::to_string(entry.index) +
+                          " found where " + std::to_string(expected) +
+                          " was expected");
+    }
+    entries.push_back(entry);
+  }
+}
+
+auto ReadSegment(const std::string& path, bool is_last, stored_state& state)
+    -> void {
+  const auto content = ReadWholeFile(path);
+  const auto scan = ScanBatches(path, content, [&](std::string_view bytes) {
+    ApplyBatch(Decode<log_batch>(bytes), state);
+  });
+  if (!scan.HasTornTail()) return;
+  if (!is_last) {
+    throw storage_error(path + ": incomplete, but a later segment exists");
+  }
+  log_line(log_level::kWarning, "log_tail_truncated")
+      .With("file", path)
+      .With("valid_bytes", scan.valid_bytes)
+      .With("dropped_bytes", scan.file_bytes - scan.valid_bytes);
+  posix_disk disk;
+  disk.Truncate(path, scan.valid_bytes);
+}
+
+}  // namespace
+
+auto SegmentPath(const std::string& folder, std::uint64_t number)
+    -> std::string {
+  auto digits = std::to_string(number);
+  digits.insert(0, kSegmentDigits - std::min<std::size_t>(kSegmentDigits,
+                                                          digits.size()),
+                '0');
+  return folder + "/" + std::string(kSegmentPrefix) + digits;
+}
+
+auto ListSegments(const std::string& folder) -> std::vector<std::uint64_t> {
+  std::vector<std::uint64_t> numbers;
+  for (const auto& file : fs::directory_iterator(folder)) {
+    const auto name = file.path().filename().string();
+    if (!name.starts_with(kSegmentPrefix)) continue;
+    std::uint64_t number = 0;
+    std::from_chars(name.data() + kSegmentPrefix.size(),
+                    name.data() + name.size(), number);
+    numbers.push_back(number);
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
+auto EncodeLogBatch(const log_batch& batch) -> std::string {
+  return EncodeBatch(Encode(batch));
+}
+
+auto EncodeSnapshotFile(const log_snapshot& snapshot) -> std::string {
+  return EncodeBatch(Encode(snapshot));
+}
+
+auto OpenDataFolder(const std::string& folder) -> opened_folder {
+  CreateFolder(folder);
+  opened_folder opened;
+  opened.state.incarnation = ReadIdentity(folder).incarnation;
+  if (const auto payload = ReadSingleBatch(folder + "/snapshot")) {
+    opened.state.snapshot = Decode<log_snapshot>(*payload);
+  }
+  const auto segments = ListSegments(folder);
+  for (const auto number : segments) {
+    // A start that stopped before its first write leaves an empty segment, so
+    // the torn batch may be in one that has only empty successors.
+    const bool is_last = std::all_of(
+        segments.begin(), segments.end(), [&](std::uint64_t other) {
+          return other <= number || fs::file_size(SegmentPath(folder, other)) == 0;
+        });
+    ReadSegment(SegmentPath(folder, number), is_last, opened.state);
+    opened.last_segment = number;
+  }
+  return opened;
+}
+
+auto InitializeDataFolder(const std::string& folder,
+                          const std::vector<std::string>& voter_names)
+    -> void {
+  CreateFolder(folder);
+  if (!fs::is_empty(folder)) {
+    throw storage_error(folder +
+                        " is not empty; a group is created only once");
+  }
+  log_snapshot snapshot;
+  for (const auto& name : voter_names) {
+    snapshot.members.members.push_back(
+        {name, kFirstIncarnation, /*voter=*/true});
+  }
+  WriteSynced(folder, "snapshot", EncodeSnapshotFile(snapshot));
+  WriteSynced(folder, "identity",
+              EncodeBatch(Encode(folder_identity{kFirstIncarnation})));
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/rollout/guard.cpp
@@ -0,0 +1,201 @@
+#include "lovagedale/rollout/guard.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+
+namespace lovagedale {
+namespace {
+
+/// Alternatives tested, as drops of the mean. The average of their likelihood
+/// ratios is evidence too, whatever the true drop is.
+constexpr std::array<double, 6> kDrops = {0.02, 0.05, 0.1, 0.2, 0.35, 0.6};
+constexpr double kMinMean = 1e-3;
+constexpr double kMaxMean = 1 - 1e-3;
+/// Baselines with fewer values are taken from the configuration instead.
+constexpr std::uint64_t kMinBaselineCount = 100;
+
+auto ClampMean(double mean) -> double {
+  return std::clamp(mean, kMinMean, kMaxMean);
+}
+
+auto LogMeanExp(const std::array<double, kDrops.size()>& logs) -> double {
+  const auto top = *std::max_element(logs.begin(), logs.end());
+  double sum = 0;
+  for (const auto value : logs) sum += std::exp(value - top);
+  return top + std::log(sum / static_cast<double>(logs.size()));
+}
+
+struct baseline_means {
+  double quality;
+  double success;
+};
+
+auto MeansOf(const evidence_counts& counts, const guard_input& input,
+             const guard_options& options) -> baseline_means {
+  baseline_means means{input.expected_quality,
+                       1 - options.expected_error_rate};
+  if (counts.ratings >= kMinBaselineCount) means.quality = counts.MeanRating();
+  if (counts.requests >= kMinBaselineCount) {
+    means.success = 1 - static_cast<double>(counts.errors) /
+                            static_cast<double>(counts.requests);
+  }
+  return means;
+}
+
+auto Successes(const evidence_counts& counts) -> double {
+  return static_cast<double>(counts.requests - counts.errors);
+}
+
+/// One hypothesis about the version: the whole of it or one task class.
+struct guard_test {
+  std::string name;
+  evidence_counts candidate;
+  evidence_counts baseline;
+  double alarm_rate;
+};
+
+auto MakeTests(const guard_input& input, const guard_options& options)
+    -> std::vector<guard_test> {
+  guard_test whole{"all classes", {}, {}, options.false_alarm_rate / 2};
+  std::map<std::string, guard_test> classes;
+  for (const auto& [key, counts] : input.candidate) {
+    whole.candidate += counts;
+    auto& test = classes[key.task_class];
+    test.name = "class " + key.task_class;
+    test.candidate += counts;
+  }
+  for (const auto& [key, counts] : input.baseline) {
+    whole.baseline += counts;
+    const auto found = classes.find(key.task_class);
+    if (found != classes.end()) found->second.baseline += counts;
+  }
+  std::vector<guard_test> tests = {whole};
+  const auto class_rate = options.false_alarm_rate / 2 /
+                          static_cast<double>(options.max_classes);
+  for (auto& [name, test] : classes) {
+    if (tests.size() > options.max_classes) break;
+    test.alarm_rate = class_rate;
+    tests.push_back(std::move(test));
+  }
+  return tests;
+}
+
+auto FindAlarm(const guard_test& test, const guard_input& input,
+               const guard_options& options) -> std::optional<std::string> {
+  const auto means = MeansOf(test.baseline, input, options);
+  // Each test's rate is shared by its two signals.
+  const auto threshold = std::log(2 / test.alarm_rate);
+  const auto& counts = test.candidate;
+  if (LogEvidenceOfDrop(counts.rating_sum,
+                        static_cast<double>(counts.ratings),
+                        means.quality - options.quality_tolerance) >=
+      threshold) {
+    return "quality of " + test.name + " " +
+           std::to_string(counts.MeanRating()) + " against " +
+           std::to_string(means.quality) + " after " +
+           std::to_string(counts.ratings) + " ratings";
+  }
+  if (LogEvidenceOfDrop(Successes(counts),
+                        static_cast<double>(counts.requests),
+                        means.success - options.error_tolerance) >= threshold) {
+    return "errors of " + test.name + ": " + std::to_string(counts.errors) +
+           " in " + std::to_string(counts.requests) + " requests against " +
+           std::to_string(1 - means.success) + " a request";
+  }
+  return std::nullopt;
+}
+
+auto IsShownAcceptable(const guard_test& whole, const guard_input& input,
+                       const guard_options& options) -> bool {
+  const auto means = MeansOf(whole.baseline, input, options);
+  const auto threshold = std::log(1 / options.advance_error_rate);
+  const auto& counts = whole.candidate;
+  const bool is_quality_shown =
+      LogEvidenceOfRise(counts.rating_sum, static_cast<double>(counts.ratings),
+                        means.quality - options.unacceptable_drop) >= threshold;
+  const bool is_success_shown =
+      LogEvidenceOfRise(Successes(counts),
+                        static_cast<double>(counts.requests),
+                        1 - options.unacceptable_error_rate) >= threshold;
+  return is_quality_shown && is_success_shown;
+}
+
+}  // namespace
+
+auto LogEvidenceOfDrop(double sum, double count, double null_mean) -> double {
+  const auto p0 = ClampMean(null_mean);
+  std::array<double, kDrops.size()> logs{};
+  for (std::size_t i = 0; i < kDrops.size(); ++i) {
+    const auto p1 = ClampMean(p0 - kDrops[i]);
+    // For values in [0,1] this is a likelihood ratio of Bernoulli variables
+    // extended linearly; by convexity its mean is at most 1 under the null.
+    logs[i] = sum * std::log(p1 / p0) +
+              (count - sum) * std::log((1 - p1) / (1 - p0));
+  }
+  return LogMeanExp(logs);
+}
+
+auto LogEvidenceOfRise(double sum, double count, double null_mean) -> double {
+  return LogEvidenceOfDrop(count - sum, count, 1 - null_mean);
+}
+
+auto JudgeRollout(const guard_input& input, const guard_options& options)
+    -> guard_decision {
+  const auto tests = MakeTests(input, options);
+  for (const auto& test : tests) {
+    if (auto alarm = FindAlarm(test, input, options)) {
+      return {guard_verdict::kWithdraw, std::move(*alarm)};
+    }
+  }
+  const auto& whole = tests.front();
+  const auto at_stage = whole.candidate.requests - input.requests_at_stage_start;
+  if (whole.candidate.requests >= input.requests_at_stage_start &&
+      at_stage >= options.min_requests_per_stage &&
+      IsShownAcceptable(whole, input, options)) {
+    return {guard_verdict::kAdvance,
+            std::to_string(at_stage) + " requests at this stage, mean rating " +
+                std::to_string(whole.candidate.MeanRating())};
+  }
+  return {};
+}
+
+auto BaselineEvidence(const catalog& config, const fleet_view& view,
+                      const std::string& version, const evidence_table& total)
+    -> evidence_table {
+  evidence_table baseline;
+  const auto id = config.FindVersion(version);
+  if (!id) return baseline;
+  for (const auto& [key, counts] : total) {
+    const auto other = config.FindVersion(key.version);
+    if (!other || *other == *id ||
+        config.versions[*other].model != config.versions[*id].model) {
+      continue;
+    }
+    const auto* status = view.StatusOf(key.version);
+    if (status != nullptr && status->phase != version_phase::kSteady) continue;
+    baseline[key] += counts;
+  }
+  return baseline;
+}
+
+auto DefaultSuccessor(const catalog& config, const fleet_view& view,
+                      const std::string& version) -> std::string {
+  const auto id = config.FindVersion(version);
+  if (!id) return {};
+  const auto& item = config.versions[*id];
+  if (!item.successor.empty()) return item.successor;
+  const model_version* best = nullptr;
+  for (const auto& other : config.versions) {
+    if (other.model != item.model || other.name == version) continue;
+    const auto* status = view.StatusOf(other.name);
+    if (status != nullptr && status->phase != version_phase::kSteady) continue;
+    if (best == nullptr || other.expected_quality > best->expected_quality) {
+      best = &other;
+    }
+  }
+  return best == nullptr ? std::string{} : best->name;
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/rpc/connection.cpp
@@ -0,0 +1,108 @@
+#include "lovagedale/rpc/connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int kKeepaliveIdleSeconds = 5;
+constexpr int kKeepaliveIntervalSeconds = 2;
+constexpr int kKeepaliveProbes = 3;
+
+auto SetTcpOption(int fd, int option, int value) -> void {
+  // Best effort: without it the deadline of each call still applies.
+  (void)::setsockopt(fd, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+}  // namespace
+
+auto ConfigureSocket(asio::ip::tcp::socket& socket, int dead_after_ms) -> void {
+  boost::system::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const int fd = socket.native_handle();
+  SetTcpOption(fd, TCP_KEEPIDLE, kKeepaliveIdleSeconds);
+  SetTcpOption(fd, TCP_KEEPINTVL, kKeepaliveIntervalSeconds);
+  SetTcpOption(fd, TCP_KEEPCNT, kKeepaliveProbes);
+  SetTcpOption(fd, TCP_USER_TIMEOUT, dead_after_ms);
+}
+
+frame_connection::frame_connection(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)) {}
+
+auto frame_connection::Start(frame_handler on_frame, close_handler on_close)
+    -> void {
+  on_frame_ = std::move(on_frame);
+  on_close_ = std::move(on_close);
+  asio::spawn(
+      socket_.get_executor(),
+      [self = shared_from_this()](asio::yield_context yield) {
+        self->ReadLoop(yield);
+        self->Close();
+        auto on_close = std::move(self->on_close_);
+        self->on_close_ = nullptr;
+        self->on_frame_ = nullptr;
+        if (on_close) on_close();
+      },
+      asio::detached);
+}
+
+auto frame_connection::ReadLoop(asio::yield_context yield) -> void {
+  while (open_) {
+    boost::system::error_code error;
+    std::array<char, kFrameHeaderBytes> bytes{};
+    asio::async_read(socket_, asio::buffer(bytes), yield[error]);
+    if (error) return;
+    const auto header = DecodeFrameHeader(bytes);
+    if (!header) return;
+    std::string body(header->body_bytes, '\0');
+    asio::async_read(socket_, asio::buffer(body), yield[error]);
+    if (error) return;
+    if (on_frame_) on_frame_(*header, std::move(body));
+  }
+}
+
+auto frame_connection::Send(std::uint64_t call_id, frame_kind kind,
+                            const std::string& body) -> void {
+  if (!open_) return;
+  if (queued_.size() + body.size() > kMaxFrameBytes) {
+    Close();
+    return;
+  }
+  queued_ += EncodeFrame(call_id, kind, body);
+  if (!write_active_) WriteQueued();
+}
+
+auto frame_connection::WriteQueued() -> void {
+  write_active_ = true;
+  writing_.clear();
+  writing_.swap(queued_);
+  asio::async_write(
+      socket_, asio::buffer(writing_),
+      [self = shared_from_this()](boost::system::error_code error,
+                                  std::size_t) {
+        self->write_active_ = false;
+        if (error) {
+          self->Close();
+          return;
+        }
+        if (!self->queued_.empty()) self->WriteQueued();
+      });
+}
+
+auto frame_connection::Close() -> void {
+  if (!open_) return;
+  open_ = false;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/rpc/server.cpp
@@ -0,0 +1,97 @@
+#include "lovagedale/rpc/server.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/detached.hpp>
+
+#include "lovagedale/common/log.h"
+#include "lovagedale/rpc/connection.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+constexpr int kDeadPeerMs = 5'000;
+
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+}  // namespace
+
+auto Listen(asio::io_context& context, const std::string& host,
+            std::uint16_t port, bool share_port) -> tcp::acceptor {
+  try {
+    const tcp::endpoint endpoint(asio::ip::make_address(host), port);
+    tcp::acceptor acceptor(context);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    if (share_port) acceptor.set_option(reuse_port(true));
+    acceptor.bind(endpoint);
+    acceptor.listen(asio::socket_base::max_listen_connections);
+    return acceptor;
+  } catch (const boost::system::system_error& error) {
+    throw std::runtime_error("cannot listen on " + host + ":" +
+                             std::to_string(port) + ": " +
+                             error.code().message());
+  }
+}
+
+rpc_server::rpc_server(asio::io_context& context, const std::string& host,
+                       std::uint16_t port, rpc_handler handler)
+    : acceptor_(Listen(context, host, port, /*share_port=*/false)),
+      handler_(std::make_shared<rpc_handler>(std::move(handler))),
+      connections_(
+          std::make_shared<std::set<std::shared_ptr<frame_connection>>>()) {
+  asio::spawn(
+      context, [this](asio::yield_context yield) { AcceptLoop(yield); },
+      asio::detached);
+}
+
+rpc_server::~rpc_server() { Stop(); }
+
+auto rpc_server::AcceptLoop(asio::yield_context yield) -> void {
+  for (;;) {
+    boost::system::error_code error;
+    tcp::socket socket(acceptor_.get_executor());
+    acceptor_.async_accept(socket, yield[error]);
+    if (error == asio::error::operation_aborted) return;
+    if (error) continue;
+    Serve(std::move(socket));
+  }
+}
+
+auto rpc_server::Serve(tcp::socket socket) -> void {
+  ConfigureSocket(socket, kDeadPeerMs);
+  auto connection = std::make_shared<frame_connection>(std::move(socket));
+  connections_->insert(connection);
+  std::weak_ptr<frame_connection> weak = connection;
+  connection->Start(
+      [weak, handler = handler_](const frame_header& header, std::string body) {
+        rpc_reply reply = [weak, header](const std::string& answer) {
+          if (header.kind != frame_kind::kRequest) return;
+          if (auto open = weak.lock()) {
+            open->Send(header.call_id, frame_kind::kResponse, answer);
+          }
+        };
+        try {
+          (*handler)(std::move(body), std::move(reply));
+        } catch (const std::exception& error) {
+          log_line(log_level::kWarning, "rpc_request_refused")
+              .With("reason", error.what());
+          if (auto open = weak.lock()) open->Close();
+        }
+      },
+      [weak, connections = connections_] {
+        if (auto closed = weak.lock()) connections->erase(closed);
+      });
+}
+
+auto rpc_server::Stop() -> void {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& connection : *connections_) connection->Close();
+  connections_->clear();
+}
+
+}  // namespace lovagedale
