--- a/include/lovagedale/catalog/catalog.h
+++ b/include/lovagedale/catalog/catalog.h
@@ -77,6 +77,15 @@
   kPatient,      ///< cost first; waits in the engines' low priority
 };
 
+/// One rung of a cascade that an operator has fixed.
+struct cascade_rule {
+  version_id version = 0;
+  /// Answers whose own signal is at least this are kept, 0 to 1.
+  double accept_signal = 0;
+
+  auto operator==(const cascade_rule&) const -> bool = default;
+};
+
 struct customer {
   std::string name;
   std::string key;                    ///< bearer key
@@ -87,6 +96,8 @@
   double rate_per_s = 0;              ///< fleet-wide; 0 means no limit
   double burst = 0;
   std::int64_t max_concurrent = 0;    ///< per entry; 0 means no limit
+  /// Replaces the learned choice of versions if not empty.
+  std::vector<cascade_rule> cascade;
 
   auto operator==(const customer&) const -> bool = default;
   auto Allows(version_id version) const -> bool;
--- a/include/lovagedale/common/json_reader.h
+++ b/include/lovagedale/common/json_reader.h
@@ -39,6 +39,8 @@
                 std::vector<setting_error>& errors);
 
   auto Has(std::string_view key) const -> bool;
+  /// Takes a key as known without reading it; another check covers it.
+  auto Accept(std::string_view key) -> void { known_.emplace(key); }
   /// A string that must be present and not empty.
   auto RequiredString(std::string_view key) -> std::string;
   auto String(std::string_view key, std::string fallback) -> std::string;
--- /dev/null
+++ b/include/lovagedale/entry/caller_api.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+
+#include "lovagedale/entry/chat_handler.h"
+#include "lovagedale/entry/service_handler.h"
+#include "lovagedale/entry/traffic_context.h"
+#include "lovagedale/http/server.h"
+
+namespace lovagedale {
+
+/// The callers' HTTP API of one traffic thread:
+///   POST /v1/chat/completions, GET /v1/models, any /services/<pool>/...,
+///   and GET /health and /ready for the balancer.
+class caller_api {
+ public:
+  explicit caller_api(traffic_context& context)
+      : context_(context),
+        servers_(context),
+        chat_(context, servers_),
+        services_(context, servers_) {}
+
+  auto Handle(http_exchange& exchange) -> void;
+
+ private:
+  auto HandleHealth(http_exchange& exchange) -> void;
+  auto HandleModels(http_exchange& exchange, const caller_identity& caller)
+      -> void;
+  auto Route(http_exchange& exchange, const caller_identity& caller) -> void;
+  /// Throws request_refused (401) if the caller is not known.
+  auto Identify(const http_request& request) -> caller_identity;
+  auto Admit(const customer& item) -> void;
+
+  traffic_context& context_;
+  dispatcher servers_;
+  chat_handler chat_;
+  service_handler services_;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/entry/chat_handler.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lovagedale/billing/bill.h"
+#include "lovagedale/entry/chat_body.h"
+#include "lovagedale/entry/dispatcher.h"
+#include "lovagedale/entry/event_relay.h"
+#include "lovagedale/entry/traffic_context.h"
+#include "lovagedale/http/server.h"
+
+namespace lovagedale {
+
+/// What the caller API has established about a request's caller.
+struct caller_identity {
+  std::string request_id;
+  std::string customer;
+};
+
+/// Answers chat completions: chooses the version, runs the cascade, streams or
+/// returns the answer, and has it billed before its end is sent.
+class chat_handler {
+ public:
+  chat_handler(traffic_context& context, dispatcher& servers)
+      : context_(context), servers_(servers) {}
+
+  /// Throws request_refused or caller_gone.
+  auto Handle(http_exchange& exchange, const caller_identity& caller) -> void;
+
+ private:
+  struct chat_run;
+  struct buffered_answer;
+
+  auto ChoosePlan(chat_run& run) -> void;
+  auto ChooseSessionVersion(chat_run& run) -> void;
+  auto ChooseNamedVersion(chat_run& run) -> void;
+  auto SubstituteRollouts(chat_run& run) -> void;
+  auto SteadyVersionFor(const chat_run& run, const std::string& model)
+      -> std::string;
+  auto RunPlan(chat_run& run) -> void;
+  auto RunBuffered(chat_run& run, std::size_t step) -> buffered_answer;
+  auto RunStreamed(chat_run& run, std::size_t step) -> void;
+  auto MakeJob(chat_run& run, std::size_t step) -> dispatch_job;
+  auto AnswerBuffered(chat_run& run, const buffered_answer& answer) -> void;
+  auto EndStream(chat_run& run) -> void;
+  auto Bill(chat_run& run, bill_status status) -> void;
+  auto RecordOutcome(const chat_run& run, const std::string& version,
+                     bool is_error, std::optional<double> signal) -> void;
+  auto MaybeRate(const chat_run& run, const std::string& version,
+                 const std::string& answer, std::optional<double> signal)
+      -> void;
+  auto AnswerHeaders(const chat_run& run) const -> header_list;
+
+  traffic_context& context_;
+  dispatcher& servers_;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/entry/control_link.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lovagedale/control/messages.h"
+#include "lovagedale/entry/entry_state.h"
+#include "lovagedale/rpc/channel.h"
+#include "lovagedale/rpc/server.h"
+
+namespace lovagedale {
+
+/// Asks another entry for the view it follows; answered with fleet_view.
+struct view_request {
+  std::string from;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(from);
+  }
+};
+
+/// An entry's control thread: follows the configuration, renews the permit,
+/// reports evidence and crashes, and watches the back-end servers' load.
+class control_link {
+ public:
+  control_link(boost::asio::io_context& context, entry_state& state,
+               process_incarnation incarnation);
+
+  auto Start() -> void;
+  /// Tells control that this entry leaves for good.
+  auto Leave(boost::asio::yield_context yield) -> void;
+  auto ReportCrash(const crash_report& report) -> void;
+  auto ReportCleared(std::uint64_t fingerprint) -> void;
+
+ private:
+  auto HeartbeatLoop(rpc_channel& channel, boost::asio::yield_context yield)
+      -> void;
+  auto AskPeer(rpc_channel& channel, boost::asio::yield_context yield) -> void;
+  auto MakeHeartbeat(bool with_evidence) -> entry_heartbeat;
+  auto HandleResponse(const heartbeat_response& response, monotonic_ms sent_at)
+      -> void;
+  auto Adopt(const fleet_view& view) -> void;
+  auto PublishPlans() -> void;
+  auto SendUrgent(entry_heartbeat heartbeat) -> void;
+  auto EvidenceLoop(boost::asio::yield_context yield) -> void;
+  auto LoadLoop(boost::asio::yield_context yield) -> void;
+  auto PollLoad(const backend_server& server, server_state& server_load,
+                boost::asio::yield_context yield) -> void;
+
+  boost::asio::io_context& context_;
+  entry_state& state_;
+  process_incarnation incarnation_;
+  system_monotonic_clock clock_;
+  server_registry registry_;
+  rpc_server server_;
+  std::vector<std::unique_ptr<rpc_channel>> control_;
+  std::vector<std::unique_ptr<rpc_channel>> peers_;
+  std::string leader_;
+  evidence_table own_evidence_;
+  evidence_table fleet_evidence_;
+  evidence_table planned_evidence_;
+  monotonic_ms evidence_sent_at_ = 0;
+  bool evidence_changed_ = false;
+  bool leaving_ = false;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/entry/dispatcher.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <boost/asio/spawn.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "lovagedale/entry/refusal.h"
+#include "lovagedale/entry/traffic_context.h"
+#include "lovagedale/http/client.h"
+
+namespace lovagedale {
+
+/// The version may no longer run this customer's new work: it was withdrawn,
+/// lost its permit or is not allowed any more. The caller chooses again.
+class version_unavailable : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+/// One request for one version or one service, to be run on some server.
+struct dispatch_job {
+  std::string request_id;
+  std::string customer;
+  std::string version;  ///< empty for a service
+  std::string pool;     ///< of the service; empty for a version
+  std::uint64_t fingerprint = 0;
+  std::vector<prefix_hash> prefixes;
+  bool repeatable = true;
+  patience_class patience = patience_class::kInteractive;
+  std::string reason;  ///< why this version was chosen, for the log
+  std::vector<std::string> alternatives;
+  /// Makes the request as it is to be sent now; called once per attempt, so
+  /// that a resumed one can carry what was already delivered.
+  std::function<http_request()> make_request;
+  /// Called for each attempt that failed after the request was sent.
+  std::function<void()> on_failure;
+};
+
+struct dispatch_result {
+  std::string server;
+  std::uint32_t attempts = 0;
+};
+
+/// Reads the answer to its end. Throws http_call_error if it breaks off.
+using answer_reader =
+    std::function<void(http_connection&, const http_response_head&)>;
+
+/// Sends requests to back-end servers: chooses the server, checks immediately
+/// before the first byte that the request may still run there, retries what
+/// may be repeated within the retry budget, and finds out which requests
+/// crashed a server. One traffic thread.
+class dispatcher {
+ public:
+  explicit dispatcher(traffic_context& context) : context_(context) {}
+
+  /// Runs the job. Throws request_refused, version_unavailable, caller_gone.
+  auto Run(const dispatch_job& job, const answer_reader& read_answer,
+           boost::asio::yield_context yield) -> dispatch_result;
+
+ private:
+  class running_guard;
+  struct attempt_state {
+    std::vector<std::string> tried;
+    std::uint32_t attempts = 0;
+    std::uint32_t connect_failures = 0;
+    bool was_sent = false;
+    monotonic_ms waiting_since = -1;
+  };
+  struct placed_attempt {
+    std::shared_ptr<const routing_table> table;
+    placement_choice choice;
+    const backend_server* server = nullptr;
+  };
+
+  auto EnsureAllowed(const dispatch_job& job, const routing_table& table) const
+      -> void;
+  auto Place(const dispatch_job& job, attempt_state& state,
+             boost::asio::yield_context yield) -> placed_attempt;
+  auto TryPlace(const dispatch_job& job, const attempt_state& state)
+      -> std::optional<placed_attempt>;
+  auto TryOnce(const dispatch_job& job, const placed_attempt& placed,
+               attempt_state& state, const answer_reader& read_answer,
+               boost::asio::yield_context yield) -> bool;
+  auto HandleFailure(const dispatch_job& job, const placed_attempt& placed,
+                     attempt_state& state, const http_call_error& error,
+                     boost::asio::yield_context yield) -> void;
+  auto MarkUnreachable(const placed_attempt& placed) -> void;
+  auto HasCrashed(const backend_server& server,
+                  boost::asio::yield_context yield) -> bool;
+  auto BlameCrash(const dispatch_job& job, const placed_attempt& placed,
+                  boost::asio::yield_context yield) -> void;
+  auto LogDecision(const dispatch_job& job, const placed_attempt& placed,
+                   const attempt_state& state) -> void;
+
+  traffic_context& context_;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/entry/entry_process.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/spawn.hpp>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "lovagedale/entry/caller_api.h"
+#include "lovagedale/entry/control_link.h"
+#include "lovagedale/entry/entry_state.h"
+#include "lovagedale/http/server.h"
+
+namespace lovagedale {
+
+/// One traffic thread: its event loop, its listening socket and its handlers.
+class traffic_thread {
+ public:
+  traffic_thread(entry_state& state, std::size_t index, std::uint64_t seed);
+  ~traffic_thread();
+  traffic_thread(const traffic_thread&) = delete;
+  auto operator=(const traffic_thread&) -> traffic_thread& = delete;
+
+  auto Start() -> void;
+  /// The calls below may be made from the control thread.
+  auto BeginDrain() -> void;
+  auto CloseIdle() -> void;
+  auto StopAccepting() -> void;
+  /// Requests and bills that are not finished.
+  auto Unfinished() const -> std::size_t;
+  auto metrics() const -> std::shared_ptr<thread_metrics> {
+    return context_.metrics;
+  }
+
+ private:
+  auto PublishUnfinished() -> void;
+
+  traffic_context context_;
+  caller_api api_;
+  http_server server_;
+  boost::asio::steady_timer timer_;
+  std::atomic<std::size_t> unfinished_{0};
+  std::thread thread_;
+};
+
+/// The whole entry: control thread, traffic threads, the operators' port and
+/// the planned stop.
+class entry_process {
+ public:
+  explicit entry_process(entry_settings settings);
+
+  /// Runs until the process is told to stop. Returns the exit code: 0 after a
+  /// graceful stop, 1 if a second signal cut requests.
+  auto Run() -> int;
+
+ private:
+  auto HandleAdmin(http_exchange& exchange) -> void;
+  auto WaitForSignal() -> void;
+  auto Drain(boost::asio::yield_context yield) -> void;
+  auto Unfinished() const -> std::size_t;
+
+  entry_state state_;
+  boost::asio::io_context context_{1};
+  control_link link_;
+  http_server admin_;
+  boost::asio::signal_set signals_;
+  std::vector<std::unique_ptr<traffic_thread>> threads_;
+  int exit_code_ = 0;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/entry/entry_state.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "lovagedale/admission/token_bucket.h"
+#include "lovagedale/control/messages.h"
+#include "lovagedale/entry/metrics.h"
+#include "lovagedale/entry/routing_table.h"
+#include "lovagedale/entry/settings.h"
+
+namespace lovagedale {
+
+/// Evidence that the traffic threads hand to the control thread.
+class evidence_inbox {
+ public:
+  auto Add(const evidence_key& key, const evidence_counts& counts) -> void;
+  auto Take() -> evidence_table;
+
+ private:
+  std::mutex mutex_;
+  evidence_table pending_;
+};
+
+/// Fingerprints of requests that ran on a server of this entry that crashed.
+class suspect_list {
+ public:
+  auto Add(std::uint64_t fingerprint) -> void;
+  auto Contains(std::uint64_t fingerprint) const -> bool;
+  /// Returns whether it was there.
+  auto Remove(std::uint64_t fingerprint) -> bool;
+
+ private:
+  mutable std::mutex mutex_;
+  std::unordered_set<std::uint64_t> fingerprints_;
+};
+
+/// Rate limits of the customers at this entry: its share of each limit.
+class customer_limits {
+ public:
+  /// Time to wait in milliseconds, or 0 if the request may go on.
+  auto TryAdmit(const customer& item, std::uint32_t live_entries,
+                monotonic_ms now) -> monotonic_ms;
+  /// Counts a running request; false if too many run.
+  auto TryEnter(const customer& item) -> bool;
+  auto Leave(const std::string& customer_name) -> void;
+
+ private:
+  struct limit_state {
+    token_bucket bucket;
+    std::int64_t running = 0;
+  };
+  std::mutex mutex_;
+  std::unordered_map<std::string, limit_state> limits_;
+};
+
+/// The latest routing decisions, for `lovagedalectl explain`.
+class decision_log {
+ public:
+  auto Add(const std::string& request_id, const std::string& json) -> void;
+  /// The decisions of one request as JSON objects, oldest first.
+  auto Find(const std::string& request_id) const -> std::vector<std::string>;
+
+ private:
+  struct decision {
+    std::string request_id;
+    std::string json;
+  };
+  mutable std::mutex mutex_;
+  std::deque<decision> decisions_;
+};
+
+/// State that an entry's threads share. The routing table and the plans are
+/// replaced whole by the control thread and read by the traffic threads.
+class entry_state {
+ public:
+  explicit entry_state(entry_settings entry_settings_value)
+      : settings(std::move(entry_settings_value)) {}
+
+  const entry_settings settings;
+  std::atomic<std::shared_ptr<const routing_table>> table;
+  std::atomic<std::shared_ptr<const plan_table>> plans;
+  /// Until then, versions that need a permit may be used.
+  std::atomic<monotonic_ms> permit_until{0};
+  std::atomic<std::uint32_t> live_entries{1};
+  std::atomic<bool> draining{false};
+  evidence_inbox evidence;
+  suspect_list suspects;
+  customer_limits limits;
+  decision_log decisions;
+  /// Called from any thread when a server has crashed; set before the traffic
+  /// threads start.
+  std::function<void(crash_report)> report_crash;
+  std::function<void(std::uint64_t)> report_cleared;
+
+  auto HasPermit(monotonic_ms now) const -> bool {
+    return now < permit_until.load(std::memory_order_acquire);
+  }
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/entry/refusal.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <stdexcept>
+#include <string>
+
+#include "lovagedale/http/server.h"
+
+namespace lovagedale {
+
+/// Whether a refused request may have run on a back-end server.
+enum class ran_state { kNo, kMaybe };
+
+/// A request that the entry refuses, as its caller is told.
+class request_refused : public std::runtime_error {
+ public:
+  request_refused(unsigned status, std::string type, const std::string& message,
+                  ran_state ran, int retry_after_s = 0)
+      : std::runtime_error(message),
+        status_(status),
+        type_(std::move(type)),
+        ran_(ran),
+        retry_after_s_(retry_after_s) {}
+
+  auto status() const -> unsigned { return status_; }
+  auto type() const -> const std::string& { return type_; }
+  auto ran() const -> ran_state { return ran_; }
+  auto retry_after_s() const -> int { return retry_after_s_; }
+
+ private:
+  unsigned status_;
+  std::string type_;
+  ran_state ran_;
+  int retry_after_s_;
+};
+
+/// Answers with the refusal as JSON, `Lovagedale-Ran` and `Retry-After`.
+auto RespondRefusal(http_exchange& exchange, const request_refused& refusal,
+                    const std::string& request_id) -> void;
+
+/// The refusal as a JSON body.
+auto RefusalJson(const request_refused& refusal, const std::string& request_id)
+    -> std::string;
+
+}  // namespace lovagedale
--- a/include/lovagedale/entry/routing_table.h
+++ b/include/lovagedale/entry/routing_table.h
@@ -66,20 +66,38 @@
   std::unordered_map<std::uint64_t, quarantine> quarantines_;
 };
 
-/// Plans by customer and task class, made by the control thread from the
-/// fleet's evidence.
+/// A cascade step by its version's name, valid across configurations.
+struct named_step {
+  std::string version;
+  std::uint8_t accept_from_bin = 0;
+
+  auto operator==(const named_step&) const -> bool = default;
+};
+
+/// A customer's plans for one task class.
+struct named_plan {
+  std::vector<named_step> first;
+  std::vector<named_step> second;
+  double first_share = 1;
+
+  auto operator==(const named_plan&) const -> bool = default;
+  auto Pick(double draw) const -> const std::vector<named_step>& {
+    return draw < first_share ? first : second;
+  }
+};
+
+/// Plans by customer and task class over one routing table and the fleet's
+/// evidence. Immutable; plans are computed when asked for, as task classes
+/// are not known beforehand.
 class plan_table {
  public:
-  /// `evidence` is copied; plans are made when first asked for, as task
-  /// classes are not known beforehand.
   plan_table(std::shared_ptr<const routing_table> table,
              evidence_table evidence);
 
-  /// Plan for a customer's requests of a class over its steady versions.
-  auto PlanFor(customer_id customer, const std::string& task_class) const
-      -> mixed_plan;
-  auto evidence() const -> const evidence_table& { return evidence_; }
-  auto revision() const -> config_revision { return table_->revision(); }
+  /// Plan for a customer's requests of a class over its steady versions; no
+  /// steps if there is none.
+  auto PlanFor(const std::string& customer_name,
+               const std::string& task_class) const -> named_plan;
 
  private:
   std::shared_ptr<const routing_table> table_;
--- /dev/null
+++ b/include/lovagedale/entry/traffic_context.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "lovagedale/admission/token_bucket.h"
+#include "lovagedale/entry/entry_state.h"
+#include "lovagedale/entry/ledger_client.h"
+#include "lovagedale/entry/upstream_pool.h"
+#include "lovagedale/placement/prefix_index.h"
+
+namespace lovagedale {
+
+/// What one traffic thread owns; nothing here is shared with another thread
+/// but `state` and `metrics`.
+struct traffic_context {
+  traffic_context(entry_state& shared, std::size_t thread_index,
+                  std::uint64_t seed);
+
+  auto NextRandom() -> std::uint64_t { return random(); }
+  /// A request id that no other request of the fleet has.
+  auto NewRequestId() -> std::string;
+  /// The plan for a customer and task class, kept until evidence or
+  /// configuration change.
+  auto PlanFor(const std::string& customer_name, const std::string& task_class)
+      -> const named_plan&;
+
+  entry_state& state;
+  boost::asio::io_context io{1};
+  std::shared_ptr<thread_metrics> metrics;
+  ledger_client ledgers;
+  upstream_pool upstreams;
+  prefix_index prefixes;
+  retry_budget retries;
+  system_monotonic_clock clock;
+  token_bucket ratings;
+  std::mt19937_64 random;
+
+ private:
+  std::string id_prefix_;
+  std::uint64_t next_id_ = 0;
+  std::shared_ptr<const plan_table> planned_for_;
+  std::unordered_map<std::string, named_plan> plans_;
+};
+
+}  // namespace lovagedale
--- a/include/lovagedale/http/server.h
+++ b/include/lovagedale/http/server.h
@@ -86,9 +86,11 @@
   auto operator=(const http_server&) -> http_server& = delete;
 
   auto port() const -> std::uint16_t;
-  /// From now on each answer closes its connection and idle ones are closed;
-  /// new connections are still accepted.
+  /// From now on each answer closes its connection; new connections are still
+  /// accepted.
   auto BeginDrain() -> void;
+  /// Closes the connections on which no request is under way.
+  auto CloseIdle() -> void;
   auto StopAccepting() -> void;
   /// Requests that have been read and not yet answered whole.
   auto ActiveRequests() const -> std::size_t;
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,151 @@
+# Functions that start and stop a small fleet on loopback. Sourced by
+# quickstart.sh and by the tests of real processes; needs: root, run (a folder
+# of this run), zones (array), region, engines_pool, service_pool, base_port.
+#
+# Ports: base_port + 100*zone index + offset, see the functions below.
+
+bin="$root/build/tools"
+declare -A process_ids=()
+
+fail() {
+  echo "FAILED: $*" >&2
+  exit 1
+}
+
+port() { echo $((base_port + 100 * $1 + $2)); }
+
+# One JSON list of processes: kind, port offset.
+process_list() {
+  local kind=$1 offset=$2 separator="" index
+  printf '['
+  for index in "${!zones[@]}"; do
+    printf '%s{"name":"%s-%s","zone":"%s","host":"127.0.0.1","port":%d}' \
+      "$separator" "$kind" "${zones[$index]}" "${zones[$index]}" \
+      "$(port "$index" "$offset")"
+    separator=,
+  done
+  printf ']'
+}
+
+write_replica_settings() { # kind, rpc offset, http offset
+  local kind=$1 index
+  for index in "${!zones[@]}"; do
+    cat >"$run/$kind-${zones[$index]}.json" <<JSON
+{"name":"$kind-${zones[$index]}","zone":"${zones[$index]}","host":"127.0.0.1",
+ "rpc_port":$(port "$index" "$2"),"http_port":$(port "$index" "$3"),
+ "data_folder":"$run/data/$kind-${zones[$index]}",
+ "replicas":$(process_list "$kind" "$2"),
+ "log_file":"$run/logs/$kind-${zones[$index]}.log"}
+JSON
+  done
+}
+
+write_entry_settings() {
+  local index
+  for index in "${!zones[@]}"; do
+    cat >"$run/entry-${zones[$index]}.json" <<JSON
+{"name":"entry-${zones[$index]}","zone":"${zones[$index]}","host":"127.0.0.1",
+ "http_port":$(port "$index" 0),"admin_port":$(port "$index" 1),
+ "rpc_port":$(port "$index" 2),"traffic_threads":${traffic_threads:-2},
+ "control":$(process_list control 10),"ledgers":$(process_list ledger 20),
+ "entries":$(process_list entry 2),
+ "deadlines":{"connect_ms":300,"first_byte_ms":${first_byte_ms:-5000},"between_reads_ms":${between_reads_ms:-2000}},
+ "drain_delay_ms":${drain_delay_ms:-300},
+ "log_file":"$run/logs/entry-${zones[$index]}.log"}
+JSON
+  done
+}
+
+write_ctl_settings() {
+  cat >"$run/ctl.json" <<JSON
+{"control":$(process_list control 11),"ledgers":$(process_list ledger 21),
+ "entries":$(process_list entry 1)}
+JSON
+}
+
+write_standin_settings() { # name, role, port, extra JSON
+  cat >"$run/$1.json" <<JSON
+{"name":"$1","role":"$2","host":"127.0.0.1","port":$3,
+ "log_file":"$run/logs/$1.log"$4}
+JSON
+}
+
+start() { # name, program
+  "$bin/$2" --config="$run/$1.json" >>"$run/logs/$1.out" 2>&1 &
+  process_ids[$1]=$!
+}
+
+# Sends SIGTERM and requires exit code 0.
+stop() {
+  local id=${process_ids[$1]} code=0
+  kill -TERM "$id" 2>/dev/null || true
+  wait "$id" || code=$?
+  unset "process_ids[$1]"
+  [ "$code" -eq 0 ] || fail "$1 ended with exit code $code"
+}
+
+# Kills without notice.
+crash() {
+  kill -KILL "${process_ids[$1]}"
+  wait "${process_ids[$1]}" 2>/dev/null || true
+  unset "process_ids[$1]"
+}
+
+kill_all() {
+  local name
+  for name in "${!process_ids[@]}"; do
+    kill -CONT "${process_ids[$name]}" 2>/dev/null || true
+    kill -KILL "${process_ids[$name]}" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+}
+
+wait_for() { # description, command...
+  local what=$1 tries
+  shift
+  for ((tries = 0; tries < 300; ++tries)); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.05
+  done
+  fail "timed out waiting for $what"
+}
+
+is_ready() { curl -sf -m 1 "http://127.0.0.1:$1/ready"; }
+
+ctl() { "$bin/lovagedalectl" --config="$run/ctl.json" "$@"; }
+
+# Starts control and ledgers of all zones; with "new", creates their folders.
+start_replicas() {
+  local kind index
+  for kind in control ledger; do
+    for index in "${!zones[@]}"; do
+      if [ "${1:-}" = new ]; then
+        "$bin/lovagedale-$kind" --initialize \
+          --config="$run/$kind-${zones[$index]}.json"
+      fi
+      start "$kind-${zones[$index]}" "lovagedale-$kind"
+    done
+  done
+}
+
+start_entries() {
+  local index
+  for index in "${!zones[@]}"; do
+    start "entry-${zones[$index]}" lovagedale-entry
+  done
+}
+
+wait_replicas_ready() {
+  local index
+  for index in "${!zones[@]}"; do
+    wait_for "control-${zones[$index]}" is_ready "$(port "$index" 11)"
+    wait_for "ledger-${zones[$index]}" is_ready "$(port "$index" 21)"
+  done
+}
+
+wait_entries_ready() {
+  local index
+  for index in "${!zones[@]}"; do
+    wait_for "entry-${zones[$index]}" is_ready "$(port "$index" 1)"
+  done
+}
--- a/src/cascade/plan.cpp
+++ b/src/cascade/plan.cpp
@@ -133,6 +133,25 @@
   return plan.expected_cost + options.cost_per_ms * plan.expected_ms;
 }
 
+/// Plans that no other one beats in both price and quality bound, by
+/// rising price and bound.
+auto Frontier(std::vector<cascade_plan> plans, const planning_options& options)
+    -> std::vector<cascade_plan> {
+  std::sort(plans.begin(), plans.end(),
+            [&](const cascade_plan& left, const cascade_plan& right) {
+              return std::pair(Price(left, options), -left.quality_bound) <
+                     std::pair(Price(right, options), -right.quality_bound);
+            });
+  std::vector<cascade_plan> frontier;
+  for (auto& plan : plans) {
+    if (frontier.empty() ||
+        plan.quality_bound > frontier.back().quality_bound) {
+      frontier.push_back(std::move(plan));
+    }
+  }
+  return frontier;
+}
+
 }  // namespace
 
 auto EscalatedClass(const std::string& task_class) -> std::string {
@@ -142,35 +161,26 @@
 auto PlanCascade(const std::vector<version_knowledge>& versions,
                  double target_quality, const planning_options& options)
     -> mixed_plan {
-  const auto plans = ListPlans(versions, options);
-  if (plans.empty()) return {};
-  const auto price = [&](const cascade_plan& plan) {
-    return Price(plan, options);
-  };
-  const cascade_plan* best = nullptr;
-  const cascade_plan* safest = &plans.front();
-  for (const auto& plan : plans) {
-    if (plan.quality_bound > safest->quality_bound) safest = &plan;
-    if (plan.quality_bound < target_quality) continue;
-    if (best == nullptr || price(plan) < price(*best)) best = &plan;
-  }
-  if (best == nullptr) return {*safest, *safest, 1};
-  mixed_plan result{*best, *best, 1};
-  auto result_price = price(*best);
+  const auto frontier = Frontier(ListPlans(versions, options), options);
+  if (frontier.empty()) return {};
+  const auto& safest = frontier.back();
+  const auto above = std::find_if(
+      frontier.begin(), frontier.end(), [&](const cascade_plan& plan) {
+        return plan.quality_bound >= target_quality;
+      });
+  if (above == frontier.end()) return {safest, safest, 1};
+  mixed_plan result{*above, *above, 1};
+  auto result_price = Price(*above, options);
   // A cheaper plan below the target, mixed with one above it.
-  for (const auto& above : plans) {
-    if (above.quality_bound < target_quality) continue;
-    for (const auto& below : plans) {
-      if (below.quality_bound >= target_quality ||
-          price(below) >= price(above)) {
-        continue;
-      }
-      const auto share = (target_quality - below.quality_bound) /
-                         (above.quality_bound - below.quality_bound);
-      const auto mixed = share * price(above) + (1 - share) * price(below);
+  for (auto high = above; high != frontier.end(); ++high) {
+    for (auto low = frontier.begin(); low != above; ++low) {
+      const auto share = (target_quality - low->quality_bound) /
+                         (high->quality_bound - low->quality_bound);
+      const auto mixed =
+          share * Price(*high, options) + (1 - share) * Price(*low, options);
       if (mixed >= result_price) continue;
       result_price = mixed;
-      result = {above, below, share};
+      result = {*high, *low, share};
     }
   }
   return result;
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -212,9 +212,24 @@
     item.burst =
         reader.Number("burst", 0, kMaxRatePerSecond, 2 * item.rate_per_s);
     item.max_concurrent = reader.Integer("max_concurrent", 0, kMaxSlots, 0);
+    reader.ForEach("cascade", [&](object_reader& rung) {
+      item.cascade.push_back(ReadRung(rung, item));
+    });
     catalog_.customers.push_back(std::move(item));
   }
 
+  auto ReadRung(object_reader& reader, const customer& owner)
+      -> cascade_rule {
+    const auto name = reader.RequiredString("version");
+    const auto signal = reader.Number("accept_signal", 0, 1, 0);
+    for (const auto version : owner.versions) {
+      if (catalog_.versions[version].name == name) return {version, signal};
+    }
+    reader.AddError("version", "\"" + name + "\"",
+                    "a version that the customer may use");
+    return {};
+  }
+
   auto ReadServices(object_reader& reader) -> std::vector<pool_id> {
     std::vector<pool_id> ids;
     for (const auto& name : reader.StringList("services")) {
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -1,5 +1,6 @@
 #include "lovagedale/common/log.h"
 
+#include <log4cplus/asyncappender.h>
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -13,6 +14,8 @@
 namespace lovagedale {
 namespace {
 
+constexpr unsigned kMaxQueuedRecords = 100'000;
+
 auto ToLog4cplus(log_level level) -> log4cplus::LogLevel {
   switch (level) {
     case log_level::kDebug:
@@ -32,7 +35,6 @@
     return log4cplus::SharedAppenderPtr(
         new log4cplus::ConsoleAppender(/*logToStdErr=*/true));
   }
-  // Not flushed per record: traffic threads must not wait for the disk.
   return log4cplus::SharedAppenderPtr(
       new log4cplus::FileAppender(file, std::ios_base::app, true));
 }
@@ -50,9 +52,12 @@
   auto appender = MakeAppender(file);
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "%D{%Y-%m-%dT%H:%M:%S.%q} %p " + process + " %m%n"));
+  // A thread of its own writes: traffic threads must not wait for the disk.
+  const log4cplus::SharedAppenderPtr asynchronous(
+      new log4cplus::AsyncAppender(appender, kMaxQueuedRecords));
   auto root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
-  root.addAppender(appender);
+  root.addAppender(asynchronous);
   root.setLogLevel(ToLog4cplus(level));
 }
 
--- /dev/null
+++ b/src/entry/caller_api.cpp
@@ -0,0 +1,175 @@
+#include "lovagedale/entry/caller_api.h"
+
+#include <boost/json.hpp>
+
+#include "lovagedale/common/log.h"
+
+namespace lovagedale {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::size_t kMaxRequestIdBytes = 128;
+constexpr monotonic_ms kMsPerSecond = 1'000;
+
+/// Ends a request's use of its customer's concurrency limit.
+class admitted_request {
+ public:
+  admitted_request(customer_limits& limits, std::string customer_name)
+      : limits_(limits), customer_name_(std::move(customer_name)) {}
+  admitted_request(const admitted_request&) = delete;
+  auto operator=(const admitted_request&) -> admitted_request& = delete;
+  ~admitted_request() { limits_.Leave(customer_name_); }
+
+ private:
+  customer_limits& limits_;
+  std::string customer_name_;
+};
+
+auto IsReady(const entry_state& state) -> bool {
+  const auto table = state.table.load();
+  return table && !table->view().document.empty() && !state.draining;
+}
+
+}  // namespace
+
+auto caller_api::Identify(const http_request& request) -> caller_identity {
+  const auto table = context_.state.table.load();
+  auto key = request.Header("Authorization");
+  if (!table || !key.starts_with(kBearer)) {
+    throw request_refused(401, "unauthorized",
+                          "Authorization: missing; allowed: Bearer <key>",
+                          ran_state::kNo);
+  }
+  key.remove_prefix(kBearer.size());
+  const auto id = table->config().FindCustomerByKey(key);
+  if (!id) {
+    throw request_refused(401, "unauthorized",
+                          "Authorization: the key belongs to no customer",
+                          ran_state::kNo);
+  }
+  caller_identity caller{context_.NewRequestId(),
+                         table->config().customers[*id].name};
+  const auto given = request.Header("Lovagedale-Request-Id");
+  if (given.size() > kMaxRequestIdBytes) {
+    throw request_refused(400, "invalid",
+                          "Lovagedale-Request-Id: got " +
+                              std::to_string(given.size()) +
+                              " bytes; allowed: at most " +
+                              std::to_string(kMaxRequestIdBytes),
+                          ran_state::kNo);
+  }
+  // The customer's name keeps customers' own ids apart.
+  if (!given.empty()) {
+    caller.request_id = caller.customer + "/" + std::string(given);
+  }
+  return caller;
+}
+
+auto caller_api::Admit(const customer& item) -> void {
+  const auto wait_ms = context_.state.limits.TryAdmit(
+      item, context_.state.live_entries, context_.clock.Now());
+  if (wait_ms > 0) {
+    throw request_refused(
+        429, "rate_limited",
+        "rate_per_s: the customer's limit of " +
+            std::to_string(item.rate_per_s) + " requests a second is reached",
+        ran_state::kNo,
+        static_cast<int>((wait_ms + kMsPerSecond - 1) / kMsPerSecond));
+  }
+  if (!context_.state.limits.TryEnter(item)) {
+    throw request_refused(429, "too_many_running",
+                          "max_concurrent: the customer's limit of " +
+                              std::to_string(item.max_concurrent) +
+                              " requests at once is reached",
+                          ran_state::kNo, 1);
+  }
+}
+
+auto caller_api::HandleHealth(http_exchange& exchange) -> void {
+  const bool is_live = exchange.request().Path() == "/health"
+                           ? !context_.state.draining.load()
+                           : IsReady(context_.state);
+  exchange.RespondJson(is_live ? 200 : 503,
+                       is_live ? R"({"ok":true})" : R"({"ok":false})");
+}
+
+auto caller_api::HandleModels(http_exchange& exchange,
+                              const caller_identity& caller) -> void {
+  const auto table = context_.state.table.load();
+  const auto& config = table->config();
+  json::array list;
+  const auto id = config.FindCustomer(caller.customer);
+  const bool has_permit = context_.state.HasPermit(context_.clock.Now());
+  for (const auto version : config.customers[*id].versions) {
+    if (!table->MayRun(version, has_permit)) continue;
+    list.push_back({{"id", config.versions[version].name},
+                    {"object", "model"},
+                    {"owned_by", config.versions[version].model}});
+  }
+  exchange.RespondJson(
+      200, json::serialize(
+               json::value{{"object", "list"}, {"data", std::move(list)}}));
+}
+
+auto caller_api::Route(http_exchange& exchange, const caller_identity& caller)
+    -> void {
+  const auto& request = exchange.request();
+  const auto path = request.Path();
+  if (request.method == "GET" && path == "/v1/models") {
+    HandleModels(exchange, caller);
+    return;
+  }
+  const bool is_chat =
+      request.method == "POST" && path == "/v1/chat/completions";
+  const bool is_service = path.starts_with("/services/");
+  if (!is_chat && !is_service) {
+    throw request_refused(404, "not_found",
+                          "no such call: " + request.method + " " +
+                              std::string(path),
+                          ran_state::kNo);
+  }
+  const auto table = context_.state.table.load();
+  const auto id = table->config().FindCustomer(caller.customer);
+  const auto& item = table->config().customers[*id];
+  Admit(item);
+  const admitted_request admitted(context_.state.limits, caller.customer);
+  context_.metrics->Count(entry_counter::kRequests);
+  if (is_chat) {
+    chat_.Handle(exchange, caller);
+  } else {
+    services_.Handle(exchange, caller);
+  }
+}
+
+auto caller_api::Handle(http_exchange& exchange) -> void {
+  const auto path = exchange.request().Path();
+  if (path == "/health" || path == "/ready") {
+    HandleHealth(exchange);
+    return;
+  }
+  std::optional<request_refused> refusal;
+  caller_identity caller;
+  try {
+    caller = Identify(exchange.request());
+    Route(exchange, caller);
+    return;
+  } catch (const request_refused& error) {
+    refusal = error;
+  } catch (const version_unavailable& error) {
+    refusal = request_refused(503, "no_version", error.what(),
+                              ran_state::kMaybe, 1);
+  }
+  context_.metrics->Count(entry_counter::kRefused);
+  log_line(log_level::kInfo, "refused")
+      .With("request", caller.request_id)
+      .With("customer", caller.customer)
+      .With("status", refusal->status())
+      .With("type", refusal->type())
+      .With("ran", refusal->ran() == ran_state::kNo ? "no" : "maybe")
+      .With("reason", refusal->what());
+  RespondRefusal(exchange, *refusal, caller.request_id);
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/entry/control_link.cpp
@@ -0,0 +1,300 @@
+#include "lovagedale/entry/control_link.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include "lovagedale/common/codec.h"
+#include "lovagedale/common/json_reader.h"
+#include "lovagedale/common/log.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kHeartbeatTimeout{2'500};
+/// Pause after an answer from a replica that does not lead.
+constexpr milliseconds kFollowerPeriod{500};
+/// The leader holds its answers, so the next heartbeat may follow at once.
+constexpr milliseconds kLeaderPeriod{20};
+constexpr milliseconds kUrgentRetry{50};
+constexpr int kUrgentAttempts = 200;
+constexpr milliseconds kEvidencePeriod{200};
+constexpr monotonic_ms kEvidenceReportMs = 1'000;
+constexpr milliseconds kLoadPeriod{1'000};
+/// Servers of other zones are polled this many times less often.
+constexpr std::uint64_t kRemoteLoadEvery = 5;
+constexpr milliseconds kLoadTimeout{400};
+constexpr milliseconds kLeaveTimeout{500};
+
+auto Pause(asio::io_context& context, milliseconds time,
+           asio::yield_context yield) -> void {
+  asio::steady_timer timer(context, time);
+  boost::system::error_code ignored;
+  timer.async_wait(yield[ignored]);
+}
+
+}  // namespace
+
+control_link::control_link(asio::io_context& context, entry_state& state,
+                           process_incarnation incarnation)
+    : context_(context),
+      state_(state),
+      incarnation_(incarnation),
+      server_(context, state.settings.host, state.settings.rpc_port,
+              [this](const std::string& body, const rpc_reply& reply) {
+                Decode<view_request>(body);
+                const auto table = state_.table.load();
+                reply(Encode(table ? table->view() : fleet_view{}));
+              }) {
+  for (const auto& address : state.settings.control) {
+    control_.push_back(std::make_unique<rpc_channel>(context, address));
+  }
+  for (const auto& address : state.settings.entries) {
+    if (address.name == state.settings.name) continue;
+    peers_.push_back(std::make_unique<rpc_channel>(context, address));
+  }
+  Adopt(fleet_view{});
+}
+
+auto control_link::Start() -> void {
+  for (const auto& channel : control_) {
+    asio::spawn(
+        context_,
+        [this, &channel = *channel](asio::yield_context yield) {
+          HeartbeatLoop(channel, yield);
+        },
+        asio::detached);
+  }
+  for (const auto& channel : peers_) {
+    asio::spawn(
+        context_,
+        [this, &channel = *channel](asio::yield_context yield) {
+          AskPeer(channel, yield);
+        },
+        asio::detached);
+  }
+  asio::spawn(
+      context_, [this](asio::yield_context yield) { EvidenceLoop(yield); },
+      asio::detached);
+  asio::spawn(
+      context_, [this](asio::yield_context yield) { LoadLoop(yield); },
+      asio::detached);
+}
+
+auto control_link::AskPeer(rpc_channel& channel, asio::yield_context yield)
+    -> void {
+  // After a restart in a cut-off zone, a neighbour may know a newer revision
+  // than the control replicas that can be reached.
+  try {
+    const auto view = Decode<fleet_view>(
+        channel.Call(Encode(view_request{state_.settings.name}),
+                     kHeartbeatTimeout, yield));
+    Adopt(view);
+  } catch (const std::exception&) {
+    // The neighbour is down or starting too.
+  }
+}
+
+auto control_link::MakeHeartbeat(bool with_evidence) -> entry_heartbeat {
+  entry_heartbeat heartbeat;
+  heartbeat.node = state_.settings.name;
+  heartbeat.zone = state_.settings.zone;
+  heartbeat.incarnation = incarnation_;
+  heartbeat.revision = state_.table.load()->revision();
+  const auto now = clock_.Now();
+  if (with_evidence && evidence_changed_ &&
+      now - evidence_sent_at_ >= kEvidenceReportMs) {
+    heartbeat.evidence = own_evidence_;
+    evidence_sent_at_ = now;
+    evidence_changed_ = false;
+  }
+  return heartbeat;
+}
+
+auto control_link::HeartbeatLoop(rpc_channel& channel,
+                                 asio::yield_context yield) -> void {
+  const auto& name = channel.address().name;
+  while (!leaving_) {
+    const auto sent_at = clock_.Now();
+    bool is_leader = false;
+    try {
+      const auto heartbeat = MakeHeartbeat(leader_ == name);
+      const auto response = Decode<heartbeat_response>(
+          channel.Call(Encode(control_request(heartbeat)), kHeartbeatTimeout,
+                       yield));
+      is_leader = response.is_leader;
+      if (is_leader) leader_ = name;
+      HandleResponse(response, sent_at);
+    } catch (const std::exception& error) {
+      if (leader_ == name) {
+        leader_.clear();
+        // What the lost heartbeat carried is sent again.
+        evidence_changed_ = true;
+        log_line(log_level::kWarning, "control_leader_lost")
+            .With("replica", name)
+            .With("reason", error.what());
+      }
+    }
+    Pause(context_, is_leader ? kLeaderPeriod : kFollowerPeriod, yield);
+  }
+}
+
+auto control_link::HandleResponse(const heartbeat_response& response,
+                                  monotonic_ms sent_at) -> void {
+  if (response.view) Adopt(*response.view);
+  if (!response.is_leader) return;
+  if (response.live_entries > 0) state_.live_entries = response.live_entries;
+  if (!response.evidence.empty()) fleet_evidence_ = response.evidence;
+  // The permit is for the revision that the leader has named.
+  if (response.permit_ms > 0 &&
+      state_.table.load()->revision() >= response.revision) {
+    const auto until = sent_at + response.permit_ms;
+    if (until > state_.permit_until.load()) state_.permit_until.store(until);
+  }
+}
+
+auto control_link::Adopt(const fleet_view& view) -> void {
+  const auto current = state_.table.load();
+  if (current && view.revision <= current->revision()) return;
+  try {
+    state_.table.store(std::make_shared<const routing_table>(
+        view, state_.settings.zone, registry_));
+  } catch (const settings_invalid& error) {
+    log_line(log_level::kError, "configuration_refused")
+        .With("revision", view.revision)
+        .With("reason", error.what());
+    return;
+  }
+  log_line(log_level::kInfo, "configuration_in_force")
+      .With("revision", view.revision);
+  PublishPlans();
+}
+
+auto control_link::PublishPlans() -> void {
+  state_.plans.store(std::make_shared<const plan_table>(state_.table.load(),
+                                                        fleet_evidence_));
+  planned_evidence_ = fleet_evidence_;
+}
+
+auto control_link::EvidenceLoop(asio::yield_context yield) -> void {
+  while (!leaving_) {
+    Pause(context_, kEvidencePeriod, yield);
+    const auto fresh = state_.evidence.Take();
+    for (const auto& [key, counts] : fresh) {
+      own_evidence_[key] += counts;
+      // Until control's next sums, own evidence counts at once.
+      fleet_evidence_[key] += counts;
+      evidence_changed_ = true;
+    }
+    if (fleet_evidence_ != planned_evidence_) PublishPlans();
+  }
+}
+
+auto control_link::ReportCrash(const crash_report& report) -> void {
+  asio::post(context_, [this, report] {
+    auto heartbeat = MakeHeartbeat(/*with_evidence=*/false);
+    heartbeat.crashes = {report};
+    SendUrgent(std::move(heartbeat));
+  });
+}
+
+auto control_link::ReportCleared(std::uint64_t fingerprint) -> void {
+  asio::post(context_, [this, fingerprint] {
+    auto heartbeat = MakeHeartbeat(/*with_evidence=*/false);
+    heartbeat.cleared = {fingerprint};
+    SendUrgent(std::move(heartbeat));
+  });
+}
+
+auto control_link::SendUrgent(entry_heartbeat heartbeat) -> void {
+  asio::spawn(
+      context_,
+      [this, heartbeat](asio::yield_context yield) {
+        const auto body = Encode(control_request(heartbeat));
+        for (int attempt = 0; attempt < kUrgentAttempts; ++attempt) {
+          for (const auto& channel : control_) {
+            if (!leader_.empty() && channel->address().name != leader_) {
+              continue;
+            }
+            const auto sent_at = clock_.Now();
+            try {
+              const auto response = Decode<heartbeat_response>(
+                  channel->Call(body, kHeartbeatTimeout, yield));
+              HandleResponse(response, sent_at);
+              if (response.is_leader) return;
+            } catch (const std::exception&) {
+              // The next replica, or the same after a pause.
+            }
+          }
+          Pause(context_, kUrgentRetry, yield);
+        }
+      },
+      asio::detached);
+}
+
+auto control_link::Leave(asio::yield_context yield) -> void {
+  leaving_ = true;
+  auto heartbeat = MakeHeartbeat(/*with_evidence=*/false);
+  heartbeat.evidence = own_evidence_;
+  heartbeat.leaving = true;
+  for (const auto& channel : control_) {
+    try {
+      channel->Call(Encode(control_request(heartbeat)), kLeaveTimeout, yield);
+    } catch (const rpc_error&) {
+      // An operator can remove the entry if no replica heard of this.
+    }
+  }
+}
+
+auto control_link::LoadLoop(asio::yield_context yield) -> void {
+  for (std::uint64_t round = 0; !leaving_; ++round) {
+    const auto table = state_.table.load();
+    const auto& servers = table->config().servers;
+    for (server_id id = 0; id < servers.size(); ++id) {
+      const auto& server = servers[id];
+      const bool is_engine =
+          table->config().pools[server.pool].kind == pool_kind::kEngine;
+      const bool is_local = server.zone == state_.settings.zone;
+      if (!is_engine || (!is_local && round % kRemoteLoadEvery != 0)) continue;
+      asio::spawn(
+          context_,
+          [this, table, id](asio::yield_context poll_yield) {
+            PollLoad(table->config().servers[id], table->State(id),
+                     poll_yield);
+          },
+          asio::detached);
+    }
+    Pause(context_, kLoadPeriod, yield);
+  }
+}
+
+auto control_link::PollLoad(const backend_server& server,
+                            server_state& server_load,
+                            asio::yield_context yield) -> void {
+  http_request request;
+  request.method = "GET";
+  request.target = "/load";
+  const http_deadlines deadlines{kLoadTimeout, kLoadTimeout, kLoadTimeout};
+  const auto in_flight = server_load.in_flight.load();
+  try {
+    const auto answer =
+        HttpCall(context_, server.host, server.port, request, deadlines, yield);
+    const auto value = boost::json::parse(answer.body);
+    const auto& load = value.as_object();
+    server_load.in_flight_at_report = in_flight;
+    server_load.reported_load = static_cast<std::int32_t>(
+        load.at("running").to_number<std::int64_t>() +
+        load.at("waiting").to_number<std::int64_t>());
+    server_load.reported_at = clock_.Now();
+    const auto* leaving = load.if_contains("leaving");
+    server_load.leaving =
+        leaving != nullptr && leaving->is_bool() && leaving->get_bool();
+  } catch (const std::exception&) {
+    // No report: placement uses this entry's own counts.
+  }
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/entry/dispatcher.cpp
@@ -0,0 +1,375 @@
+#include "lovagedale/entry/dispatcher.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include "lovagedale/common/log.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kMaxAttempts = 4;
+constexpr std::uint32_t kMaxConnectFailures = 8;
+constexpr milliseconds kQueuePoll{5};
+constexpr monotonic_ms kInteractiveQueueMs = 2'000;
+constexpr monotonic_ms kPatientQueueMs = 60'000;
+/// Requests per slot, waiting ones included, above which an entry keeps
+/// further requests in its own queue. Patient ones leave room for others.
+constexpr double kInteractiveMaxLoad = 2.0;
+constexpr double kPatientMaxLoad = 1.0;
+constexpr monotonic_ms kFirstDownMs = 200;
+constexpr monotonic_ms kMaxDownMs = 5'000;
+constexpr std::uint32_t kMaxDownDoublings = 5;
+constexpr monotonic_ms kCrashDownMs = 1'000;
+constexpr monotonic_ms kLeavingServerMs = 5'000;
+constexpr milliseconds kProbeTimeout{200};
+constexpr milliseconds kProbeGap{50};
+constexpr milliseconds kQuarantineWait{1'500};
+constexpr milliseconds kQuarantinePoll{10};
+constexpr int kOverloadRetryAfterS = 1;
+constexpr unsigned kStatusTooManyRequests = 429;
+constexpr unsigned kStatusUnavailable = 503;
+
+auto MaxLoad(patience_class patience) -> double {
+  return patience == patience_class::kPatient ? kPatientMaxLoad
+                                              : kInteractiveMaxLoad;
+}
+
+auto QueueLimitMs(patience_class patience) -> monotonic_ms {
+  return patience == patience_class::kPatient ? kPatientQueueMs
+                                              : kInteractiveQueueMs;
+}
+
+auto RanState(bool was_sent) -> ran_state {
+  return was_sent ? ran_state::kMaybe : ran_state::kNo;
+}
+
+auto Sleep(asio::io_context& io, milliseconds time, asio::yield_context yield)
+    -> void {
+  asio::steady_timer timer(io, time);
+  boost::system::error_code ignored;
+  timer.async_wait(yield[ignored]);
+}
+
+/// The server refused the request before running it.
+auto IsRefusedUnrun(const http_response_head& head) -> bool {
+  return (head.status == kStatusUnavailable ||
+          head.status == kStatusTooManyRequests) &&
+         head.Header("Lovagedale-Ran") == "no";
+}
+
+}  // namespace
+
+/// Counts a request at its server while it runs there.
+class dispatcher::running_guard {
+ public:
+  running_guard(server_state& state, std::uint64_t fingerprint,
+                bool is_suspect)
+      : state_(state), fingerprint_(fingerprint), is_suspect_(is_suspect) {
+    state_.in_flight.fetch_add(1, std::memory_order_relaxed);
+    if (is_suspect_) state_.suspects_running.fetch_add(1);
+    state_.AddRunning(fingerprint_);
+  }
+  running_guard(const running_guard&) = delete;
+  auto operator=(const running_guard&) -> running_guard& = delete;
+  ~running_guard() {
+    state_.RemoveRunning(fingerprint_);
+    if (is_suspect_) state_.suspects_running.fetch_sub(1);
+    state_.in_flight.fetch_sub(1, std::memory_order_relaxed);
+  }
+
+ private:
+  server_state& state_;
+  std::uint64_t fingerprint_;
+  bool is_suspect_;
+};
+
+auto dispatcher::EnsureAllowed(const dispatch_job& job,
+                               const routing_table& table) const -> void {
+  const auto& config = table.config();
+  const auto customer = config.FindCustomer(job.customer);
+  if (!customer) {
+    throw request_refused(403, "not_allowed", "the customer was removed",
+                          ran_state::kNo);
+  }
+  if (const auto* item = table.QuarantineOf(job.fingerprint, WallClockMs())) {
+    throw request_refused(422, "quarantined",
+                          "this request is refused: it " + item->reason,
+                          ran_state::kNo);
+  }
+  const auto& allowed = config.customers[*customer];
+  if (!job.pool.empty()) {
+    const auto pool = config.FindPool(job.pool);
+    if (!pool || !allowed.AllowsService(*pool)) {
+      throw request_refused(403, "not_allowed",
+                            "the customer may not use service " + job.pool,
+                            ran_state::kNo);
+    }
+    return;
+  }
+  const auto version = config.FindVersion(job.version);
+  if (!version || !allowed.Allows(*version)) {
+    throw version_unavailable(job.version + " is not allowed");
+  }
+  if (!table.MayRun(*version, context_.state.HasPermit(context_.clock.Now()))) {
+    throw version_unavailable(job.version + " may not receive new work");
+  }
+}
+
+auto dispatcher::TryPlace(const dispatch_job& job, const attempt_state& state)
+    -> std::optional<placed_attempt> {
+  auto table = context_.state.table.load();
+  EnsureAllowed(job, *table);
+  const auto& config = table->config();
+  const auto& group = job.pool.empty()
+                          ? table->ServersOf(*config.FindVersion(job.version))
+                          : table->ServersOfService(*config.FindPool(job.pool));
+  std::vector<server_id> excluded;
+  for (const auto& name : state.tried) {
+    if (const auto id = config.FindServer(name)) excluded.push_back(*id);
+  }
+  placement_request request;
+  request.prefixes = job.prefixes;
+  request.excluded = excluded;
+  request.is_suspect = context_.state.suspects.Contains(job.fingerprint);
+  request.now = context_.clock.Now();
+  request.random = context_.NextRandom();
+  const auto choice =
+      ChooseServer(group, context_.prefixes, request, placement_options{});
+  if (!choice) return std::nullopt;
+  const auto& server = config.servers[choice->server];
+  const auto load =
+      ExpectedLoad({choice->server, server.slots, choice->state}, request.now,
+                   placement_options{});
+  if (load >= MaxLoad(job.patience)) return std::nullopt;
+  return placed_attempt{std::move(table), *choice, &server};
+}
+
+auto dispatcher::Place(const dispatch_job& job, attempt_state& state,
+                       asio::yield_context yield) -> placed_attempt {
+  for (;;) {
+    if (auto placed = TryPlace(job, state)) return std::move(*placed);
+    const auto now = context_.clock.Now();
+    if (state.waiting_since < 0) state.waiting_since = now;
+    if (now - state.waiting_since >= QueueLimitMs(job.patience)) {
+      throw request_refused(503, "no_capacity",
+                            "no server could take the request in time",
+                            RanState(state.was_sent), kOverloadRetryAfterS);
+    }
+    Sleep(context_.io, kQueuePoll, yield);
+    // Servers that failed earlier may be back.
+    if (!state.was_sent) state.tried.clear();
+  }
+}
+
+auto dispatcher::Run(const dispatch_job& job, const answer_reader& read_answer,
+                     asio::yield_context yield) -> dispatch_result {
+  attempt_state state;
+  context_.retries.RecordRequest();
+  for (;;) {
+    const auto placed = Place(job, state, yield);
+    const bool is_suspect = context_.state.suspects.Contains(job.fingerprint);
+    const running_guard running(*placed.choice.state, job.fingerprint,
+                                is_suspect);
+    std::optional<http_call_error> failure;
+    try {
+      if (!TryOnce(job, placed, state, read_answer, yield)) continue;
+    } catch (const http_call_error& error) {
+      // Handled below: a fiber must not wait inside a catch block, where the
+      // exception's state belongs to the thread.
+      failure = error;
+    }
+    if (failure) {
+      HandleFailure(job, placed, state, *failure, yield);
+      continue;
+    }
+    placed.choice.state->consecutive_failures = 0;
+    if (context_.state.suspects.Remove(job.fingerprint)) {
+      context_.state.report_cleared(job.fingerprint);
+    }
+    return {placed.server->name, state.attempts};
+  }
+}
+
+auto dispatcher::TryOnce(const dispatch_job& job, const placed_attempt& placed,
+                         attempt_state& state,
+                         const answer_reader& read_answer,
+                         asio::yield_context yield) -> bool {
+  const auto& server = *placed.server;
+  const auto& deadlines = context_.state.settings.deadlines;
+  auto connection = context_.upstreams.Acquire(
+      server.host, server.port, /*fresh=*/!job.repeatable, deadlines, yield);
+  // The configuration may have changed while the connection was made.
+  EnsureAllowed(job, *context_.state.table.load());
+  if (placed.choice.state->leaving) {
+    context_.metrics->Count(entry_counter::kStoppedBeforeDispatch);
+    return false;
+  }
+  ++state.attempts;
+  LogDecision(job, placed, state);
+  const auto request = job.make_request();
+  http_response_head head;
+  try {
+    head = connection->Send(request, deadlines, yield);
+  } catch (const http_call_error& error) {
+    state.was_sent |= error.at() != http_call_error::stage::kNotSent;
+    throw;
+  }
+  if (IsRefusedUnrun(head)) {
+    if (head.Header("Lovagedale-Leaving") == "true") {
+      placed.choice.state->down_until =
+          context_.clock.Now() + kLeavingServerMs;
+    }
+    state.tried.push_back(server.name);
+    return false;
+  }
+  state.was_sent = true;
+  if (!job.prefixes.empty()) {
+    context_.prefixes.Record(placed.choice.server, job.prefixes);
+  }
+  read_answer(*connection, head);
+  context_.upstreams.Release(server.host, server.port, std::move(connection));
+  return true;
+}
+
+auto dispatcher::HandleFailure(const dispatch_job& job,
+                               const placed_attempt& placed,
+                               attempt_state& state,
+                               const http_call_error& error,
+                               asio::yield_context yield) -> void {
+  const auto& server = *placed.server;
+  log_line(log_level::kWarning, "server_failed")
+      .With("request", job.request_id)
+      .With("server", server.name)
+      .With("reason", error.what());
+  state.tried.push_back(server.name);
+  context_.upstreams.DropIdle(server.host, server.port);
+  if (error.at() == http_call_error::stage::kNotSent) {
+    context_.metrics->Count(entry_counter::kConnectFailures);
+    MarkUnreachable(placed);
+    if (++state.connect_failures >= kMaxConnectFailures) {
+      throw request_refused(503, "no_server", "no server could be reached",
+                            RanState(state.was_sent), kOverloadRetryAfterS);
+    }
+    return;
+  }
+  context_.metrics->Count(entry_counter::kServerErrors);
+  if (job.on_failure) job.on_failure();
+  if (HasCrashed(server, yield)) BlameCrash(job, placed, yield);
+  if (!job.repeatable) {
+    throw request_refused(
+        502, "outcome_unknown",
+        "the server failed after the request was sent; it may have run and is "
+        "not sent again",
+        ran_state::kMaybe);
+  }
+  if (state.attempts >= kMaxAttempts || !context_.retries.TryRetry()) {
+    throw request_refused(502, "server_failed",
+                          "the server failed and the request was not retried",
+                          ran_state::kMaybe, kOverloadRetryAfterS);
+  }
+  context_.metrics->Count(entry_counter::kRetries);
+}
+
+auto dispatcher::MarkUnreachable(const placed_attempt& placed) -> void {
+  auto& state = *placed.choice.state;
+  const auto failures = std::min(state.consecutive_failures.fetch_add(1),
+                                 kMaxDownDoublings);
+  const auto pause = std::min(kFirstDownMs << failures, kMaxDownMs);
+  state.down_until = context_.clock.Now() + pause;
+}
+
+auto dispatcher::HasCrashed(const backend_server& server,
+                            asio::yield_context yield) -> bool {
+  http_deadlines deadlines;
+  deadlines.connect = kProbeTimeout;
+  for (int probe = 0; probe < 2; ++probe) {
+    if (probe > 0) Sleep(context_.io, kProbeGap, yield);
+    try {
+      http_connection connection(context_.io, server.host, server.port);
+      connection.Connect(deadlines, yield);
+      return false;
+    } catch (const http_call_error&) {
+      // Nothing listens there.
+    }
+  }
+  return true;
+}
+
+auto dispatcher::BlameCrash(const dispatch_job& job,
+                            const placed_attempt& placed,
+                            asio::yield_context yield) -> void {
+  auto& server_state = *placed.choice.state;
+  const auto now = context_.clock.Now();
+  const bool was_suspect = context_.state.suspects.Contains(job.fingerprint);
+  // The first request that notices reports for all that ran there.
+  if (server_state.down_until.exchange(now + kCrashDownMs) <= now) {
+    context_.metrics->Count(entry_counter::kServerCrashes);
+    crash_report report{server_state.name(), server_state.Running(),
+                        context_.NewRequestId()};
+    for (const auto fingerprint : report.fingerprints) {
+      context_.state.suspects.Add(fingerprint);
+    }
+    context_.state.report_crash(std::move(report));
+  }
+  if (!was_suspect) return;
+  // Refused only once every entry refuses it too: the caller may send it
+  // again elsewhere as soon as it hears of this.
+  const auto deadline = now + kQuarantineWait.count();
+  while (context_.clock.Now() < deadline) {
+    const auto table = context_.state.table.load();
+    if (table->QuarantineOf(job.fingerprint, WallClockMs()) != nullptr) break;
+    Sleep(context_.io, kQuarantinePoll, yield);
+  }
+  context_.metrics->Count(entry_counter::kQuarantined);
+  throw request_refused(422, "quarantined",
+                        "two servers crashed while they ran this request",
+                        ran_state::kMaybe);
+}
+
+auto dispatcher::LogDecision(const dispatch_job& job,
+                             const placed_attempt& placed,
+                             const attempt_state& state) -> void {
+  const auto& choice = placed.choice;
+  std::string alternatives;
+  for (const auto& name : job.alternatives) {
+    if (!alternatives.empty()) alternatives += ',';
+    alternatives += name;
+  }
+  const auto& target = job.pool.empty() ? job.version : job.pool;
+  log_line(log_level::kInfo, "route")
+      .With("request", job.request_id)
+      .With("customer", job.customer)
+      .With("target", target)
+      .With("version_reason", job.reason)
+      .With("alternatives", alternatives)
+      .With("server", placed.server->name)
+      .With("zone", placed.server->zone)
+      .With("server_reason", ReasonName(choice.reason))
+      .With("score", choice.score)
+      .With("considered", choice.considered)
+      .With("cached_blocks", choice.cached_blocks)
+      .With("attempt", state.attempts)
+      .With("revision", placed.table->revision());
+  context_.state.decisions.Add(
+      job.request_id,
+      boost::json::serialize(boost::json::value{
+          {"customer", job.customer},
+          {"target", target},
+          {"version_reason", job.reason},
+          {"alternatives", alternatives},
+          {"server", placed.server->name},
+          {"zone", placed.server->zone},
+          {"server_reason", ReasonName(choice.reason)},
+          {"score", choice.score},
+          {"considered", choice.considered},
+          {"cached_blocks", choice.cached_blocks},
+          {"attempt", state.attempts},
+          {"revision", placed.table->revision()}}));
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/entry/entry_state.cpp
@@ -0,0 +1,91 @@
+#include "lovagedale/entry/entry_state.h"
+
+#include <algorithm>
+
+namespace lovagedale {
+namespace {
+
+constexpr std::size_t kKeptDecisions = 20'000;
+
+}  // namespace
+
+auto evidence_inbox::Add(const evidence_key& key,
+                         const evidence_counts& counts) -> void {
+  const std::lock_guard lock(mutex_);
+  pending_[key] += counts;
+}
+
+auto evidence_inbox::Take() -> evidence_table {
+  const std::lock_guard lock(mutex_);
+  auto taken = std::move(pending_);
+  pending_.clear();
+  return taken;
+}
+
+auto suspect_list::Add(std::uint64_t fingerprint) -> void {
+  const std::lock_guard lock(mutex_);
+  fingerprints_.insert(fingerprint);
+}
+
+auto suspect_list::Contains(std::uint64_t fingerprint) const -> bool {
+  const std::lock_guard lock(mutex_);
+  return fingerprints_.contains(fingerprint);
+}
+
+auto suspect_list::Remove(std::uint64_t fingerprint) -> bool {
+  const std::lock_guard lock(mutex_);
+  return fingerprints_.erase(fingerprint) > 0;
+}
+
+auto customer_limits::TryAdmit(const customer& item,
+                               std::uint32_t live_entries, monotonic_ms now)
+    -> monotonic_ms {
+  if (item.rate_per_s <= 0) return 0;
+  const auto share = 1.0 / std::max<std::uint32_t>(live_entries, 1);
+  const auto rate = item.rate_per_s * share;
+  const auto burst = std::max(1.0, item.burst * share);
+  const std::lock_guard lock(mutex_);
+  auto& state =
+      limits_.try_emplace(item.name, limit_state{{rate, burst, now}, 0})
+          .first->second;
+  state.bucket.SetLimit(rate, burst, now);
+  if (state.bucket.TryTake(now)) return 0;
+  return state.bucket.WaitMs(now);
+}
+
+auto customer_limits::TryEnter(const customer& item) -> bool {
+  if (item.max_concurrent == 0) return true;
+  const std::lock_guard lock(mutex_);
+  auto& state =
+      limits_.try_emplace(item.name, limit_state{{0, 0, 0}, 0}).first->second;
+  if (state.running >= item.max_concurrent) return false;
+  ++state.running;
+  return true;
+}
+
+auto customer_limits::Leave(const std::string& customer_name) -> void {
+  const std::lock_guard lock(mutex_);
+  const auto found = limits_.find(customer_name);
+  if (found != limits_.end() && found->second.running > 0) {
+    --found->second.running;
+  }
+}
+
+auto decision_log::Add(const std::string& request_id, const std::string& json)
+    -> void {
+  const std::lock_guard lock(mutex_);
+  decisions_.push_back({request_id, json});
+  if (decisions_.size() > kKeptDecisions) decisions_.pop_front();
+}
+
+auto decision_log::Find(const std::string& request_id) const
+    -> std::vector<std::string> {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::string> found;
+  for (const auto& item : decisions_) {
+    if (item.request_id == request_id) found.push_back(item.json);
+  }
+  return found;
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/entry/event_relay.cpp
@@ -0,0 +1,34 @@
+#include "lovagedale/entry/event_relay.h"
+
+namespace lovagedale {
+namespace {
+
+constexpr std::string_view kBoundary = "\n\n";
+constexpr std::string_view kDone = "data: [DONE]";
+
+}  // namespace
+
+auto event_relay::Feed(std::string_view bytes) -> std::string_view {
+  // Both buffers keep their capacity: no allocation per event once they have
+  // grown to the size of one read.
+  pending_.append(bytes);
+  ready_.clear();
+  std::size_t start = 0;
+  for (;;) {
+    const auto end = pending_.find(kBoundary, start);
+    if (end == std::string::npos) break;
+    const std::string_view event(pending_.data() + start,
+                                 end - start + kBoundary.size());
+    start = end + kBoundary.size();
+    if (event.starts_with(kDone)) {
+      done_ = true;
+      continue;
+    }
+    ready_ += event;
+    ++events_;
+  }
+  pending_.erase(0, start);
+  return ready_;
+}
+
+}  // namespace lovagedale
--- a/src/entry/routing_table.cpp
+++ b/src/entry/routing_table.cpp
@@ -24,6 +24,28 @@
   return route;
 }
 
+/// The cascade that an operator has fixed, less its withdrawn versions.
+auto FixedPlan(const routing_table& table, const customer& item)
+    -> named_plan {
+  named_plan plan;
+  for (const auto& rule : item.cascade) {
+    if (table.Route(rule.version).phase != version_phase::kSteady) continue;
+    plan.first.push_back({table.config().versions[rule.version].name,
+                          SignalBin(rule.accept_signal)});
+  }
+  plan.second = plan.first;
+  return plan;
+}
+
+auto NameSteps(const catalog& config, const cascade_plan& plan)
+    -> std::vector<named_step> {
+  std::vector<named_step> steps;
+  for (const auto& step : plan.steps) {
+    steps.push_back({config.versions[step.version].name, step.accept_from_bin});
+  }
+  return steps;
+}
+
 }  // namespace
 
 routing_table::routing_table(const fleet_view& view, const std::string& zone,
@@ -91,10 +113,13 @@
                        evidence_table evidence)
     : table_(std::move(table)), evidence_(std::move(evidence)) {}
 
-auto plan_table::PlanFor(customer_id customer,
-                         const std::string& task_class) const -> mixed_plan {
+auto plan_table::PlanFor(const std::string& customer_name,
+                         const std::string& task_class) const -> named_plan {
   const auto& config = table_->config();
-  const auto& item = config.customers[customer];
+  const auto id = config.FindCustomer(customer_name);
+  if (!id) return {};
+  const auto& item = config.customers[*id];
+  if (!item.cascade.empty()) return FixedPlan(*table_, item);
   std::vector<version_knowledge> versions;
   for (const auto version : item.versions) {
     if (table_->Route(version).phase != version_phase::kSteady) continue;
@@ -106,7 +131,9 @@
   if (item.patience == patience_class::kInteractive) {
     options.cost_per_ms = kInteractiveCostPerMs;
   }
-  return PlanCascade(versions, item.target_quality, options);
+  const auto plan = PlanCascade(versions, item.target_quality, options);
+  return {NameSteps(config, plan.first), NameSteps(config, plan.second),
+          plan.first_share};
 }
 
 }  // namespace lovagedale
--- /dev/null
+++ b/src/entry/traffic_context.cpp
@@ -0,0 +1,46 @@
+#include "lovagedale/entry/traffic_context.h"
+
+#include "lovagedale/common/hash.h"
+
+namespace lovagedale {
+namespace {
+
+constexpr std::size_t kPrefixEntries = 200'000;
+/// Retries that may follow a sudden failure at once, per thread.
+constexpr double kRetryReserve = 20;
+constexpr std::size_t kMaxKeptPlans = 10'000;
+
+}  // namespace
+
+traffic_context::traffic_context(entry_state& shared, std::size_t thread_index,
+                                 std::uint64_t seed)
+    : state(shared),
+      metrics(std::make_shared<thread_metrics>()),
+      ledgers(io, shared.settings.ledgers, shared.settings.zone),
+      upstreams(io),
+      prefixes(kPrefixEntries),
+      retries(shared.settings.retry_share, kRetryReserve),
+      ratings(0, 1, clock.Now()),
+      random(seed + thread_index),
+      id_prefix_(shared.settings.name + "-" + ToHex(seed).substr(0, 8) + "-" +
+                 std::to_string(thread_index) + "-") {}
+
+auto traffic_context::NewRequestId() -> std::string {
+  return id_prefix_ + std::to_string(next_id_++);
+}
+
+auto traffic_context::PlanFor(const std::string& customer_name,
+                              const std::string& task_class)
+    -> const named_plan& {
+  auto current = state.plans.load();
+  if (current != planned_for_ || plans_.size() > kMaxKeptPlans) {
+    plans_.clear();
+    planned_for_ = std::move(current);
+  }
+  auto key = customer_name + '/' + task_class;
+  const auto [place, is_new] = plans_.try_emplace(std::move(key));
+  if (is_new) place->second = planned_for_->PlanFor(customer_name, task_class);
+  return place->second;
+}
+
+}  // namespace lovagedale
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -279,14 +279,17 @@
     beast_exchange exchange(stream_, yield_, state_->limits, std::move(request),
                             keep_alive && !state_->draining);
     ++state_->active;
+    bool failed = false;
     try {
       state_->handler(exchange);
     } catch (const caller_gone&) {
       // The handler has noted what that means for the request.
     } catch (const std::exception& error) {
       log_line(log_level::kError, "handler_failed").With("reason", error.what());
-      TryInternalError(exchange);
+      failed = true;
     }
+    // Outside the catch block: a fiber must not wait inside one.
+    if (failed) TryInternalError(exchange);
     --state_->active;
     return exchange.KeepAlive() && !state_->draining;
   }
@@ -332,8 +335,9 @@
   return state_->active;
 }
 
-auto http_server::BeginDrain() -> void {
-  state_->draining = true;
+auto http_server::BeginDrain() -> void { state_->draining = true; }
+
+auto http_server::CloseIdle() -> void {
   for (auto* stream : state_->idle) stream->cancel();
 }
 
--- /dev/null
+++ b/src/standin/standin.cpp
@@ -0,0 +1,298 @@
+#include "lovagedale/standin/standin.h"
+
+#include <boost/asio/spawn.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+#include <cmath>
+#include <cstdlib>
+
+#include "lovagedale/common/hash.h"
+#include "lovagedale/common/json_reader.h"
+#include "lovagedale/common/log.h"
+#include "lovagedale/common/settings_fields.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr std::int64_t kMaxMs = 600'000;
+constexpr std::int64_t kMaxTokens = 1'000'000;
+constexpr std::int64_t kSlotPollMs = 1;
+constexpr int kCrashExitCode = 77;
+constexpr double kDefaultQuality = 0.8;
+constexpr std::size_t kBytesPerToken = 4;
+constexpr std::int64_t kForeverMs = 24LL * 3'600 * 1'000;
+/// Spread of the reported confidence around good and bad answers.
+constexpr double kGoodConfidence = 0.55;
+constexpr double kBadConfidence = 0.15;
+constexpr double kConfidenceSpread = 0.4;
+
+auto MarkerNumber(std::string_view text, std::string_view marker)
+    -> std::int64_t {
+  const auto start = text.find(marker);
+  if (start == std::string_view::npos) return -1;
+  std::int64_t number = -1;
+  const auto digits = text.substr(start + marker.size());
+  std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  return number;
+}
+
+auto HasMarker(std::string_view text, std::string_view marker) -> bool {
+  return text.find(marker) != std::string_view::npos;
+}
+
+/// A chat request as the stand-in needs it.
+struct engine_call {
+  std::string version;
+  std::string prompt;
+  std::string delivered;  ///< text that an earlier server has produced
+  bool stream = false;
+  bool include_usage = false;
+  bool logprobs = false;
+};
+
+auto ReadFlag(const json::object& object, std::string_view key) -> bool {
+  const auto* value = object.if_contains(key);
+  return value != nullptr && value->is_bool() && value->get_bool();
+}
+
+auto ReadCall(const std::string& body) -> engine_call {
+  const auto value = json::parse(body);
+  const auto& object = value.as_object();
+  engine_call call;
+  call.version = std::string(object.at("model").as_string());
+  const bool is_continued = ReadFlag(object, "continue_final_message");
+  const auto& messages = object.at("messages").as_array();
+  for (std::size_t i = 0; i < messages.size(); ++i) {
+    const auto text = std::string(messages[i].at("content").as_string());
+    if (is_continued && i + 1 == messages.size()) {
+      call.delivered = text;
+    } else {
+      call.prompt += text + "\n";
+    }
+  }
+  call.stream = ReadFlag(object, "stream");
+  call.logprobs = ReadFlag(object, "logprobs");
+  if (const auto* options = object.if_contains("stream_options")) {
+    call.include_usage = ReadFlag(options->as_object(), "include_usage");
+  }
+  return call;
+}
+
+auto Usage(const engine_call& call, std::size_t tokens) -> json::object {
+  const auto input = call.prompt.size() / kBytesPerToken + 1;
+  return {{"prompt_tokens", input},
+          {"completion_tokens", tokens},
+          {"total_tokens", input + tokens}};
+}
+
+auto Event(const engine_call& call, const json::object& delta)
+    -> std::string {
+  return "data: " +
+         json::serialize(json::value{
+             {"object", "chat.completion.chunk"},
+             {"model", call.version},
+             {"choices", {{{"index", 0}, {"delta", delta}}}}}) +
+         "\n\n";
+}
+
+}  // namespace
+
+auto ParseStandinSettings(std::string_view text) -> standin_settings {
+  standin_settings settings;
+  ReadSettings(text, [&](object_reader& root) {
+    settings.name = root.RequiredString("name");
+    settings.role = root.Choice("role", {"engine", "service", "rating"}, "");
+    if (!root.Has("role")) root.AddError("role", "", "engine, service, rating");
+    settings.host = root.RequiredString("host");
+    settings.port = ReadPort(root, "port");
+    settings.slots = root.Integer("slots", 1, kMaxTokens, settings.slots);
+    settings.first_token_ms =
+        root.Integer("first_token_ms", 0, kMaxMs, settings.first_token_ms);
+    settings.token_ms = root.Integer("token_ms", 0, kMaxMs, settings.token_ms);
+    settings.default_tokens =
+        root.Integer("default_tokens", 1, kMaxTokens, settings.default_tokens);
+    root.ForEach("quality", [&](object_reader& item) {
+      const auto version = item.RequiredString("version");
+      settings.quality[version] = item.Number("share", 0, 1, kDefaultQuality);
+    });
+    ReadLogSettings(root, settings.log_file, settings.log_level);
+  });
+  return settings;
+}
+
+auto IsGoodAnswer(const standin_settings& settings, std::string_view version,
+                  std::string_view prompt) -> bool {
+  const auto found = settings.quality.find(std::string(version));
+  const auto share =
+      found == settings.quality.end() ? kDefaultQuality : found->second;
+  // One draw per prompt: a prompt that is hard for a good version is hard for
+  // the others too.
+  return UnitInterval(HashFields(prompt, "difficulty")) < share;
+}
+
+auto StandinAnswer(std::string_view version, std::string_view prompt,
+                   std::int64_t tokens) -> std::vector<std::string> {
+  std::vector<std::string> answer;
+  const auto seed = HashFields(version, prompt);
+  for (std::int64_t i = 0; i < tokens; ++i) {
+    answer.push_back(
+        "w" + ToHex(MixBits(seed + static_cast<std::uint64_t>(i))).substr(0, 6) +
+        " ");
+  }
+  return answer;
+}
+
+standin::standin(asio::io_context& context, standin_settings settings)
+    : context_(context), settings_(std::move(settings)) {}
+
+auto standin::Pause(std::int64_t ms, http_exchange& exchange) -> void {
+  if (ms <= 0) return;
+  asio::steady_timer timer(context_, std::chrono::milliseconds(ms));
+  boost::system::error_code ignored;
+  timer.async_wait(exchange.yield()[ignored]);
+}
+
+auto standin::WaitForSlot(http_exchange& exchange) -> void {
+  ++waiting_;
+  while (running_ >= settings_.slots) Pause(kSlotPollMs, exchange);
+  --waiting_;
+  ++running_;
+}
+
+auto standin::Handle(http_exchange& exchange) -> void {
+  const auto path = exchange.request().Path();
+  if (path == "/load") {
+    exchange.RespondJson(
+        200, json::serialize(json::value{{"running", running_},
+                                         {"waiting", waiting_},
+                                         {"leaving", leaving_}}));
+    return;
+  }
+  if (path == "/record") {
+    HandleRecord(exchange);
+    return;
+  }
+  if (leaving_) {
+    exchange.RespondJson(503, R"({"error":{"type":"leaving"}})",
+                         {{"Lovagedale-Ran", "no"},
+                          {"Lovagedale-Leaving", "true"}});
+    return;
+  }
+  if (settings_.role == "rating") {
+    HandleRating(exchange);
+  } else if (settings_.role == "service") {
+    HandleService(exchange);
+  } else {
+    HandleChat(exchange);
+  }
+}
+
+auto standin::HandleChat(http_exchange& exchange) -> void {
+  const auto call = ReadCall(exchange.request().body);
+  if (HasMarker(call.prompt, "[crash]")) std::_Exit(kCrashExitCode);
+  WaitForSlot(exchange);
+  struct slot_release {
+    std::int64_t& running;
+    ~slot_release() { --running; }
+  } release{running_};
+  ++record_[call.version];
+  if (HasMarker(call.prompt, "[silent]")) Pause(kForeverMs, exchange);
+  auto tokens = MarkerNumber(call.prompt, "[tokens:");
+  if (tokens < 0) tokens = settings_.default_tokens;
+  const auto answer = StandinAnswer(call.version, call.prompt, tokens);
+  // A continued answer goes on behind the words that were delivered.
+  std::size_t first = 0;
+  std::size_t matched = 0;
+  while (first < answer.size() && matched < call.delivered.size()) {
+    matched += answer[first++].size();
+  }
+  Pause(settings_.first_token_ms, exchange);
+  if (call.stream) {
+    const auto cut_after = MarkerNumber(call.prompt, "[cut-after:");
+    exchange.StartStream(200, "text/event-stream", {});
+    for (auto i = first; i < answer.size(); ++i) {
+      if (cut_after >= 0 && call.delivered.empty() &&
+          static_cast<std::int64_t>(i) >= cut_after) {
+        throw caller_gone("the prompt asked for a cut stream");
+      }
+      exchange.Write(Event(call, {{"content", answer[i]}}));
+      Pause(settings_.token_ms, exchange);
+    }
+    if (call.include_usage) {
+      exchange.Write("data: " +
+                     json::serialize(json::value{
+                         {"object", "chat.completion.chunk"},
+                         {"choices", json::array{}},
+                         {"usage", Usage(call, answer.size())}}) +
+                     "\n\n");
+    }
+    exchange.Write("data: [DONE]\n\n");
+    exchange.EndStream();
+    return;
+  }
+  Pause(settings_.token_ms * static_cast<std::int64_t>(answer.size()),
+        exchange);
+  std::string text;
+  for (const auto& word : answer) text += word;
+  const bool good = IsGoodAnswer(settings_, call.version, call.prompt);
+  const auto draw =
+      UnitInterval(HashFields(call.version, call.prompt, "confidence"));
+  const auto confidence = (good ? kGoodConfidence : kBadConfidence) +
+                          kConfidenceSpread * draw;
+  json::object choice = {{"index", 0},
+                         {"finish_reason", "stop"},
+                         {"message",
+                          {{"role", "assistant"}, {"content", text}}}};
+  if (call.logprobs) {
+    choice["logprobs"] = {
+        {"content", {{{"token", "w"}, {"logprob", std::log(confidence)}}}}};
+  }
+  json::array choices;
+  choices.emplace_back(std::move(choice));
+  exchange.RespondJson(
+      200, json::serialize(json::value{{"object", "chat.completion"},
+                                       {"model", call.version},
+                                       {"choices", std::move(choices)},
+                                       {"usage", Usage(call, answer.size())}}));
+}
+
+auto standin::HandleService(http_exchange& exchange) -> void {
+  const auto& request = exchange.request();
+  if (HasMarker(request.body, "[crash-before]")) std::_Exit(kCrashExitCode);
+  WaitForSlot(exchange);
+  struct slot_release {
+    std::int64_t& running;
+    ~slot_release() { --running; }
+  } release{running_};
+  const auto order = std::string(request.Header("Order-Id"));
+  if (!order.empty()) ++record_[order];
+  if (HasMarker(request.body, "[crash]")) std::_Exit(kCrashExitCode);
+  if (HasMarker(request.body, "[silent]")) Pause(kForeverMs, exchange);
+  Pause(settings_.first_token_ms, exchange);
+  exchange.RespondJson(
+      200, json::serialize(json::value{{"service", settings_.name},
+                                       {"method", request.method},
+                                       {"path", request.target},
+                                       {"order", order},
+                                       {"times", record_[order]}}));
+}
+
+auto standin::HandleRating(http_exchange& exchange) -> void {
+  const auto value = json::parse(exchange.request().body);
+  const auto version = std::string(value.at("version").as_string());
+  const auto prompt = std::string(value.at("prompt").as_string());
+  const bool good = IsGoodAnswer(settings_, version, prompt);
+  exchange.RespondJson(200,
+                       json::serialize(json::value{{"score", good ? 1 : 0}}));
+}
+
+auto standin::HandleRecord(http_exchange& exchange) -> void {
+  json::object rows;
+  for (const auto& [id, count] : record_) rows[id] = count;
+  exchange.RespondJson(200, json::serialize(rows));
+}
+
+}  // namespace lovagedale
