Ledgers stay until the last entry has stored its bills when the whole fleet stops

Cause: each ledger stopped at once on SIGTERM, so an entry that was still streaming found no disk for its bill and drained until its limit.

--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -14,6 +14,7 @@
 #include "lovagedale/control/messages.h"
 #include "lovagedale/control/settings.h"
 #include "lovagedale/health/crash_attribution.h"
+#include "lovagedale/http/server.h"
 #include "lovagedale/quality/evidence.h"
 #include "lovagedale/replication/replica_node.h"
 #include "lovagedale/rollout/guard.h"
@@ -35,8 +36,11 @@
                   log_store& store);
 
   auto Start() -> void;
-  /// Hands leadership over and stops taking part.
-  auto Stop() -> void;
+  /// Hands leadership over.
+  auto BeginStop() -> void;
+  auto MayStop() const -> bool { return true; }
+  /// The operators' HTTP API.
+  auto HandleHttp(http_exchange& exchange) -> void;
 
   auto SubmitChange(const change& item,
                     std::function<void(const change_outcome&)> done) -> void;
--- a/include/lovagedale/entry/control_link.h
+++ b/include/lovagedale/entry/control_link.h
@@ -45,6 +45,8 @@
   auto Adopt(const fleet_view& view) -> void;
   auto PublishPlans() -> void;
   auto SendUrgent(entry_heartbeat heartbeat) -> void;
+  /// Tells the ledgers that this entry may still have bills to store.
+  auto PresenceLoop(boost::asio::yield_context yield) -> void;
   auto EvidenceLoop(boost::asio::yield_context yield) -> void;
   auto LoadLoop(boost::asio::yield_context yield) -> void;
   auto PollLoad(const backend_server& server, server_state& server_load,
@@ -58,6 +60,7 @@
   rpc_server server_;
   std::vector<std::unique_ptr<rpc_channel>> control_;
   std::vector<std::unique_ptr<rpc_channel>> peers_;
+  std::vector<std::unique_ptr<rpc_channel>> ledgers_;
   std::string leader_;
   evidence_table own_evidence_;
   evidence_table fleet_evidence_;
--- a/include/lovagedale/ledger/messages.h
+++ b/include/lovagedale/ledger/messages.h
@@ -45,7 +45,7 @@
 };
 
 /// Asks another ledger for its records from a position on; answered with
-/// bill_page.
+/// exchange_response.
 struct bills_since {
   bill_sequence from = 0;
   template <typename Archive>
@@ -54,7 +54,26 @@
   }
 };
 
-using ledger_request =
-    std::variant<replica_envelope, claim_request, bill_batch, bills_since>;
+/// One-way: an entry is running and may still have bills to store.
+struct entry_presence {
+  std::string entry;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(entry);
+  }
+};
+
+using ledger_request = std::variant<replica_envelope, claim_request,
+                                    bill_batch, bills_since, entry_presence>;
+
+/// Answer to bills_since.
+struct exchange_response {
+  bill_page page;
+  bool leaving = false;  ///< the ledger is about to stop
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(page, leaving);
+  }
+};
 
 }  // namespace lovagedale
--- a/include/lovagedale/ledger/service.h
+++ b/include/lovagedale/ledger/service.h
@@ -26,7 +26,10 @@
                  log_store& store, bill_store& bills);
 
   auto Start() -> void;
-  auto Stop() -> void;
+  /// Hands leadership over; bills are still stored.
+  auto BeginStop() -> void;
+  /// Whether another ledger can serve the entries, or no entry is left.
+  auto MayStop() const -> bool;
   /// GET /health, /ready, /v1/status and /v1/bills?customer=NAME.
   auto HandleHttp(http_exchange& exchange) -> void;
 
@@ -39,6 +42,8 @@
     std::unique_ptr<rpc_channel> channel;
     std::uint64_t store_id = 0;
     bill_sequence next = 0;
+    bool leaving = false;
+    monotonic_ms answered_at = -1;
   };
 
   auto HandleRpc(const std::string& body, const rpc_reply& reply) -> void;
@@ -60,8 +65,11 @@
   rpc_server server_;
   std::vector<waiting_bills> queued_;
   std::map<std::string, peer_cursor> peers_;
+  std::map<std::string, monotonic_ms> entries_heard_;
+  system_monotonic_clock clock_;
   bool store_scheduled_ = false;
-  bool stopped_ = false;
+  bool leaving_ = false;
+  monotonic_ms leaving_since_ = 0;
 };
 
 }  // namespace lovagedale
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -5,6 +5,7 @@
 #include "lovagedale/common/codec.h"
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
+#include "lovagedale/operator_api/operator_api.h"
 
 namespace lovagedale {
 namespace {
@@ -45,7 +46,7 @@
       .With("last_index", node_.core().last_index());
 }
 
-auto control_service::Stop() -> void {
+auto control_service::BeginStop() -> void {
   if (stopped_) return;
   stopped_ = true;
   node_.TransferLeadership();
@@ -53,6 +54,10 @@
   timer_.cancel();
 }
 
+auto control_service::HandleHttp(http_exchange& exchange) -> void {
+  operator_api(*this).Handle(exchange);
+}
+
 auto control_service::HandleRpc(const std::string& body, rpc_reply reply)
     -> void {
   auto request = Decode<control_request>(body);
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -7,6 +7,7 @@
 #include "lovagedale/common/codec.h"
 #include "lovagedale/common/json_reader.h"
 #include "lovagedale/common/log.h"
+#include "lovagedale/ledger/messages.h"
 
 namespace lovagedale {
 namespace {
@@ -21,6 +22,7 @@
 constexpr milliseconds kLeaderPeriod{20};
 constexpr milliseconds kUrgentRetry{50};
 constexpr int kUrgentAttempts = 200;
+constexpr milliseconds kPresencePeriod{500};
 constexpr milliseconds kEvidencePeriod{200};
 constexpr monotonic_ms kEvidenceReportMs = 1'000;
 constexpr milliseconds kLoadPeriod{1'000};
@@ -56,6 +58,9 @@
     if (address.name == state.settings.name) continue;
     peers_.push_back(std::make_unique<rpc_channel>(context, address));
   }
+  for (const auto& address : state.settings.ledgers) {
+    ledgers_.push_back(std::make_unique<rpc_channel>(context, address));
+  }
   Adopt(fleet_view{});
 }
 
@@ -76,6 +81,9 @@
         },
         asio::detached);
   }
+  asio::spawn(
+      context_, [this](asio::yield_context yield) { PresenceLoop(yield); },
+      asio::detached);
   asio::spawn(
       context_, [this](asio::yield_context yield) { EvidenceLoop(yield); },
       asio::detached);
@@ -179,6 +187,15 @@
   planned_evidence_ = fleet_evidence_;
 }
 
+auto control_link::PresenceLoop(asio::yield_context yield) -> void {
+  const auto body =
+      Encode(ledger_request(entry_presence{state_.settings.name}));
+  while (!leaving_) {
+    for (const auto& ledger : ledgers_) ledger->SendOneWay(body);
+    Pause(context_, kPresencePeriod, yield);
+  }
+}
+
 auto control_link::EvidenceLoop(asio::yield_context yield) -> void {
   while (!leaving_) {
     Pause(context_, kEvidencePeriod, yield);
--- a/src/ledger/service.cpp
+++ b/src/ledger/service.cpp
@@ -1,5 +1,6 @@
 #include "lovagedale/ledger/service.h"
 
+#include <algorithm>
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
@@ -15,6 +16,9 @@
 constexpr std::chrono::milliseconds kExchangePeriod{500};
 constexpr std::chrono::milliseconds kExchangeTimeout{2'000};
 constexpr std::chrono::milliseconds kHousekeepingPeriod{10'000};
+/// Entries and ledgers heard within this time count as running.
+constexpr monotonic_ms kPresenceMs = 2'000;
+constexpr monotonic_ms kLeaveTogetherMs = 1'000;
 constexpr std::size_t kPageRecords = 2'000;
 /// Claims and their stored answers are kept this long.
 constexpr std::int64_t kClaimRetentionMs = 6LL * 60 * 60 * 1'000;
@@ -69,12 +73,28 @@
       .With("claims", claims_.size());
 }
 
-auto ledger_service::Stop() -> void {
-  stopped_ = true;
-  StoreQueuedBills();
+auto ledger_service::BeginStop() -> void {
+  leaving_ = true;
+  leaving_since_ = clock_.Now();
   node_.TransferLeadership();
 }
 
+auto ledger_service::MayStop() const -> bool {
+  const auto recent = clock_.Now() - kPresenceMs;
+  // When the whole fleet is stopped the other ledgers are told at about the
+  // same time, so only a later answer shows that one of them stays.
+  const auto settled = leaving_since_ + kLeaveTogetherMs;
+  const bool has_successor =
+      std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+        return !item.second.leaving && item.second.answered_at > recent &&
+               item.second.answered_at > settled;
+      });
+  const bool has_entries =
+      std::any_of(entries_heard_.begin(), entries_heard_.end(),
+                  [&](const auto& item) { return item.second > recent; });
+  return queued_.empty() && (has_successor || !has_entries);
+}
+
 auto ledger_service::HandleRpc(const std::string& body, const rpc_reply& reply)
     -> void {
   auto request = Decode<ledger_request>(body);
@@ -82,11 +102,14 @@
     node_.Receive(*envelope);
   } else if (const auto* claim = std::get_if<claim_request>(&request)) {
     HandleClaim(*claim, reply);
+  } else if (const auto* presence = std::get_if<entry_presence>(&request)) {
+    entries_heard_[presence->entry] = clock_.Now();
   } else if (auto* batch = std::get_if<bill_batch>(&request)) {
     QueueBills(std::move(*batch), reply);
   } else {
     const auto& since = std::get<bills_since>(request);
-    reply(Encode(bills_.Since(since.from, kPageRecords)));
+    reply(Encode(
+        exchange_response{bills_.Since(since.from, kPageRecords), leaving_}));
   }
 }
 
@@ -136,12 +159,15 @@
     -> void {
   asio::steady_timer timer(context_);
   boost::system::error_code ignored;
-  while (!stopped_) {
+  for (;;) {
     bool is_behind = false;
     try {
-      const auto page = Decode<bill_page>(
+      const auto response = Decode<exchange_response>(
           peer.channel->Call(Encode(ledger_request(bills_since{peer.next})),
                              kExchangeTimeout, yield));
+      const auto& page = response.page;
+      peer.leaving = response.leaving;
+      peer.answered_at = clock_.Now();
       if (page.store_id != peer.store_id) {
         peer.store_id = page.store_id;
         is_behind = peer.next != 0;
@@ -163,7 +189,7 @@
 auto ledger_service::HousekeepingLoop(asio::yield_context yield) -> void {
   asio::steady_timer timer(context_);
   boost::system::error_code ignored;
-  while (!stopped_) {
+  for (;;) {
     timer.expires_after(kHousekeepingPeriod);
     timer.async_wait(yield[ignored]);
     if (!node_.HasLease() || claims_.size() == 0) continue;
--- a/tools/lovagedale_control.cpp
+++ b/tools/lovagedale_control.cpp
@@ -3,15 +3,10 @@
 #include <absl/flags/flag.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "lovagedale/common/settings_fields.h"
 #include "lovagedale/control/service.h"
-#include "lovagedale/control/settings.h"
-#include "lovagedale/http/server.h"
-#include "lovagedale/operator_api/operator_api.h"
-#include "lovagedale/process/process.h"
+#include "lovagedale/process/replica_process.h"
 #include "lovagedale/replication/group_setup.h"
 
 ABSL_FLAG(bool, initialize, false,
@@ -22,9 +17,6 @@
 
 using namespace lovagedale;  // NOLINT: a program's main file.
 
-/// Time for the last answers and the hand-over of leadership.
-constexpr std::chrono::milliseconds kStopDelay{300};
-
 auto Run(const replica_settings& settings) -> int {
   if (absl::GetFlag(FLAGS_initialize)) {
     InitializeGroupMember(settings);
@@ -36,23 +28,7 @@
   posix_disk disk;
   log_store store(disk, settings.data_folder);
   control_service service(context, settings, store);
-  operator_api api(service);
-  http_server http(context, settings.host, settings.http_port,
-                   /*share_port=*/false, http_limits{},
-                   [&api](http_exchange& exchange) { api.Handle(exchange); });
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  boost::asio::steady_timer stop_timer(context);
-  signals.async_wait([&](boost::system::error_code, int signal) {
-    log_line(log_level::kInfo, "stopping").With("signal", signal);
-    service.Stop();
-    http.BeginDrain();
-    stop_timer.expires_after(kStopDelay);
-    stop_timer.async_wait(
-        [&](boost::system::error_code) { context.stop(); });
-  });
-  service.Start();
-  context.run();
-  return kExitOk;
+  return replica_process(context, service, settings).Run();
 }
 
 }  // namespace
@@ -61,7 +37,7 @@
   return RunProcess(
       argc, argv,
       {"lovagedale-control",
-       "One replica of the fleet's configuration, sessions and roll-outs.",
+       "One replica of the fleet's configuration, entries and roll-outs.",
        [](const std::string& text) { ParseReplicaSettings(text); },
        [](const std::string& text) {
          return Run(ParseReplicaSettings(text));
--- a/tools/lovagedale_ledger.cpp
+++ b/tools/lovagedale_ledger.cpp
@@ -3,13 +3,11 @@
 #include <absl/flags/flag.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
+#include "lovagedale/common/hash.h"
 #include "lovagedale/common/settings_fields.h"
-#include "lovagedale/http/server.h"
 #include "lovagedale/ledger/service.h"
-#include "lovagedale/process/process.h"
+#include "lovagedale/process/replica_process.h"
 #include "lovagedale/replication/group_setup.h"
 
 ABSL_FLAG(bool, initialize, false,
@@ -20,9 +18,6 @@
 
 using namespace lovagedale;  // NOLINT: a program's main file.
 
-/// Time for the last answers and the hand-over of leadership.
-constexpr std::chrono::milliseconds kStopDelay{300};
-
 auto Run(const replica_settings& settings) -> int {
   if (absl::GetFlag(FLAGS_initialize)) {
     InitializeGroupMember(settings);
@@ -36,23 +31,7 @@
   bill_store bills(disk, settings.data_folder,
                    HashFields(settings.name) ^ store.recovered().incarnation);
   ledger_service service(context, settings, store, bills);
-  http_server http(
-      context, settings.host, settings.http_port, /*share_port=*/false,
-      http_limits{},
-      [&service](http_exchange& exchange) { service.HandleHttp(exchange); });
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  boost::asio::steady_timer stop_timer(context);
-  signals.async_wait([&](boost::system::error_code, int signal) {
-    log_line(log_level::kInfo, "stopping").With("signal", signal);
-    service.Stop();
-    http.BeginDrain();
-    stop_timer.expires_after(kStopDelay);
-    stop_timer.async_wait(
-        [&](boost::system::error_code) { context.stop(); });
-  });
-  service.Start();
-  context.run();
-  return kExitOk;
+  return replica_process(context, service, settings).Run();
 }
 
 }  // namespace
