--- a/include/lovagedale/replication/replica_core.h
+++ b/include/lovagedale/replication/replica_core.h
@@ -167,6 +167,7 @@
   bool collecting_pre_votes_ = false;
   bool transfer_election_ = false;
   bool transferring_ = false;
+  monotonic_ms transfer_at_ = 0;
   std::set<std::string> votes_;
   std::map<std::string, peer_progress> peers_;
   monotonic_ms leader_since_ = 0;
--- a/src/operator_api/operator_api.cpp
+++ b/src/operator_api/operator_api.cpp
@@ -217,6 +217,7 @@
           {"name", service_.settings().name},
           {"zone", service_.settings().zone},
           {"role", RoleName(core.role())},
+          {"incarnation", core.incarnation()},
           {"has_lease", service_.node().HasLease()},
           {"leader", core.leader()},
           {"term", core.term()},
--- a/src/replication/replica_core.cpp
+++ b/src/replication/replica_core.cpp
@@ -129,8 +129,11 @@
 auto replica_core::Tick(monotonic_ms now) -> void {
   now_ = now;
   if (role_ == replica_role::kLeader) {
-    if (!HasQuorumContact(now)) {
-      // Cut off from the majority: callers must not wait here.
+    const bool is_transfer_lost =
+        transferring_ && now - transfer_at_ >= options_.election_min_ms;
+    if (is_transfer_lost || !HasQuorumContact(now)) {
+      // Cut off from the majority, or its chosen successor did not take over:
+      // callers must not wait here. The lease never returns in this term.
       BecomeFollower(hard_.term, "", now);
       return;
     }
@@ -525,6 +528,7 @@
   }
   if (best == nullptr) return;
   transferring_ = true;
+  transfer_at_ = now;
   SendAppendTo(best->name, /*heartbeat=*/true, now);
   Send(best->name, transfer_request{hard_.term});
 }
--- /dev/null
+++ b/tests/support/replica_cluster.h
@@ -0,0 +1,307 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lovagedale/common/hash.h"
+#include "lovagedale/replication/replica_core.h"
+
+namespace lovagedale::testing {
+
+/// Deliberate faults of the fakes, to show that the checks see them.
+enum class fake_fault {
+  kNone,
+  kDiskForgetsSyncs,      ///< a crash loses what was synced since the last one
+  kLostDiskKeepsIdentity  ///< a lost disk comes back with its vote
+};
+
+/// Replicas on a virtual clock, an in-memory network and in-memory disks, with
+/// the invariants of the log checked after every step.
+class replica_cluster {
+ public:
+  replica_cluster(std::size_t size, std::uint64_t seed,
+                  fake_fault fault = fake_fault::kNone)
+      : random_(seed), fault_(fault), nodes_(size) {
+    member_set members;
+    for (std::size_t i = 0; i < size; ++i) {
+      members.members.push_back({Name(i), 1, true});
+    }
+    for (auto& node : nodes_) {
+      node.disk.incarnation = 1;
+      node.disk.snapshot.members = members;
+    }
+    for (std::size_t i = 0; i < size; ++i) Start(i);
+  }
+
+  auto Run(monotonic_ms time) -> void {
+    for (const auto end = now_ + time; now_ < end; now_ += kStep) {
+      DeliverDue();
+      for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (!nodes_[i].core) continue;
+        nodes_[i].core->Tick(now_);
+        Process(i);
+      }
+      CheckLeases();
+    }
+  }
+
+  auto Start(std::size_t i) -> void {
+    auto& node = nodes_[i];
+    if (node.core) return;
+    node.core.emplace(Name(i), node.disk, options(), random_(), now_);
+    node.state = node.disk.snapshot.state;
+    node.applied = node.disk.snapshot.index;
+  }
+
+  auto Crash(std::size_t i) -> void {
+    auto& node = nodes_[i];
+    node.core.reset();
+    if (fault_ == fake_fault::kDiskForgetsSyncs) node.disk = node.older_disk;
+  }
+
+  /// The replica loses its disk and starts blank.
+  auto LoseDisk(std::size_t i) -> void {
+    Crash(i);
+    auto& node = nodes_[i];
+    const auto members = node.disk.snapshot.members;
+    node.disk = stored_state{};
+    node.disk.incarnation = ++last_incarnation_;
+    if (fault_ == fake_fault::kLostDiskKeepsIdentity) {
+      node.disk.incarnation = 1;
+      node.disk.snapshot.members = members;
+    }
+    node.older_disk = node.disk;
+    Start(i);
+  }
+
+  auto Cut(std::size_t a, std::size_t b) -> void { cuts_.insert(Pair(a, b)); }
+  auto CutOff(std::size_t a) -> void {
+    for (std::size_t b = 0; b < nodes_.size(); ++b) {
+      if (a != b) Cut(a, b);
+    }
+  }
+  auto Heal() -> void { cuts_.clear(); }
+  auto SetLoss(double share) -> void { loss_ = share; }
+
+  auto Propose(std::size_t i, const std::string& command)
+      -> std::optional<log_index> {
+    if (!nodes_[i].core) return std::nullopt;
+    const auto index = nodes_[i].core->Propose(command, now_);
+    Process(i);
+    return index;
+  }
+
+  auto Transfer(std::size_t i) -> void {
+    if (!nodes_[i].core) return;
+    nodes_[i].core->TransferLeadership(now_);
+    Process(i);
+  }
+
+  auto Compact(std::size_t i) -> void {
+    auto& node = nodes_[i];
+    if (!node.core || node.applied == node.core->snapshot().index) return;
+    const auto snapshot = node.core->Compact(node.applied, node.state);
+    node.disk.snapshot = snapshot;
+    node.disk.entries = node.core->EntriesAfter(snapshot.index);
+  }
+
+  auto Leader() const -> std::optional<std::size_t> {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i].core && nodes_[i].core->LeaseUntil() > now_) return i;
+    }
+    return std::nullopt;
+  }
+
+  /// Every replica has a vote under the incarnation of its present disk, and
+  /// the leader has committed that; what `status` shows after a repair.
+  auto IsRepairComplete() const -> bool {
+    const auto leader = Leader();
+    if (!leader) return false;
+    const auto& core = *nodes_[*leader].core;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (!core.members().IsVoter(Name(i), nodes_[i].disk.incarnation)) {
+        return false;
+      }
+    }
+    return core.commit_index() == core.last_index();
+  }
+
+  auto HealEverything() -> void {
+    Heal();
+    loss_ = 0;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) Start(i);
+  }
+
+  auto HaveConverged() const -> bool {
+    for (const auto& node : nodes_) {
+      if (!node.core || node.applied != nodes_[0].applied ||
+          node.state != nodes_[0].state) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  auto core(std::size_t i) const -> const replica_core& {
+    return *nodes_[i].core;
+  }
+  auto IsUp(std::size_t i) const -> bool { return nodes_[i].core.has_value(); }
+  auto size() const -> std::size_t { return nodes_.size(); }
+  auto now() const -> monotonic_ms { return now_; }
+  auto committed() const -> const std::map<log_index, log_entry>& {
+    return committed_;
+  }
+  /// First broken invariant; empty if all hold.
+  auto violation() const -> const std::string& { return violation_; }
+
+  static auto options() -> replication_options {
+    replication_options value;
+    value.kept_entries = 5;
+    return value;
+  }
+
+ private:
+  static constexpr monotonic_ms kStep = 10;
+  static constexpr monotonic_ms kMaxDelay = 40;
+
+  struct node_state {
+    std::optional<replica_core> core;
+    stored_state disk;
+    stored_state older_disk;  // One sync earlier.
+    std::string state;
+    log_index applied = 0;
+  };
+  struct in_flight_message {
+    monotonic_ms due = 0;
+    std::size_t from = 0;
+    replica_envelope envelope;
+  };
+
+  static auto Name(std::size_t i) -> std::string {
+    return "r" + std::to_string(i);
+  }
+  static auto Pair(std::size_t a, std::size_t b)
+      -> std::pair<std::size_t, std::size_t> {
+    return {std::min(a, b), std::max(a, b)};
+  }
+
+  auto Process(std::size_t i) -> void {
+    auto& node = nodes_[i];
+    const auto output = node.core->TakeOutput();
+    if (output.NeedsSync()) Persist(node, output);
+    for (const auto& envelope : output.messages) Send(i, envelope);
+    if (output.installed) {
+      node.state = output.installed->state;
+      node.applied = output.installed->index;
+      CheckState(node);
+    }
+    for (const auto& entry : output.committed) Apply(node, entry);
+  }
+
+  auto Persist(node_state& node, const replica_output& output) -> void {
+    node.older_disk = node.disk;
+    auto& disk = node.disk;
+    if (output.hard) disk.hard = *output.hard;
+    if (output.installed) {
+      disk.snapshot = *output.installed;
+      disk.entries.clear();
+    }
+    if (output.truncate_from) {
+      std::erase_if(disk.entries, [&](const auto& entry) {
+        return entry.index >= *output.truncate_from;
+      });
+    }
+    disk.entries.insert(disk.entries.end(), output.appended.begin(),
+                        output.appended.end());
+  }
+
+  auto Send(std::size_t from, const replica_envelope& envelope) -> void {
+    std::uniform_real_distribution<double> chance(0, 1);
+    if (chance(random_) < loss_) return;
+    std::uniform_int_distribution<monotonic_ms> delay(1, kMaxDelay);
+    network_.push_back({now_ + delay(random_), from, envelope});
+    // Now and then a message arrives twice.
+    if (chance(random_) < loss_) {
+      network_.push_back({now_ + delay(random_), from, envelope});
+    }
+  }
+
+  auto DeliverDue() -> void {
+    auto waiting = std::move(network_);
+    network_.clear();
+    for (auto& message : waiting) {
+      if (message.due > now_) {
+        network_.push_back(std::move(message));
+        continue;
+      }
+      for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (Name(i) != message.envelope.to || !nodes_[i].core ||
+            cuts_.contains(Pair(i, message.from))) {
+          continue;
+        }
+        nodes_[i].core->Receive(message.envelope, now_);
+        Process(i);
+      }
+    }
+  }
+
+  auto Apply(node_state& node, const log_entry& entry) -> void {
+    const auto [known, is_new] = committed_.emplace(entry.index, entry);
+    if (!is_new && known->second != entry) {
+      Violate("two entries committed at index " + std::to_string(entry.index));
+    }
+    if (entry.index != node.applied + 1) Violate("an entry was skipped");
+    node.applied = entry.index;
+    node.state = ToHex(HashFields(node.state, entry.payload));
+    CheckState(node);
+  }
+
+  auto CheckState(const node_state& node) -> void {
+    const auto [known, is_new] = states_.emplace(node.applied, node.state);
+    if (!is_new && known->second != node.state) {
+      Violate("states differ at index " + std::to_string(node.applied));
+    }
+  }
+
+  auto CheckLeases() -> void {
+    std::size_t holders = 0;
+    for (const auto& node : nodes_) {
+      if (!node.core) continue;
+      if (node.core->LeaseUntil() > now_) ++holders;
+      if (node.core->role() != replica_role::kLeader) continue;
+      const auto [known, is_new] =
+          leaders_.emplace(node.core->term(), node.core->leader());
+      if (!is_new && known->second != node.core->leader()) {
+        Violate("two leaders in term " + std::to_string(node.core->term()));
+      }
+    }
+    if (holders > 1) Violate("two leases at once");
+  }
+
+  auto Violate(const std::string& what) -> void {
+    if (violation_.empty()) violation_ = what;
+  }
+
+  std::mt19937_64 random_;
+  fake_fault fault_;
+  monotonic_ms now_ = 1'000;
+  double loss_ = 0;
+  incarnation_id last_incarnation_ = 1;
+  std::vector<node_state> nodes_;
+  std::deque<in_flight_message> network_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::map<log_index, log_entry> committed_;
+  std::map<log_index, std::string> states_;
+  std::map<term_number, std::string> leaders_;
+  std::string violation_;
+};
+
+}  // namespace lovagedale::testing
