Tests of each slice; slow requests are told 408

Found by the HTTP test: the stream's own timeout closes its socket, so a slow caller saw a reset instead of 408. Before: empty answer. After: 408 with Lovagedale-Ran: no, by a deadline that cancels only the read.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -194,6 +194,39 @@
   return request;
 }
 
+/// Cancels a stream's read when a deadline passes and remembers that it did.
+/// The stream's own timeout would close the socket, and the caller would not
+/// be told why.
+class read_deadline {
+ public:
+  read_deadline(caller_stream& stream, std::chrono::milliseconds timeout)
+      : state_(std::make_shared<state>(stream)) {
+    state_->timer.expires_after(timeout);
+    state_->timer.async_wait([shared = state_](beast::error_code cancelled) {
+      if (cancelled || shared->stream == nullptr) return;
+      shared->passed = true;
+      shared->stream->socket().cancel();
+    });
+  }
+  read_deadline(const read_deadline&) = delete;
+  auto operator=(const read_deadline&) -> read_deadline& = delete;
+  ~read_deadline() {
+    state_->stream = nullptr;
+    state_->timer.cancel();
+  }
+  auto HasPassed() const -> bool { return state_->passed; }
+
+ private:
+  struct state {
+    explicit state(caller_stream& of)
+        : timer(of.get_executor()), stream(&of) {}
+    asio::steady_timer timer;
+    caller_stream* stream;
+    bool passed = false;
+  };
+  std::shared_ptr<state> state_;
+};
+
 /// Reads and answers the requests of one connection, one after the other.
 template <typename State>
 class caller_session {
@@ -218,13 +251,7 @@
         state_->limits.max_header_bytes));
     parser.body_limit(state_->limits.max_body_bytes);
     beast::error_code error;
-    stream_.expires_after(state_->limits.header_timeout);
-    http::async_read_header(stream_, buffer_, parser, yield_[error]);
-    if (!error && !parser.is_done()) {
-      AnswerExpectation(parser, error);
-      stream_.expires_after(state_->limits.body_timeout);
-      if (!error) http::async_read(stream_, buffer_, parser, yield_[error]);
-    }
+    ReadRequest(parser, error);
     if (error) {
       Refuse(error);
       return false;
@@ -233,6 +260,22 @@
     return Answer(TakeRequest(parser), keep_alive);
   }
 
+  template <typename Parser>
+  auto ReadRequest(Parser& parser, beast::error_code& error) -> void {
+    stream_.expires_never();
+    {
+      const read_deadline deadline(stream_, state_->limits.header_timeout);
+      http::async_read_header(stream_, buffer_, parser, yield_[error]);
+      if (deadline.HasPassed()) error = beast::error::timeout;
+    }
+    if (error || parser.is_done()) return;
+    AnswerExpectation(parser, error);
+    if (error) return;
+    const read_deadline deadline(stream_, state_->limits.body_timeout);
+    http::async_read(stream_, buffer_, parser, yield_[error]);
+    if (deadline.HasPassed()) error = beast::error::timeout;
+  }
+
   /// Waits on an idle connection; false if it closes or must be closed.
   auto WaitForRequest() -> bool {
     if (buffer_.size() > 0) return true;
--- /dev/null
+++ b/tests/admission/limits_test.cpp
@@ -0,0 +1,71 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <random>
+
+#include "lovagedale/admission/token_bucket.h"
+#include "lovagedale/entry/entry_state.h"
+
+namespace lovagedale::testing {
+
+TEST_CASE("a bucket admits no more than its burst and rate") {
+  CHECK(rc::check([](std::uint64_t seed) {
+    const auto rate = *rc::gen::inRange(1, 100);
+    const auto burst = *rc::gen::inRange(1, 50);
+    token_bucket bucket(rate, burst, 0);
+    std::mt19937_64 random(seed);
+    monotonic_ms now = 0;
+    int admitted = 0;
+    for (int i = 0; i < 500; ++i) {
+      now += static_cast<monotonic_ms>(random() % 20);
+      if (bucket.TryTake(now)) ++admitted;
+    }
+    RC_ASSERT(admitted <= burst + rate * now / 1'000.0 + 1e-6);
+  }));
+}
+
+TEST_CASE("after the wait that a bucket names a token is there") {
+  token_bucket bucket(3, 1, 0);
+  REQUIRE(bucket.TryTake(0));
+  REQUIRE_FALSE(bucket.TryTake(0));
+  CHECK(bucket.TryTake(bucket.WaitMs(0)));
+}
+
+TEST_CASE("retries stay within their share when everything fails") {
+  retry_budget budget(0.1, 5);
+  int retries = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    budget.RecordRequest();
+    if (budget.TryRetry()) ++retries;
+  }
+  CHECK(retries <= 1'005);
+  CHECK(retries >= 990);
+}
+
+TEST_CASE("an entry admits its share of a customer's limit") {
+  customer_limits limits;
+  customer item;
+  item.name = "carts";
+  item.rate_per_s = 100;
+  item.burst = 40;
+  int admitted = 0;
+  for (int i = 0; i < 100; ++i) {
+    if (limits.TryAdmit(item, 4, 0) == 0) ++admitted;
+  }
+  CHECK(admitted == 10);
+  CHECK(limits.TryAdmit(item, 4, 0) > 0);
+}
+
+TEST_CASE("a customer's requests at once are bounded and given back") {
+  customer_limits limits;
+  customer item;
+  item.name = "carts";
+  item.max_concurrent = 2;
+  CHECK(limits.TryEnter(item));
+  CHECK(limits.TryEnter(item));
+  CHECK_FALSE(limits.TryEnter(item));
+  limits.Leave(item.name);
+  CHECK(limits.TryEnter(item));
+}
+
+}  // namespace lovagedale::testing
--- /dev/null
+++ b/tests/configuration/control_machine_test.cpp
@@ -0,0 +1,145 @@
+#include "lovagedale/configuration/control_machine.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "lovagedale/common/codec.h"
+#include "support/fixtures.h"
+#include "support/replica_cluster.h"
+
+namespace lovagedale::testing {
+namespace {
+
+auto Command(const control_command& command, log_index index) -> log_entry {
+  return {index, 1, entry_kind::kCommand, Encode(command)};
+}
+
+auto ApplyTo(control_machine& machine, const change& item) -> change_result {
+  static log_index index = 0;
+  return Decode<change_result>(machine.Apply(Command(item, ++index)));
+}
+
+auto SetDocument(const std::string& id, config_revision expected,
+                 const std::string& document) -> change {
+  return {id, expected, "operator", 0, set_configuration{document}};
+}
+
+auto MachineWithDocument() -> control_machine {
+  control_machine machine;
+  ApplyTo(machine, SetDocument("first", 0, SmallDocument()));
+  return machine;
+}
+
+}  // namespace
+
+TEST_CASE("of two changes under one revision exactly one wins") {
+  control_machine machine;
+  CHECK(ApplyTo(machine, SetDocument("a", 0, SmallDocument())).revision == 1);
+  const auto loser = ApplyTo(machine, SetDocument("b", 0, SmallDocument()));
+  CHECK(loser.status == change_status::kConflict);
+  CHECK(loser.revision == 1);
+}
+
+TEST_CASE("a resent change gets its first answer, also after a snapshot") {
+  auto machine = MachineWithDocument();
+  const auto item = change{"w", 1, "operator", 0,
+                           withdraw_version{"scholar@1", "scholar@2", "bad"}};
+  const auto first = ApplyTo(machine, item);
+  ApplyTo(machine, {"r", 2, "operator", 0, restore_version{"scholar@1"}});
+  control_machine restarted;
+  restarted.Restore(machine.TakeSnapshot());
+  CHECK(ApplyTo(restarted, item) == first);
+  CHECK(restarted.view().revision == 3);
+  CHECK(restarted.TakeSnapshot() == machine.TakeSnapshot());
+}
+
+TEST_CASE("a change id is not taken for another change") {
+  auto machine = MachineWithDocument();
+  const auto result =
+      ApplyTo(machine, {"first", 1, "x", 0, restore_version{"draft@1"}});
+  CHECK(result.status == change_status::kInvalid);
+  CHECK(machine.view().revision == 1);
+}
+
+TEST_CASE("a refused document changes nothing and names the field") {
+  auto machine = MachineWithDocument();
+  const auto bad = Replace(SmallDocument(), "\"slots\":4", "\"slots\":0");
+  const auto result = ApplyTo(machine, SetDocument("bad", 1, bad));
+  CHECK(result.status == change_status::kInvalid);
+  CHECK(result.message.find("pools[0].servers[0].slots") != std::string::npos);
+  CHECK(machine.view().document == SmallDocument());
+}
+
+TEST_CASE("a new document does not bring a withdrawn version back") {
+  auto machine = MachineWithDocument();
+  ApplyTo(machine, {"w", 1, "o", 0, withdraw_version{"scholar@1", "", "bad"}});
+  ApplyTo(machine, SetDocument("again", 2, SmallDocument()));
+  CHECK(machine.view().StatusOf("scholar@1")->phase ==
+        version_phase::kWithdrawn);
+}
+
+TEST_CASE("a roll-out goes through its stages one by one and becomes steady") {
+  auto machine = MachineWithDocument();
+  ApplyTo(machine, {"s", 1, "o", 0, start_rollout{"scholar@2", {0.1, 1.0}}});
+  CHECK(machine.view().StatusOf("scholar@2")->Share() == doctest::Approx(0.1));
+  CHECK(ApplyTo(machine, {"j", 2, "o", 0, advance_rollout{"scholar@2", 2}})
+            .status == change_status::kInvalid);
+  ApplyTo(machine, {"a", 2, "o", 0, advance_rollout{"scholar@2", 1}});
+  CHECK(machine.view().StatusOf("scholar@2")->Share() == doctest::Approx(1.0));
+  ApplyTo(machine, {"e", 3, "o", 0, advance_rollout{"scholar@2", 2}});
+  CHECK(machine.view().StatusOf("scholar@2")->phase == version_phase::kSteady);
+}
+
+TEST_CASE("operators who race with losses and resends: one winner a revision") {
+  CHECK(rc::check([](std::uint64_t seed) {
+    constexpr int kOperators = 4;
+    constexpr int kRounds = 60;
+    replica_cluster cluster(3, seed);
+    cluster.Run(1'500);
+    std::mt19937_64 random(seed);
+    std::vector<change> sent;
+    for (int round = 0; round < kRounds; ++round) {
+      // Each operator bases a change on some recent revision; some resend.
+      for (int who = 0; who < kOperators; ++who) {
+        auto item = SetDocument(
+            "op" + std::to_string(who) + "-" + std::to_string(round),
+            random() % (static_cast<std::uint64_t>(round) / 2 + 1),
+            SmallDocument());
+        if (!sent.empty() && random() % 3 == 0) {
+          item = sent[random() % sent.size()];
+        }
+        sent.push_back(item);
+        cluster.Propose(random() % 3, Encode(control_command(item)));
+      }
+      if (random() % 10 == 0) cluster.Crash(random() % 3);
+      if (random() % 4 == 0) cluster.Start(random() % 3);
+      cluster.SetLoss(0.05 * static_cast<double>(random() % 3));
+      cluster.Run(60);
+    }
+    RC_ASSERT(cluster.violation() == "");
+    // The committed log, applied with a snapshot and restore in between.
+    control_machine machine;
+    std::map<std::string, change_result> answers;
+    std::map<config_revision, std::string> winners;
+    for (const auto& [index, entry] : cluster.committed()) {
+      if (entry.kind != entry_kind::kCommand) continue;
+      if (index % 7 == 0) {
+        control_machine restarted;
+        restarted.Restore(machine.TakeSnapshot());
+        machine = restarted;
+      }
+      const auto item =
+          std::get<change>(Decode<control_command>(entry.payload));
+      const auto result = Decode<change_result>(machine.Apply(entry));
+      const auto [first, is_new] = answers.emplace(item.change_id, result);
+      RC_ASSERT(first->second == result);
+      if (result.status != change_status::kApplied) continue;
+      const auto [winner, is_first] =
+          winners.emplace(result.revision, item.change_id);
+      RC_ASSERT(winner->second == item.change_id);
+    }
+    RC_ASSERT(machine.view().revision == winners.size());
+  }));
+}
+
+}  // namespace lovagedale::testing
--- /dev/null
+++ b/tests/http/server_test.cpp
@@ -0,0 +1,145 @@
+#include "lovagedale/http/server.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <thread>
+
+#include "lovagedale/http/client.h"
+
+namespace lovagedale::testing {
+namespace {
+
+namespace asio = boost::asio;
+
+/// A server on a free port, run by a thread of its own.
+class running_server {
+ public:
+  running_server(http_limits limits, http_handler handler)
+      : server_(context_, "127.0.0.1", 0, false, limits, std::move(handler)),
+        thread_([this] { context_.run(); }) {}
+  ~running_server() {
+    context_.stop();
+    thread_.join();
+  }
+  running_server(const running_server&) = delete;
+  auto operator=(const running_server&) -> running_server& = delete;
+
+  auto port() const -> std::uint16_t { return server_.port(); }
+  auto Drain() -> void {
+    asio::post(context_, [this] {
+      server_.BeginDrain();
+      server_.CloseIdle();
+    });
+  }
+
+ private:
+  asio::io_context context_{1};
+  http_server server_;
+  std::thread thread_;
+};
+
+/// Sends raw bytes and returns everything until the server closes.
+auto Exchange(std::uint16_t port, const std::string& bytes) -> std::string {
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({asio::ip::make_address("127.0.0.1"), port});
+  boost::system::error_code error;
+  asio::write(socket, asio::buffer(bytes), error);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+auto Echo(http_exchange& exchange) -> void {
+  exchange.RespondJson(200, exchange.request().body);
+}
+
+constexpr const char* kClose = "Connection: close\r\n";
+
+}  // namespace
+
+TEST_CASE("malformed, oversized and slow requests get 400, 413 and 408") {
+  http_limits limits;
+  limits.max_body_bytes = 100;
+  limits.header_timeout = std::chrono::milliseconds(50);
+  limits.body_timeout = std::chrono::milliseconds(50);
+  running_server server(limits, Echo);
+  CHECK(Exchange(server.port(), "nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+  CHECK(Exchange(server.port(),
+                 "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n" +
+                     std::string(101, 'x'))
+            .starts_with("HTTP/1.1 413"));
+  CHECK(Exchange(server.port(), "POST / HTTP/1.1\r\nContent-Le")
+            .starts_with("HTTP/1.1 408"));
+  CHECK(Exchange(server.port(),
+                 "POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nabc")
+            .starts_with("HTTP/1.1 408"));
+  const auto refused = Exchange(server.port(), "nonsense\r\n\r\n");
+  CHECK(refused.find("Lovagedale-Ran: no") != std::string::npos);
+}
+
+TEST_CASE("a server survives its handlers' failures") {
+  running_server server({}, [](http_exchange& exchange) {
+    if (exchange.request().target == "/fail") throw std::runtime_error("x");
+    Echo(exchange);
+  });
+  CHECK(Exchange(server.port(),
+                 std::string("GET /fail HTTP/1.1\r\n") + kClose + "\r\n")
+            .starts_with("HTTP/1.1 500"));
+  CHECK(Exchange(server.port(),
+                 std::string("GET /ok HTTP/1.1\r\n") + kClose + "\r\n")
+            .starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("a drained server finishes its stream and closes") {
+  std::atomic<bool> started{false};
+  running_server server({}, [&](http_exchange& exchange) {
+    exchange.StartStream(200, "text/event-stream", {});
+    started = true;
+    for (int i = 0; i < 20; ++i) {
+      exchange.Write("data: x\n\n");
+      asio::steady_timer timer(exchange.yield().get_executor(),
+                               std::chrono::milliseconds(5));
+      timer.async_wait(exchange.yield());
+    }
+    exchange.EndStream();
+  });
+  std::thread drain([&] {
+    while (!started) std::this_thread::yield();
+    server.Drain();
+  });
+  const auto answer = Exchange(
+      server.port(), std::string("GET / HTTP/1.1\r\n") + kClose + "\r\n");
+  drain.join();
+  CHECK(answer.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("a broken answer is told from a whole one") {
+  running_server server({}, [](http_exchange& exchange) {
+    exchange.StartStream(200, "text/plain", {});
+    exchange.Write("part");
+    throw caller_gone("the test cuts the stream");
+  });
+  try {
+    BlockingHttpCall("127.0.0.1", server.port(), {"GET", "/", {}, ""}, {});
+    FAIL("the cut answer was taken for whole");
+  } catch (const http_call_error& error) {
+    CHECK(error.at() == http_call_error::stage::kAnswerBroken);
+  }
+}
+
+TEST_CASE("a refused connection is told from a lost answer") {
+  std::uint16_t port = 0;
+  { port = running_server({}, Echo).port(); }
+  try {
+    BlockingHttpCall("127.0.0.1", port, {"GET", "/", {}, ""}, {});
+    FAIL("nothing listens there");
+  } catch (const http_call_error& error) {
+    CHECK(error.at() == http_call_error::stage::kNotSent);
+  }
+}
+
+}  // namespace lovagedale::testing
--- /dev/null
+++ b/tests/support/memory_disk.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "lovagedale/replication/disk.h"
+#include "lovagedale/replication/errors.h"
+
+namespace lovagedale::testing {
+
+/// The real disk with a quota on the bytes written: a full disk on demand. A
+/// write that exceeds the quota leaves what still fits, as a real one does.
+class quota_disk {
+ public:
+  explicit quota_disk(std::size_t quota_bytes) : left_(quota_bytes) {}
+
+  auto OpenAppend(const std::string& path) -> int {
+    return disk_.OpenAppend(path);
+  }
+  auto Write(int fd, std::string_view bytes) -> void {
+    const auto fits = bytes.substr(0, left_);
+    disk_.Write(fd, fits);
+    left_ -= fits.size();
+    if (fits.size() < bytes.size()) {
+      throw storage_error("cannot write log file: No space left on device");
+    }
+  }
+  auto SyncFile(int fd) -> void { disk_.SyncFile(fd); }
+  auto CloseFile(int fd) -> void { disk_.CloseFile(fd); }
+  auto SyncFolder(const std::string& path) -> void { disk_.SyncFolder(path); }
+  auto Rename(const std::string& from, const std::string& to) -> void {
+    disk_.Rename(from, to);
+  }
+  auto Remove(const std::string& path) -> void { disk_.Remove(path); }
+  auto Truncate(const std::string& path, std::size_t bytes) -> void {
+    disk_.Truncate(path, bytes);
+  }
+
+ private:
+  posix_disk disk_;
+  std::size_t left_;
+};
+
+}  // namespace lovagedale::testing
