--- a/include/lovagedale/admission/token_bucket.h
+++ b/include/lovagedale/admission/token_bucket.h
@@ -10,7 +10,10 @@
 class token_bucket {
  public:
   token_bucket(double rate_per_s, double burst, monotonic_ms now)
-      : rate_per_s_(rate_per_s), burst_(burst), tokens_(burst), filled_at_(now) {}
+      : rate_per_s_(rate_per_s),
+        burst_(burst),
+        tokens_(burst),
+        filled_at_(now) {}
 
   /// Takes one token if there is one.
   auto TryTake(monotonic_ms now) -> bool {
--- a/include/lovagedale/catalog/catalog.h
+++ b/include/lovagedale/catalog/catalog.h
@@ -33,7 +33,7 @@
 };
 
 struct model_version {
-  std::string name;   ///< `model@version`, unique
+  std::string name;  ///< `model@version`, unique
   std::string model;
   micros price_per_1k_tokens = 0;
   /// Share of answers expected to satisfy a rater, before evidence, 0 to 1.
@@ -88,14 +88,14 @@
 
 struct customer {
   std::string name;
-  std::string key;                    ///< bearer key
-  std::vector<version_id> versions;   ///< allowed versions, cheapest first
-  std::vector<pool_id> services;      ///< allowed services
-  double target_quality = 0.0;        ///< mean quality to deliver, 0 to 1
+  std::string key;                   ///< bearer key
+  std::vector<version_id> versions;  ///< allowed versions, cheapest first
+  std::vector<pool_id> services;     ///< allowed services
+  double target_quality = 0.0;       ///< mean quality to deliver, 0 to 1
   patience_class patience = patience_class::kInteractive;
-  double rate_per_s = 0;              ///< fleet-wide; 0 means no limit
+  double rate_per_s = 0;  ///< fleet-wide; 0 means no limit
   double burst = 0;
-  std::int64_t max_concurrent = 0;    ///< per entry; 0 means no limit
+  std::int64_t max_concurrent = 0;  ///< per entry; 0 means no limit
   /// Replaces the learned choice of versions if not empty.
   std::vector<cascade_rule> cascade;
 
--- a/include/lovagedale/common/log.h
+++ b/include/lovagedale/common/log.h
@@ -38,7 +38,7 @@
     return With(key, std::string_view(value));
   }
   template <typename Number>
-    requires std::integral<Number> || std::floating_point<Number>
+  requires std::integral<Number> || std::floating_point<Number>
   auto With(std::string_view key, Number value) -> log_line& {
     AppendKey(key);
     if constexpr (std::floating_point<Number>) {
--- a/include/lovagedale/configuration/control_machine.h
+++ b/include/lovagedale/configuration/control_machine.h
@@ -54,8 +54,7 @@
   auto history() const -> const std::deque<change_record>& { return history_; }
   auto FindRecord(const std::string& change_id) const -> const change_record*;
   /// The change that made a revision, if it is still kept.
-  auto RecordOfRevision(config_revision revision) const
-      -> const change_record*;
+  auto RecordOfRevision(config_revision revision) const -> const change_record*;
 
  private:
   auto ApplyChange(const change& item, log_index index) -> change_result;
--- a/include/lovagedale/entry/chat_body.h
+++ b/include/lovagedale/entry/chat_body.h
@@ -11,8 +11,8 @@
 
 /// A chat-completions request as the entry understands it.
 struct chat_request {
-  std::string model;  ///< `auto`, a model, or `model@version`
-  std::string prompt; ///< all message texts, for prefix hashes
+  std::string model;   ///< `auto`, a model, or `model@version`
+  std::string prompt;  ///< all message texts, for prefix hashes
   bool stream = false;
   bool include_usage = false;
 
--- a/include/lovagedale/entry/routing_table.h
+++ b/include/lovagedale/entry/routing_table.h
@@ -21,7 +21,7 @@
   double share = 1;           ///< of requests, while under roll-out
   bool needs_permit = false;  ///< stops when control's permit has ended
   bool paused = false;
-  std::string successor;      ///< after a withdrawal; may be empty
+  std::string successor;  ///< after a withdrawal; may be empty
 };
 
 /// Everything a traffic thread reads to route a request, at one revision.
--- a/include/lovagedale/health/crash_attribution.h
+++ b/include/lovagedale/health/crash_attribution.h
@@ -21,7 +21,7 @@
   static constexpr std::size_t kCrashesToCondemn = 2;
   static constexpr monotonic_ms kSameCrashMs = 2'000;
   /// A suspicion that is not confirmed ends after this time.
-  static constexpr monotonic_ms kSuspicionMs = 10 * 60 * 1'000;
+  static constexpr monotonic_ms kSuspicionMs = 10LL * 60 * 1'000;
 
   /// Records a crash; returns fingerprints that are condemned by it. A report
   /// with a known id changes nothing.
--- a/include/lovagedale/http/client.h
+++ b/include/lovagedale/http/client.h
@@ -17,9 +17,9 @@
 class http_call_error : public std::runtime_error {
  public:
   enum class stage {
-    kNotSent,     ///< no byte of the request was written
-    kSent,        ///< it may have been handled; no answer arrived
-    kAnswerBroken ///< the answer began and did not end
+    kNotSent,      ///< no byte of the request was written
+    kSent,         ///< it may have been handled; no answer arrived
+    kAnswerBroken  ///< the answer began and did not end
   };
   http_call_error(stage at, const std::string& reason)
       : std::runtime_error(reason), stage_(at) {}
@@ -55,8 +55,8 @@
   http_connection(const http_connection&) = delete;
   auto operator=(const http_connection&) -> http_connection& = delete;
 
-  auto Connect(const http_deadlines& deadlines, boost::asio::yield_context yield)
-      -> void;
+  auto Connect(const http_deadlines& deadlines,
+               boost::asio::yield_context yield) -> void;
   /// Sends the request and reads the head of the answer.
   auto Send(const http_request& request, const http_deadlines& deadlines,
             boost::asio::yield_context yield) -> http_response_head;
--- a/include/lovagedale/ledger/messages.h
+++ b/include/lovagedale/ledger/messages.h
@@ -63,8 +63,8 @@
   }
 };
 
-using ledger_request = std::variant<replica_envelope, claim_request,
-                                    bill_batch, bills_since, entry_presence>;
+using ledger_request = std::variant<replica_envelope, claim_request, bill_batch,
+                                    bills_since, entry_presence>;
 
 /// Answer to bills_since.
 struct exchange_response {
--- a/include/lovagedale/process/replica_process.h
+++ b/include/lovagedale/process/replica_process.h
@@ -31,11 +31,10 @@
                   const replica_settings& settings)
       : context_(context),
         service_(service),
-        http_(context, settings.host, settings.http_port, /*share_port=*/false,
-              http_limits{},
-              [this](http_exchange& exchange) {
-                service_.HandleHttp(exchange);
-              }),
+        http_(
+            context, settings.host, settings.http_port, /*share_port=*/false,
+            http_limits{},
+            [this](http_exchange& exchange) { service_.HandleHttp(exchange); }),
         signals_(context, SIGTERM, SIGINT),
         timer_(context) {}
 
--- a/include/lovagedale/quality/evidence.h
+++ b/include/lovagedale/quality/evidence.h
@@ -11,9 +11,9 @@
 /// those of several entries are added and a repeated report does no harm.
 struct evidence_counts {
   std::uint64_t requests = 0;
-  std::uint64_t errors = 0;   ///< failed answers, crashes of the server included
+  std::uint64_t errors = 0;  ///< failed answers, crashes of the server included
   std::uint64_t ratings = 0;
-  double rating_sum = 0;      ///< each rating from 0 to 1
+  double rating_sum = 0;  ///< each rating from 0 to 1
   double rating_square_sum = 0;
 
   auto operator==(const evidence_counts&) const -> bool = default;
--- a/include/lovagedale/replication/replica_core.h
+++ b/include/lovagedale/replication/replica_core.h
@@ -141,9 +141,7 @@
   auto EntryAt(log_index index) const -> const log_entry&;
   auto SetHardState(term_number term, std::string voted_for) -> void;
   auto Send(const std::string& to, replica_message message) -> void;
-  auto IsVoter() const -> bool {
-    return members_.IsVoter(name_, incarnation_);
-  }
+  auto IsVoter() const -> bool { return members_.IsVoter(name_, incarnation_); }
 
   std::string name_;
   incarnation_id incarnation_;
--- a/include/lovagedale/replication/replica_node.h
+++ b/include/lovagedale/replication/replica_node.h
@@ -19,12 +19,12 @@
 /// A deterministic machine whose commands are replicated. `Apply` must depend
 /// on nothing but the state and the entry.
 template <typename T>
-concept replicated_machine =
-    requires(T& machine, const log_entry& entry, const std::string& state) {
-      { machine.Apply(entry) } -> std::same_as<std::string>;
-      { machine.TakeSnapshot() } -> std::same_as<std::string>;
-      { machine.Restore(state) } -> std::same_as<void>;
-    };
+concept replicated_machine = requires(T& machine, const log_entry& entry,
+                                      const std::string& state) {
+  { machine.Apply(entry) } -> std::same_as<std::string>;
+  { machine.TakeSnapshot() } -> std::same_as<std::string>;
+  { machine.Restore(state) } -> std::same_as<void>;
+};
 
 enum class propose_status {
   kCommitted,  ///< applied; the result is the machine's
--- a/include/lovagedale/rpc/server.h
+++ b/include/lovagedale/rpc/server.h
@@ -30,7 +30,9 @@
   rpc_server(const rpc_server&) = delete;
   auto operator=(const rpc_server&) -> rpc_server& = delete;
 
-  auto port() const -> std::uint16_t { return acceptor_.local_endpoint().port(); }
+  auto port() const -> std::uint16_t {
+    return acceptor_.local_endpoint().port();
+  }
   auto Stop() -> void;
 
  private:
--- a/src/cascade/plan.cpp
+++ b/src/cascade/plan.cpp
@@ -38,8 +38,8 @@
   bool has_signal = false;
 };
 
-auto BuildModel(const version_knowledge& known,
-                const planning_options& options) -> version_model {
+auto BuildModel(const version_knowledge& known, const planning_options& options)
+    -> version_model {
   version_model model;
   model.known = &known;
   evidence_counts total;
@@ -64,8 +64,7 @@
   return model;
 }
 
-auto Bound(const estimate& quality, const planning_options& options)
-    -> double {
+auto Bound(const estimate& quality, const planning_options& options) -> double {
   return quality.mean - options.confidence_z * std::sqrt(quality.variance);
 }
 
@@ -99,8 +98,7 @@
       escalated_share * escalated_share * high.escalated.variance;
   cascade_plan plan;
   plan.steps = {{low.known->version, accept_from}, {high.known->version, 0}};
-  plan.expected_cost =
-      low.known->price + escalated_share * high.known->price;
+  plan.expected_cost = low.known->price + escalated_share * high.known->price;
   plan.expected_quality = quality.mean;
   plan.quality_bound = Bound(quality, options);
   plan.expected_ms =
@@ -164,10 +162,10 @@
   const auto frontier = Frontier(ListPlans(versions, options), options);
   if (frontier.empty()) return {};
   const auto& safest = frontier.back();
-  const auto above = std::find_if(
-      frontier.begin(), frontier.end(), [&](const cascade_plan& plan) {
-        return plan.quality_bound >= target_quality;
-      });
+  const auto above = std::find_if(frontier.begin(), frontier.end(),
+                                  [&](const cascade_plan& plan) {
+                                    return plan.quality_bound >= target_quality;
+                                  });
   if (above == frontier.end()) return {safest, safest, 1};
   mixed_plan result{*above, *above, 1};
   auto result_price = Price(*above, options);
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -82,7 +82,8 @@
     if (model.find('@') != std::string::npos) {
       reader.AddError("name", "\"" + model + "\"", "a name without \"@\"");
     }
-    reader.ForEach("versions", [&](object_reader& r) { ReadVersion(r, model); });
+    reader.ForEach("versions",
+                   [&](object_reader& r) { ReadVersion(r, model); });
   }
 
   auto ReadVersion(object_reader& reader, const std::string& model) -> void {
@@ -174,8 +175,7 @@
                         "declared model@version names");
         continue;
       }
-      ids.push_back(
-          static_cast<version_id>(found - catalog_.versions.begin()));
+      ids.push_back(static_cast<version_id>(found - catalog_.versions.begin()));
     }
     return ids;
   }
@@ -184,9 +184,9 @@
     customer item;
     item.name = ReadUniqueName(reader, catalog_.customers);
     item.key = reader.RequiredString("key");
-    const bool is_key_taken = std::any_of(
-        catalog_.customers.begin(), catalog_.customers.end(),
-        [&](const auto& other) { return other.key == item.key; });
+    const bool is_key_taken =
+        std::any_of(catalog_.customers.begin(), catalog_.customers.end(),
+                    [&](const auto& other) { return other.key == item.key; });
     if (is_key_taken && !item.key.empty()) {
       reader.AddError("key", "a key", "a key that no other customer has");
     }
@@ -198,16 +198,14 @@
                 return std::pair(left.price_per_1k_tokens, a) <
                        std::pair(right.price_per_1k_tokens, b);
               });
-    item.versions.erase(
-        std::unique(item.versions.begin(), item.versions.end()),
-        item.versions.end());
+    item.versions.erase(std::unique(item.versions.begin(), item.versions.end()),
+                        item.versions.end());
     item.services = ReadServices(reader);
     item.target_quality = reader.Number("target_quality", 0, 1, 0);
-    item.patience =
-        reader.Choice("patience", {"interactive", "patient"}, "interactive") ==
-                "interactive"
-            ? patience_class::kInteractive
-            : patience_class::kPatient;
+    item.patience = reader.Choice("patience", {"interactive", "patient"},
+                                  "interactive") == "interactive"
+                        ? patience_class::kInteractive
+                        : patience_class::kPatient;
     item.rate_per_s = reader.Number("rate_per_s", 0, kMaxRatePerSecond, 0);
     item.burst =
         reader.Number("burst", 0, kMaxRatePerSecond, 2 * item.rate_per_s);
@@ -218,8 +216,7 @@
     catalog_.customers.push_back(std::move(item));
   }
 
-  auto ReadRung(object_reader& reader, const customer& owner)
-      -> cascade_rule {
+  auto ReadRung(object_reader& reader, const customer& owner) -> cascade_rule {
     const auto name = reader.RequiredString("version");
     const auto signal = reader.Number("accept_signal", 0, 1, 0);
     for (const auto version : owner.versions) {
@@ -233,12 +230,10 @@
   auto ReadServices(object_reader& reader) -> std::vector<pool_id> {
     std::vector<pool_id> ids;
     for (const auto& name : reader.StringList("services")) {
-      const auto found =
-          std::find_if(catalog_.pools.begin(), catalog_.pools.end(),
-                       [&](const auto& pool) {
-                         return pool.name == name &&
-                                pool.kind == pool_kind::kService;
-                       });
+      const auto found = std::find_if(
+          catalog_.pools.begin(), catalog_.pools.end(), [&](const auto& pool) {
+            return pool.name == name && pool.kind == pool_kind::kService;
+          });
       if (found == catalog_.pools.end()) {
         reader.AddError("services", "\"" + name + "\"",
                         "declared pools of kind \"service\"");
@@ -278,8 +273,7 @@
 }
 
 auto customer::Allows(version_id version) const -> bool {
-  return std::find(versions.begin(), versions.end(), version) !=
-         versions.end();
+  return std::find(versions.begin(), versions.end(), version) != versions.end();
 }
 
 auto customer::AllowsService(pool_id pool) const -> bool {
--- a/src/common/json_reader.cpp
+++ b/src/common/json_reader.cpp
@@ -49,8 +49,8 @@
                              std::vector<setting_error>& errors)
     : object_(value.if_object()), path_(std::move(path)), errors_(&errors) {
   if (object_ == nullptr) {
-    errors_->push_back({path_.empty() ? "document" : path_, Quote(value),
-                        "a JSON object"});
+    errors_->push_back(
+        {path_.empty() ? "document" : path_, Quote(value), "a JSON object"});
   }
 }
 
@@ -118,9 +118,8 @@
   const auto* value = Find(key);
   if (value == nullptr) return fallback;
   boost::system::error_code error;
-  const auto number = value->is_number()
-                          ? value->to_number<std::int64_t>(error)
-                          : std::int64_t{};
+  const auto number = value->is_number() ? value->to_number<std::int64_t>(error)
+                                         : std::int64_t{};
   if (!value->is_number() || error || number < min || number > max) {
     AddError(key, Quote(*value), DescribeRange("a whole number", min, max));
     return fallback;
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -62,10 +62,10 @@
 }
 
 auto WriteLog(log_level level, std::string_view text) -> void {
-  static const auto kLogger = log4cplus::Logger::getRoot();
+  static const auto root = log4cplus::Logger::getRoot();
   const auto native = ToLog4cplus(level);
-  if (!kLogger.isEnabledFor(native)) return;
-  kLogger.forcedLog(native, std::string(text));
+  if (!root.isEnabledFor(native)) return;
+  root.forcedLog(native, std::string(text));
 }
 
 auto log_line::AppendValue(std::string_view value) -> void {
--- a/src/common/settings_fields.cpp
+++ b/src/common/settings_fields.cpp
@@ -34,8 +34,8 @@
 auto ReadLogSettings(object_reader& reader, std::string& file,
                      std::string& level) -> void {
   file = reader.String("log_file", "");
-  level = reader.Choice("log_level", {"debug", "info", "warning", "error"},
-                        "info");
+  level =
+      reader.Choice("log_level", {"debug", "info", "warning", "error"}, "info");
 }
 
 auto ParseLogLevel(std::string_view name) -> log_level {
--- a/src/configuration/control_machine.cpp
+++ b/src/configuration/control_machine.cpp
@@ -14,6 +14,8 @@
 struct overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <typename... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
 
 constexpr std::size_t kMaxStages = 16;
 constexpr std::size_t kMaxQuarantines = 1'000;
@@ -104,19 +106,16 @@
 auto control_machine::Apply(const log_entry& entry) -> std::string {
   const auto command = Decode<control_command>(entry.payload);
   return Encode(std::visit(
-      overloaded{[&](const change& item) {
-                   return ApplyChange(item, entry.index);
-                 },
-                 [&](const register_node& node) {
-                   nodes_[node.name] = node;
-                   return change_result{change_status::kApplied,
-                                        view_.revision, ""};
-                 },
-                 [&](const remove_node& node) {
-                   nodes_.erase(node.name);
-                   return change_result{change_status::kApplied,
-                                        view_.revision, ""};
-                 }},
+      overloaded{
+          [&](const change& item) { return ApplyChange(item, entry.index); },
+          [&](const register_node& node) {
+            nodes_[node.name] = node;
+            return change_result{change_status::kApplied, view_.revision, ""};
+          },
+          [&](const remove_node& node) {
+            nodes_.erase(node.name);
+            return change_result{change_status::kApplied, view_.revision, ""};
+          }},
       command));
 }
 
@@ -133,11 +132,10 @@
   const bool permit_gated = IsPermitGated(item.action);
   if (item.expected_revision != kAnyRevision &&
       item.expected_revision != view_.revision) {
-    result = {change_status::kConflict, view_.revision,
-              "expected_revision: got " +
-                  std::to_string(item.expected_revision) +
-                  "; the current revision is " +
-                  std::to_string(view_.revision)};
+    result = {
+        change_status::kConflict, view_.revision,
+        "expected_revision: got " + std::to_string(item.expected_revision) +
+            "; the current revision is " + std::to_string(view_.revision)};
   } else if (const auto problem = Check(item)) {
     result = {change_status::kInvalid, view_.revision, *problem};
   } else {
@@ -223,11 +221,10 @@
 auto control_machine::MutableStatus(const std::string& version)
     -> version_status& {
   auto& list = view_.versions;
-  const auto place = std::lower_bound(
-      list.begin(), list.end(), version,
-      [](const auto& status, const auto& name) {
-        return status.version < name;
-      });
+  const auto place = std::lower_bound(list.begin(), list.end(), version,
+                                      [](const auto& status, const auto& name) {
+                                        return status.version < name;
+                                      });
   if (place != list.end() && place->version == version) return *place;
   version_status fresh;
   fresh.version = version;
@@ -263,9 +260,8 @@
             status.reason = a.reason;
           },
           [&](const restore_version& a) {
-            MutableStatus(a.version) = {a.version, version_phase::kSteady, 0,
-                                        {},        false,                  "",
-                                        ""};
+            MutableStatus(a.version) = {
+                a.version, version_phase::kSteady, 0, {}, false, "", ""};
           },
           [&](const set_quarantine& a) {
             std::erase_if(view_.quarantines, [&](const auto& item) {
@@ -300,8 +296,8 @@
 
 auto control_machine::RecordOfRevision(config_revision revision) const
     -> const change_record* {
-  const auto found = std::find_if(
-      history_.rbegin(), history_.rend(), [&](const auto& record) {
+  const auto found =
+      std::find_if(history_.rbegin(), history_.rend(), [&](const auto& record) {
         return record.result.status == change_status::kApplied &&
                record.result.revision == revision;
       });
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -74,8 +74,7 @@
   const auto now = clock_.Now();
   TrackLeadership();
   if (!heartbeat.evidence.empty()) {
-    evidence_.Report(heartbeat.node, heartbeat.incarnation,
-                     heartbeat.evidence);
+    evidence_.Report(heartbeat.node, heartbeat.incarnation, heartbeat.evidence);
   }
   const bool urgent = !heartbeat.crashes.empty() || heartbeat.leaving;
   held_heartbeat held{std::move(heartbeat), std::move(reply),
@@ -130,15 +129,14 @@
         .With("entry", heartbeat.node)
         .With("report", report.report_id)
         .With("suspects", report.fingerprints.size());
-    const auto condemned = crashes_.ReportCrash(
-        report.report_id, report.server, report.fingerprints, now);
+    const auto condemned = crashes_.ReportCrash(report.report_id, report.server,
+                                                report.fingerprints, now);
     for (const auto fingerprint : condemned) {
-      ProposeOwnChange("quarantine/" + report.report_id + "/" +
-                           ToHex(fingerprint),
-                       set_quarantine{{fingerprint,
-                                       WallClockMs() + kQuarantineMs,
-                                       "ran on two servers that crashed"}},
-                       "ran on two servers that crashed");
+      ProposeOwnChange(
+          "quarantine/" + report.report_id + "/" + ToHex(fingerprint),
+          set_quarantine{{fingerprint, WallClockMs() + kQuarantineMs,
+                          "ran on two servers that crashed"}},
+          "ran on two servers that crashed");
     }
   }
   for (const auto fingerprint : heartbeat.cleared) crashes_.Clear(fingerprint);
@@ -173,8 +171,7 @@
   const auto now = clock_.Now();
   const auto revision = machine_.view().revision;
   for (auto held = held_.begin(); held != held_.end();) {
-    const bool is_registered =
-        machine_.nodes().contains(held->heartbeat.node);
+    const bool is_registered = machine_.nodes().contains(held->heartbeat.node);
     const bool is_due = all || now >= held->until || !is_registered ||
                         held->heartbeat.revision != revision;
     if (!is_due) {
@@ -198,8 +195,7 @@
 
 auto control_service::Tick() -> void {
   TrackLeadership();
-  const bool has_new_revision =
-      answered_revision_ != machine_.view().revision;
+  const bool has_new_revision = answered_revision_ != machine_.view().revision;
   answered_revision_ = machine_.view().revision;
   AnswerHeld(/*all=*/has_new_revision || !tracker_);
   if (tracker_) JudgeRollouts();
@@ -232,8 +228,7 @@
   return status;
 }
 
-auto control_service::SilentFor(const std::string& node) const
-    -> monotonic_ms {
+auto control_service::SilentFor(const std::string& node) const -> monotonic_ms {
   return tracker_ ? tracker_->SilentFor(node, clock_.Now()) : 0;
 }
 
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -53,12 +53,11 @@
                          table->config().customers[*id].name};
   const auto given = request.Header("Lovagedale-Request-Id");
   if (given.size() > kMaxRequestIdBytes) {
-    throw request_refused(400, "invalid",
-                          "Lovagedale-Request-Id: got " +
-                              std::to_string(given.size()) +
-                              " bytes; allowed: at most " +
-                              std::to_string(kMaxRequestIdBytes),
-                          ran_state::kNo);
+    throw request_refused(
+        400, "invalid",
+        "Lovagedale-Request-Id: got " + std::to_string(given.size()) +
+            " bytes; allowed: at most " + std::to_string(kMaxRequestIdBytes),
+        ran_state::kNo);
   }
   // The customer's name keeps customers' own ids apart.
   if (!given.empty()) {
@@ -125,10 +124,10 @@
       request.method == "POST" && path == "/v1/chat/completions";
   const bool is_service = path.starts_with("/services/");
   if (!is_chat && !is_service) {
-    throw request_refused(404, "not_found",
-                          "no such call: " + request.method + " " +
-                              std::string(path),
-                          ran_state::kNo);
+    throw request_refused(
+        404, "not_found",
+        "no such call: " + request.method + " " + std::string(path),
+        ran_state::kNo);
   }
   const auto table = context_.state.table.load();
   const auto id = table->config().FindCustomer(caller.customer);
@@ -158,8 +157,8 @@
   } catch (const request_refused& error) {
     refusal = error;
   } catch (const version_unavailable& error) {
-    refusal = request_refused(503, "no_version", error.what(),
-                              ran_state::kMaybe, 1);
+    refusal =
+        request_refused(503, "no_version", error.what(), ran_state::kMaybe, 1);
   }
   context_.metrics->Count(entry_counter::kRefused);
   log_line(log_level::kInfo, "refused")
--- a/src/entry/chat_body.cpp
+++ b/src/entry/chat_body.cpp
@@ -118,16 +118,15 @@
   boost::system::error_code error;
   const auto value = json::parse(body, error);
   if (error) {
-    throw request_refused(400, "invalid",
-                          "body: not JSON: " + error.message(), ran_state::kNo);
+    throw request_refused(400, "invalid", "body: not JSON: " + error.message(),
+                          ran_state::kNo);
   }
   const auto* object = value.if_object();
   if (object == nullptr) RefuseField("body", Show(&value), "a JSON object");
   chat_request request;
   const auto* model = object->if_contains("model");
   if (model == nullptr || !model->is_string() || model->get_string().empty()) {
-    RefuseField("model", Show(model),
-                "\"auto\", a model, or a model@version");
+    RefuseField("model", Show(model), "\"auto\", a model, or a model@version");
   }
   request.model = std::string(model->get_string());
   const auto* messages = object->if_contains("messages");
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -66,12 +66,11 @@
   const auto value = request.Header("Lovagedale-Task");
   if (value.empty()) return std::string(kDefaultTaskClass);
   if (value.size() > kMaxTaskClassBytes) {
-    throw request_refused(400, "invalid",
-                          "Lovagedale-Task: got " +
-                              std::to_string(value.size()) +
-                              " bytes; allowed: at most " +
-                              std::to_string(kMaxTaskClassBytes),
-                          ran_state::kNo);
+    throw request_refused(
+        400, "invalid",
+        "Lovagedale-Task: got " + std::to_string(value.size()) +
+            " bytes; allowed: at most " + std::to_string(kMaxTaskClassBytes),
+        ran_state::kNo);
   }
   return std::string(value);
 }
@@ -183,8 +182,8 @@
             .With("from", run.steps[step].version)
             .With("to", run.steps[step + 1].version)
             .With("signal", answer.facts.signal.value_or(-1))
-            .With("accept_from_bin", static_cast<int>(
-                                         run.steps[step].accept_from_bin));
+            .With("accept_from_bin",
+                  static_cast<int>(run.steps[step].accept_from_bin));
       }
     } catch (const version_unavailable& gone) {
       context_.metrics->Count(entry_counter::kStoppedBeforeDispatch);
@@ -194,10 +193,9 @@
       run.table = context_.state.table.load();
     }
   }
-  throw request_refused(503, "no_version",
-                        "no allowed version stayed available",
-                        run.attempts > 0 ? ran_state::kMaybe : ran_state::kNo,
-                        1);
+  throw request_refused(
+      503, "no_version", "no allowed version stayed available",
+      run.attempts > 0 ? ran_state::kMaybe : ran_state::kNo, 1);
 }
 
 auto chat_handler::ChoosePlan(chat_run& run) -> void {
@@ -235,7 +233,8 @@
   }
   SubstituteRollouts(run);
   if (run.wants_session) {
-    run.session = session_token{run.steps.back().version, context_.NextRandom()};
+    run.session =
+        session_token{run.steps.back().version, context_.NextRandom()};
   }
 }
 
@@ -363,15 +362,15 @@
     request.target = "/v1/chat/completions";
     request.headers = {{"Content-Type", "application/json"},
                        {"Lovagedale-Request-Id", run.caller.request_id}};
-    request.body = MakeEngineBody(
-        run.exchange.request().body,
-        {version, is_last && run.request.stream,
-         run.owner.patience == patience_class::kPatient,
-         TextOfEvents(run.delivered)});
+    request.body =
+        MakeEngineBody(run.exchange.request().body,
+                       {version, is_last && run.request.stream,
+                        run.owner.patience == patience_class::kPatient,
+                        TextOfEvents(run.delivered)});
     return request;
   };
-  const auto task_class = step == 0 ? run.task_class
-                                    : EscalatedClass(run.task_class);
+  const auto task_class =
+      step == 0 ? run.task_class : EscalatedClass(run.task_class);
   job.on_failure = [this, version, task_class] {
     context_.state.evidence.Add({version, task_class, kNoSignal},
                                 {.requests = 1, .errors = 1});
@@ -403,8 +402,8 @@
   run.facts.input_tokens += answer.facts.input_tokens;
   run.facts.output_tokens += answer.facts.output_tokens;
   const auto& config = run.table->config();
-  run.cost += CostOf(config.versions[*config.FindVersion(job.version)],
-                     answer.facts);
+  run.cost +=
+      CostOf(config.versions[*config.FindVersion(job.version)], answer.facts);
   RecordOutcome(run, job.version, /*is_error=*/false, answer.facts.signal);
   return answer;
 }
@@ -521,9 +520,8 @@
     log_line(log_level::kWarning, "bill_delayed")
         .With("request", bill.request_id);
   }
-  context_.metrics->Observe(
-      entry_latency::kBill,
-      static_cast<double>(context_.clock.Now() - before));
+  context_.metrics->Observe(entry_latency::kBill,
+                            static_cast<double>(context_.clock.Now() - before));
 }
 
 auto chat_handler::RecordOutcome(const chat_run& run,
@@ -562,27 +560,26 @@
   request.method = "POST";
   request.target = "/v1/ratings";
   request.headers = {{"Content-Type", "application/json"}};
-  request.body = json::serialize(
-      json::value{{"request_id", run.caller.request_id},
-                  {"customer", run.owner.name},
-                  {"task_class", run.task_class},
-                  {"version", version},
-                  {"prompt", run.request.prompt},
-                  {"answer", answer}});
+  request.body =
+      json::serialize(json::value{{"request_id", run.caller.request_id},
+                                  {"customer", run.owner.name},
+                                  {"task_class", run.task_class},
+                                  {"version", version},
+                                  {"prompt", run.request.prompt},
+                                  {"answer", answer}});
   asio::spawn(
       context_.io,
       [this, request, key, host = rating->host,
        port = rating->port](asio::yield_context yield) {
         try {
-          const auto reply =
-              HttpCall(context_.io, host, port, request,
-                       context_.state.settings.deadlines, yield);
+          const auto reply = HttpCall(context_.io, host, port, request,
+                                      context_.state.settings.deadlines, yield);
           const auto value = json::parse(reply.body);
           const auto score = value.at("score").to_number<double>();
-          context_.state.evidence.Add(key, {.ratings = 1,
-                                            .rating_sum = score,
-                                            .rating_square_sum =
-                                                score * score});
+          context_.state.evidence.Add(key,
+                                      {.ratings = 1,
+                                       .rating_sum = score,
+                                       .rating_square_sum = score * score});
           context_.metrics->Count(entry_counter::kRatings);
         } catch (const std::exception& error) {
           log_line(log_level::kDebug, "rating_failed")
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -97,9 +97,8 @@
   // After a restart in a cut-off zone, a neighbour may know a newer revision
   // than the control replicas that can be reached.
   try {
-    const auto view = Decode<fleet_view>(
-        channel.Call(Encode(view_request{state_.settings.name}),
-                     kHeartbeatTimeout, yield));
+    const auto view = Decode<fleet_view>(channel.Call(
+        Encode(view_request{state_.settings.name}), kHeartbeatTimeout, yield));
     Adopt(view);
   } catch (const std::exception&) {
     // The neighbour is down or starting too.
@@ -130,9 +129,8 @@
     bool is_leader = false;
     try {
       const auto heartbeat = MakeHeartbeat(leader_ == name);
-      const auto response = Decode<heartbeat_response>(
-          channel.Call(Encode(control_request(heartbeat)), kHeartbeatTimeout,
-                       yield));
+      const auto response = Decode<heartbeat_response>(channel.Call(
+          Encode(control_request(heartbeat)), kHeartbeatTimeout, yield));
       is_leader = response.is_leader;
       if (is_leader) leader_ = name;
       HandleResponse(response, sent_at);
@@ -182,8 +180,8 @@
 }
 
 auto control_link::PublishPlans() -> void {
-  state_.plans.store(std::make_shared<const plan_table>(state_.table.load(),
-                                                        fleet_evidence_));
+  state_.plans.store(
+      std::make_shared<const plan_table>(state_.table.load(), fleet_evidence_));
   planned_evidence_ = fleet_evidence_;
 }
 
@@ -279,8 +277,7 @@
       asio::spawn(
           context_,
           [this, table, id](asio::yield_context poll_yield) {
-            PollLoad(table->config().servers[id], table->State(id),
-                     poll_yield);
+            PollLoad(table->config().servers[id], table->State(id), poll_yield);
           },
           asio::detached);
     }
@@ -302,9 +299,9 @@
     const auto value = boost::json::parse(answer.body);
     const auto& load = value.as_object();
     server_load.in_flight_at_report = in_flight;
-    server_load.reported_load = static_cast<std::int32_t>(
-        load.at("running").to_number<std::int64_t>() +
-        load.at("waiting").to_number<std::int64_t>());
+    server_load.reported_load =
+        static_cast<std::int32_t>(load.at("running").to_number<std::int64_t>() +
+                                  load.at("waiting").to_number<std::int64_t>());
     server_load.reported_at = clock_.Now();
     const auto* leaving = load.if_contains("leaving");
     server_load.leaving =
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -67,8 +67,7 @@
 /// Counts a request at its server while it runs there.
 class dispatcher::running_guard {
  public:
-  running_guard(server_state& state, std::uint64_t fingerprint,
-                bool is_suspect)
+  running_guard(server_state& state, std::uint64_t fingerprint, bool is_suspect)
       : state_(state), fingerprint_(fingerprint), is_suspect_(is_suspect) {
     state_.in_flight.fetch_add(1, std::memory_order_relaxed);
     if (is_suspect_) state_.suspects_running.fetch_add(1);
@@ -142,9 +141,8 @@
       ChooseServer(group, context_.prefixes, request, placement_options{});
   if (!choice) return std::nullopt;
   const auto& server = config.servers[choice->server];
-  const auto load =
-      ExpectedLoad({choice->server, server.slots, choice->state}, request.now,
-                   placement_options{});
+  const auto load = ExpectedLoad({choice->server, server.slots, choice->state},
+                                 request.now, placement_options{});
   if (load >= MaxLoad(job.patience)) return std::nullopt;
   return placed_attempt{std::move(table), *choice, &server};
 }
@@ -196,8 +194,7 @@
 }
 
 auto dispatcher::TryOnce(const dispatch_job& job, const placed_attempt& placed,
-                         attempt_state& state,
-                         const answer_reader& read_answer,
+                         attempt_state& state, const answer_reader& read_answer,
                          asio::yield_context yield) -> bool {
   const auto& server = *placed.server;
   const auto& deadlines = context_.state.settings.deadlines;
@@ -221,8 +218,7 @@
   }
   if (IsRefusedUnrun(head)) {
     if (head.Header("Lovagedale-Leaving") == "true") {
-      placed.choice.state->down_until =
-          context_.clock.Now() + kLeavingServerMs;
+      placed.choice.state->down_until = context_.clock.Now() + kLeavingServerMs;
     }
     state.tried.push_back(server.name);
     return false;
@@ -277,8 +273,8 @@
 
 auto dispatcher::MarkUnreachable(const placed_attempt& placed) -> void {
   auto& state = *placed.choice.state;
-  const auto failures = std::min(state.consecutive_failures.fetch_add(1),
-                                 kMaxDownDoublings);
+  const auto failures =
+      std::min(state.consecutive_failures.fetch_add(1), kMaxDownDoublings);
   const auto pause = std::min(kFirstDownMs << failures, kMaxDownMs);
   state.down_until = context_.clock.Now() + pause;
 }
@@ -355,21 +351,20 @@
       .With("cached_blocks", choice.cached_blocks)
       .With("attempt", state.attempts)
       .With("revision", placed.table->revision());
-  context_.state.decisions.Add(
-      job.request_id,
-      boost::json::serialize(boost::json::value{
-          {"customer", job.customer},
-          {"target", target},
-          {"version_reason", job.reason},
-          {"alternatives", alternatives},
-          {"server", placed.server->name},
-          {"zone", placed.server->zone},
-          {"server_reason", ReasonName(choice.reason)},
-          {"score", choice.score},
-          {"considered", choice.considered},
-          {"cached_blocks", choice.cached_blocks},
-          {"attempt", state.attempts},
-          {"revision", placed.table->revision()}}));
+  context_.state.decisions.Add(job.request_id,
+                               boost::json::serialize(boost::json::value{
+                                   {"customer", job.customer},
+                                   {"target", target},
+                                   {"version_reason", job.reason},
+                                   {"alternatives", alternatives},
+                                   {"server", placed.server->name},
+                                   {"zone", placed.server->zone},
+                                   {"server_reason", ReasonName(choice.reason)},
+                                   {"score", choice.score},
+                                   {"considered", choice.considered},
+                                   {"cached_blocks", choice.cached_blocks},
+                                   {"attempt", state.attempts},
+                                   {"revision", placed.table->revision()}}));
 }
 
 }  // namespace lovagedale
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -158,13 +158,13 @@
   const auto path = exchange.request().Path();
   const auto table = state_.table.load();
   if (path == "/health") {
-    exchange.RespondJson(state_.draining ? 503 : 200,
-                         state_.draining ? R"({"ok":false,"leaving":true})"
-                                         : R"({"ok":true})");
+    exchange.RespondJson(
+        state_.draining ? 503 : 200,
+        state_.draining ? R"({"ok":false,"leaving":true})" : R"({"ok":true})");
   } else if (path == "/ready") {
     const bool ready = !table->view().document.empty() && !state_.draining;
-    exchange.RespondJson(ready ? 200 : 503, ready ? R"({"ready":true})"
-                                                  : R"({"ready":false})");
+    exchange.RespondJson(ready ? 200 : 503,
+                         ready ? R"({"ready":true})" : R"({"ready":false})");
   } else if (path == "/metrics") {
     std::vector<std::shared_ptr<thread_metrics>> all;
     for (const auto& thread : threads_) all.push_back(thread->metrics());
@@ -172,15 +172,15 @@
   } else if (path == "/v1/status") {
     const auto now = system_monotonic_clock{}.Now();
     exchange.RespondJson(
-        200, json::serialize(json::value{
-                 {"name", state_.settings.name},
-                 {"zone", state_.settings.zone},
-                 {"revision", table->revision()},
-                 {"permit_ms",
-                  std::max<monotonic_ms>(0, state_.permit_until - now)},
-                 {"live_entries", state_.live_entries.load()},
-                 {"draining", state_.draining.load()},
-                 {"unfinished", Unfinished()}}));
+        200,
+        json::serialize(json::value{
+            {"name", state_.settings.name},
+            {"zone", state_.settings.zone},
+            {"revision", table->revision()},
+            {"permit_ms", std::max<monotonic_ms>(0, state_.permit_until - now)},
+            {"live_entries", state_.live_entries.load()},
+            {"draining", state_.draining.load()},
+            {"unfinished", Unfinished()}}));
   } else if (path == "/v1/decisions") {
     std::string body = R"({"decisions":[)";
     bool is_first = true;
--- a/src/entry/entry_state.cpp
+++ b/src/entry/entry_state.cpp
@@ -9,8 +9,8 @@
 
 }  // namespace
 
-auto evidence_inbox::Add(const evidence_key& key,
-                         const evidence_counts& counts) -> void {
+auto evidence_inbox::Add(const evidence_key& key, const evidence_counts& counts)
+    -> void {
   const std::lock_guard lock(mutex_);
   pending_[key] += counts;
 }
@@ -37,9 +37,8 @@
   return fingerprints_.erase(fingerprint) > 0;
 }
 
-auto customer_limits::TryAdmit(const customer& item,
-                               std::uint32_t live_entries, monotonic_ms now)
-    -> monotonic_ms {
+auto customer_limits::TryAdmit(const customer& item, std::uint32_t live_entries,
+                               monotonic_ms now) -> monotonic_ms {
   if (item.rate_per_s <= 0) return 0;
   const auto share = 1.0 / std::max<std::uint32_t>(live_entries, 1);
   const auto rate = item.rate_per_s * share;
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -10,7 +10,8 @@
 
 namespace bh = boost::histogram;
 
-constexpr std::size_t kCounters = static_cast<std::size_t>(entry_counter::kCount);
+constexpr std::size_t kCounters =
+    static_cast<std::size_t>(entry_counter::kCount);
 constexpr std::size_t kLatencies =
     static_cast<std::size_t>(entry_latency::kCount);
 constexpr unsigned kBins = 40;
@@ -18,10 +19,10 @@
 constexpr double kMaxMs = 100'000;
 
 constexpr std::array<const char*, kCounters> kCounterNames = {
-    "requests",         "refused",         "retries",
-    "resumed_streams",  "escalations",     "connect_failures",
-    "server_errors",    "server_crashes",  "stopped_before_dispatch",
-    "quarantined",      "bills_delayed",   "partial_answers",
+    "requests",        "refused",        "retries",
+    "resumed_streams", "escalations",    "connect_failures",
+    "server_errors",   "server_crashes", "stopped_before_dispatch",
+    "quarantined",     "bills_delayed",  "partial_answers",
     "ratings"};
 constexpr std::array<const char*, kLatencies> kLatencyNames = {
     "first_byte", "whole_answer", "bill"};
--- a/src/entry/routing_table.cpp
+++ b/src/entry/routing_table.cpp
@@ -25,8 +25,7 @@
 }
 
 /// The cascade that an operator has fixed, less its withdrawn versions.
-auto FixedPlan(const routing_table& table, const customer& item)
-    -> named_plan {
+auto FixedPlan(const routing_table& table, const customer& item) -> named_plan {
   named_plan plan;
   for (const auto& rule : item.cascade) {
     if (table.Route(rule.version).phase != version_phase::kSteady) continue;
--- a/src/entry/service_handler.cpp
+++ b/src/entry/service_handler.cpp
@@ -48,8 +48,8 @@
   const auto& request = exchange.request();
   const auto table = context_.state.table.load();
   const auto& config = table->config();
-  const auto path = std::string_view(request.target).substr(
-      kServicePrefix.size());
+  const auto path =
+      std::string_view(request.target).substr(kServicePrefix.size());
   const auto slash = path.find('/');
   const auto pool_name = std::string(path.substr(0, slash));
   const auto pool = config.FindPool(pool_name);
@@ -57,31 +57,30 @@
     throw request_refused(404, "unknown_service",
                           "no service \"" + pool_name + "\"", ran_state::kNo);
   }
-  service_call call{.exchange = exchange,
-                    .caller = caller,
-                    .pool = pool_name,
-                    .target = slash == std::string_view::npos
-                                  ? "/"
-                                  : std::string(path.substr(slash)),
-                    .repeatable =
-                        config.pools[*pool].IsRepeatable(request.method),
-                    .key = std::string(request.Header("Idempotency-Key"))};
+  service_call call{
+      .exchange = exchange,
+      .caller = caller,
+      .pool = pool_name,
+      .target = slash == std::string_view::npos
+                    ? "/"
+                    : std::string(path.substr(slash)),
+      .repeatable = config.pools[*pool].IsRepeatable(request.method),
+      .key = std::string(request.Header("Idempotency-Key"))};
   call.body_hash =
       HashFields(request.method, call.pool, call.target, request.body);
   if (call.key.size() > kMaxKeyBytes) {
-    throw request_refused(400, "invalid",
-                          "Idempotency-Key: got " +
-                              std::to_string(call.key.size()) +
-                              " bytes; allowed: at most " +
-                              std::to_string(kMaxKeyBytes),
-                          ran_state::kNo);
+    throw request_refused(
+        400, "invalid",
+        "Idempotency-Key: got " + std::to_string(call.key.size()) +
+            " bytes; allowed: at most " + std::to_string(kMaxKeyBytes),
+        ran_state::kNo);
   }
   const bool is_claimed = !call.repeatable && !call.key.empty();
   const auto answer = is_claimed ? RunClaimed(call) : RunOnServer(call);
-  exchange.Respond(answer.status, answer.content_type, answer.body,
-                   {{"Lovagedale-Request-Id", answer.request_id},
-                    {"Lovagedale-Server-Attempts",
-                     std::to_string(call.attempts)}});
+  exchange.Respond(
+      answer.status, answer.content_type, answer.body,
+      {{"Lovagedale-Request-Id", answer.request_id},
+       {"Lovagedale-Server-Attempts", std::to_string(call.attempts)}});
 }
 
 auto service_handler::RunClaimed(service_call& call) -> stored_answer {
@@ -136,8 +135,8 @@
   for (;;) {
     claim_result result;
     try {
-      result = context_.ledgers.Claim(begin, kClaimTimeout,
-                                      call.exchange.yield());
+      result =
+          context_.ledgers.Claim(begin, kClaimTimeout, call.exchange.yield());
     } catch (const ledger_unreachable&) {
       is_unreachable = true;
     }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -95,8 +95,7 @@
 
   beast::error_code error;
   impl_->stream.expires_after(deadlines.first_byte);
-  const auto written =
-      http::async_write(impl_->stream, message, yield[error]);
+  const auto written = http::async_write(impl_->stream, message, yield[error]);
   if (error) {
     impl_->failed = true;
     throw http_call_error(written == 0 ? stage::kNotSent : stage::kSent,
@@ -155,8 +154,8 @@
   auto& socket = impl_->stream.socket();
   if (!socket.is_open()) return true;
   char byte = 0;
-  const auto result = ::recv(socket.native_handle(), &byte, 1,
-                             MSG_PEEK | MSG_DONTWAIT);
+  const auto result =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // An idle connection has nothing to read: bytes or an end are both faults.
   return !(result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -41,9 +41,9 @@
   while (position != std::string_view::npos) {
     const auto start = position + 1;
     position = text.find('&', start);
-    const auto pair = text.substr(
-        start, position == std::string_view::npos ? position
-                                                  : position - start);
+    const auto pair = text.substr(start, position == std::string_view::npos
+                                             ? position
+                                             : position - start);
     const auto equals = pair.find('=');
     if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
       return pair.substr(equals + 1);
@@ -119,7 +119,8 @@
     beast::error_code error;
     stream_.expires_after(limits_.write_timeout);
     asio::async_write(
-        stream_, http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())),
+        stream_,
+        http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())),
         yield_[error]);
     Check(error);
   }
@@ -218,8 +219,7 @@
 
  private:
   struct state {
-    explicit state(caller_stream& of)
-        : timer(of.get_executor()), stream(&of) {}
+    explicit state(caller_stream& of) : timer(of.get_executor()), stream(&of) {}
     asio::steady_timer timer;
     caller_stream* stream;
     bool passed = false;
@@ -247,8 +247,8 @@
   auto ServeOne() -> bool {
     if (!WaitForRequest()) return false;
     http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(
-        state_->limits.max_header_bytes));
+    parser.header_limit(
+        static_cast<std::uint32_t>(state_->limits.max_header_bytes));
     parser.body_limit(state_->limits.max_body_bytes);
     beast::error_code error;
     ReadRequest(parser, error);
@@ -282,8 +282,8 @@
     const auto place = state_->idle.insert(state_->idle.end(), &stream_);
     beast::error_code error;
     stream_.expires_after(state_->limits.idle_timeout);
-    const auto bytes = stream_.async_read_some(buffer_.prepare(4096),
-                                               yield_[error]);
+    const auto bytes =
+        stream_.async_read_some(buffer_.prepare(4096), yield_[error]);
     state_->idle.erase(place);
     buffer_.commit(bytes);
     return !error;
@@ -328,7 +328,8 @@
     } catch (const caller_gone&) {
       // The handler has noted what that means for the request.
     } catch (const std::exception& error) {
-      log_line(log_level::kError, "handler_failed").With("reason", error.what());
+      log_line(log_level::kError, "handler_failed")
+          .With("reason", error.what());
       failed = true;
     }
     // Outside the catch block: a fiber must not wait inside one.
--- a/src/ledger/service.cpp
+++ b/src/ledger/service.cpp
@@ -63,8 +63,7 @@
         asio::detached);
   }
   asio::spawn(
-      context_,
-      [this](asio::yield_context yield) { HousekeepingLoop(yield); },
+      context_, [this](asio::yield_context yield) { HousekeepingLoop(yield); },
       asio::detached);
   log_line(log_level::kInfo, "ledger_started")
       .With("name", settings_.name)
@@ -121,8 +120,8 @@
     reply(Encode(claim_response{claim_reply::kNotLeader, leader, {}}));
     return;
   }
-  node_.Propose(Encode(request.command), [this, reply](
-                                             const propose_result& result) {
+  node_.Propose(Encode(request.command), [this,
+                                          reply](const propose_result& result) {
     claim_response response{claim_reply::kUnknown, node_.core().leader(), {}};
     if (result.status == propose_status::kCommitted) {
       response.reply = claim_reply::kDecided;
@@ -193,9 +192,9 @@
     timer.expires_after(kHousekeepingPeriod);
     timer.async_wait(yield[ignored]);
     if (!node_.HasLease() || claims_.size() == 0) continue;
-    node_.Propose(Encode(claim_command(
-                      expire_claims{WallClockMs() - kClaimRetentionMs})),
-                  [](const propose_result&) {});
+    node_.Propose(
+        Encode(claim_command(expire_claims{WallClockMs() - kClaimRetentionMs})),
+        [](const propose_result&) {});
   }
 }
 
@@ -204,9 +203,8 @@
   if (path == "/health") return exchange.RespondJson(200, R"({"ok":true})");
   if (path == "/ready") {
     const bool ready = !node_.core().leader().empty();
-    return exchange.RespondJson(ready ? 200 : 503, ready
-                                                       ? R"({"ready":true})"
-                                                       : R"({"ready":false})");
+    return exchange.RespondJson(
+        ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})");
   }
   if (path == "/v1/status") return HandleStatus(exchange);
   if (path == "/v1/bills") return HandleBills(exchange);
@@ -219,14 +217,13 @@
     members.push_back({{"name", member.name}, {"voter", member.voter}});
   }
   exchange.RespondJson(
-      200, json::serialize(json::value{
-               {"name", settings_.name},
-               {"role", RoleName(node_.core().role())},
-               {"leader", node_.core().leader()},
-               {"has_lease", node_.HasLease()},
-               {"members", std::move(members)},
-               {"claims", claims_.size()},
-               {"bills", bills_.size()}}));
+      200, json::serialize(json::value{{"name", settings_.name},
+                                       {"role", RoleName(node_.core().role())},
+                                       {"leader", node_.core().leader()},
+                                       {"has_lease", node_.HasLease()},
+                                       {"members", std::move(members)},
+                                       {"claims", claims_.size()},
+                                       {"bills", bills_.size()}}));
 }
 
 auto ledger_service::HandleBills(http_exchange& exchange) -> void {
@@ -246,8 +243,8 @@
                     {"entry", bill.entry},
                     {"at_ms", bill.at_ms}});
   }
-  exchange.RespondJson(200,
-                       json::serialize(json::value{{"bills", std::move(rows)}}));
+  exchange.RespondJson(
+      200, json::serialize(json::value{{"bills", std::move(rows)}}));
 }
 
 }  // namespace lovagedale
--- a/src/operator_api/operator_api.cpp
+++ b/src/operator_api/operator_api.cpp
@@ -12,12 +12,13 @@
 namespace json = boost::json;
 
 constexpr std::chrono::milliseconds kProposeTimeout{5'000};
+constexpr std::int64_t kMaxQuarantineMinutes = 60LL * 24 * 30;
 constexpr std::size_t kShownHistory = 200;
 
-auto ErrorBody(std::string_view type, std::string_view message)
-    -> std::string {
+auto ErrorBody(std::string_view type, std::string_view message) -> std::string {
   return json::serialize(json::value{
-      {"error", {{"type", std::string(type)}, {"message", std::string(message)}}}});
+      {"error",
+       {{"type", std::string(type)}, {"message", std::string(message)}}}});
 }
 
 auto PhaseName(version_phase phase) -> const char* {
@@ -43,12 +44,9 @@
 }
 
 auto ToJson(const version_status& status) -> json::object {
-  return {{"version", status.version},
-          {"phase", PhaseName(status.phase)},
-          {"stage", status.stage},
-          {"share", status.Share()},
-          {"paused", status.paused},
-          {"successor", status.successor},
+  return {{"version", status.version}, {"phase", PhaseName(status.phase)},
+          {"stage", status.stage},     {"share", status.Share()},
+          {"paused", status.paused},   {"successor", status.successor},
           {"reason", status.reason}};
 }
 
@@ -78,8 +76,7 @@
   const auto result =
       std::from_chars(text.data(), text.data() + text.size(), number, 16);
   if (result.ec != std::errc{} || result.ptr != text.data() + text.size()) {
-    reader.AddError("fingerprint", "\"" + text + "\"",
-                    "16 hexadecimal digits");
+    reader.AddError("fingerprint", "\"" + text + "\"", "16 hexadecimal digits");
   }
   return number;
 }
@@ -96,12 +93,12 @@
 }
 
 auto ReadAction(object_reader& root) -> change_action {
-  const auto kind = root.Choice(
-      "action",
-      {"set_configuration", "start_rollout", "advance_rollout",
-       "pause_rollout", "resume_rollout", "withdraw_version",
-       "restore_version", "set_quarantine", "lift_quarantine"},
-      "");
+  const auto kind =
+      root.Choice("action",
+                  {"set_configuration", "start_rollout", "advance_rollout",
+                   "pause_rollout", "resume_rollout", "withdraw_version",
+                   "restore_version", "set_quarantine", "lift_quarantine"},
+                  "");
   if (kind.empty()) {
     if (!root.Has("action")) root.AddError("action", "", "an action's name");
     return set_configuration{};
@@ -110,7 +107,7 @@
     return set_configuration{root.RequiredString("document")};
   }
   if (kind == "set_quarantine") {
-    const auto minutes = root.Integer("minutes", 1, 60 * 24 * 30, 60);
+    const auto minutes = root.Integer("minutes", 1, kMaxQuarantineMinutes, 60);
     return set_quarantine{{ParseFingerprint(root),
                            WallClockMs() + minutes * 60'000,
                            root.String("reason", "set by an operator")}};
@@ -119,9 +116,8 @@
   const auto version = root.RequiredString("version");
   if (kind == "start_rollout") return start_rollout{version, ReadShares(root)};
   if (kind == "advance_rollout") {
-    return advance_rollout{
-        version, static_cast<std::uint32_t>(
-                     root.Integer("to_stage", 0, kMaxStageNumber, 0))};
+    return advance_rollout{version, static_cast<std::uint32_t>(root.Integer(
+                                        "to_stage", 0, kMaxStageNumber, 0))};
   }
   if (kind == "pause_rollout") return pause_rollout{version, true};
   if (kind == "resume_rollout") return pause_rollout{version, false};
@@ -156,9 +152,9 @@
     if (path == "/health") return exchange.RespondJson(200, R"({"ok":true})");
     if (path == "/ready") {
       const bool ready = !service_.node().core().leader().empty();
-      return exchange.RespondJson(ready ? 200 : 503,
-                                  ready ? R"({"ready":true})"
-                                        : R"({"ready":false})");
+      return exchange.RespondJson(
+          ready ? 200 : 503,
+          ready ? R"({"ready":true})" : R"({"ready":false})");
     }
     if (path == "/v1/status") return HandleStatus(exchange);
     if (path == "/v1/config") return HandleConfig(exchange);
@@ -170,19 +166,19 @@
     if (path == "/v1/changes") return HandleChange(exchange);
     if (path == "/v1/nodes/remove") return HandleRemoveNode(exchange);
   }
-  exchange.RespondJson(404, ErrorBody("not_found", "no such operator call: " +
-                                                       request.method + " " +
-                                                       std::string(path)));
+  exchange.RespondJson(
+      404, ErrorBody("not_found", "no such operator call: " + request.method +
+                                      " " + std::string(path)));
 }
 
 auto operator_api::RefuseNotLeader(http_exchange& exchange) -> void {
   const auto& leader = service_.node().core().leader();
   exchange.RespondJson(
-      421, json::serialize(json::value{
-               {"error",
-                {{"type", "not_leader"},
-                 {"message", "this control replica does not lead"},
-                 {"leader", leader}}}}));
+      421, json::serialize(
+               json::value{{"error",
+                            {{"type", "not_leader"},
+                             {"message", "this control replica does not lead"},
+                             {"leader", leader}}}}));
 }
 
 auto operator_api::HandleStatus(http_exchange& exchange) -> void {
@@ -212,32 +208,30 @@
   }
   const auto revision = service_.machine().view().revision;
   exchange.RespondJson(
-      200,
-      json::serialize(json::value{
-          {"name", service_.settings().name},
-          {"zone", service_.settings().zone},
-          {"role", RoleName(core.role())},
-          {"incarnation", core.incarnation()},
-          {"has_lease", service_.node().HasLease()},
-          {"leader", core.leader()},
-          {"term", core.term()},
-          {"commit_index", core.commit_index()},
-          {"state_hash", ToHex(Hash64(service_.machine().TakeSnapshot()))},
-          {"revision", revision},
-          {"spread", ToJson(service_.ForceStatusOf(revision))},
-          {"members", std::move(members)},
-          {"entries", std::move(entries)},
-          {"versions", std::move(versions)},
-          {"quarantines", std::move(quarantines)}}));
+      200, json::serialize(json::value{
+               {"name", service_.settings().name},
+               {"zone", service_.settings().zone},
+               {"role", RoleName(core.role())},
+               {"incarnation", core.incarnation()},
+               {"has_lease", service_.node().HasLease()},
+               {"leader", core.leader()},
+               {"term", core.term()},
+               {"commit_index", core.commit_index()},
+               {"state_hash", ToHex(Hash64(service_.machine().TakeSnapshot()))},
+               {"revision", revision},
+               {"spread", ToJson(service_.ForceStatusOf(revision))},
+               {"members", std::move(members)},
+               {"entries", std::move(entries)},
+               {"versions", std::move(versions)},
+               {"quarantines", std::move(quarantines)}}));
 }
 
 auto operator_api::HandleConfig(http_exchange& exchange) -> void {
   const auto& view = service_.machine().view();
   exchange.RespondJson(
-      200, json::serialize(json::value{
-               {"revision", view.revision},
-               {"current", service_.node().IsCurrent()},
-               {"document", view.document}}));
+      200, json::serialize(json::value{{"revision", view.revision},
+                                       {"current", service_.node().IsCurrent()},
+                                       {"document", view.document}}));
 }
 
 auto operator_api::HandleHistory(http_exchange& exchange) -> void {
@@ -260,8 +254,8 @@
         400, ErrorBody("invalid", "revision: got \"" + std::string(text) +
                                       "\"; allowed: a whole number"));
   }
-  exchange.RespondJson(200,
-                       json::serialize(ToJson(service_.ForceStatusOf(*revision))));
+  exchange.RespondJson(
+      200, json::serialize(ToJson(service_.ForceStatusOf(*revision))));
 }
 
 auto operator_api::HandleEvidence(http_exchange& exchange) -> void {
@@ -309,10 +303,10 @@
           200, json::serialize(json::value{{"revision", result.revision}}));
     case change_status::kConflict:
       return exchange.RespondJson(
-          409, json::serialize(json::value{
-                   {"error",
-                    {{"type", "conflict"}, {"message", result.message}}},
-                   {"revision", result.revision}}));
+          409,
+          json::serialize(json::value{
+              {"error", {{"type", "conflict"}, {"message", result.message}}},
+              {"revision", result.revision}}));
     case change_status::kInvalid:
       return exchange.RespondJson(400, ErrorBody("invalid", result.message));
   }
--- a/src/operator_client/operator_client.cpp
+++ b/src/operator_client/operator_client.cpp
@@ -57,8 +57,8 @@
 
 auto operator_client::CallLeader(const std::string& method,
                                  const std::string& target,
-                                 const std::string& body,
-                                 milliseconds timeout) -> http_answer {
+                                 const std::string& body, milliseconds timeout)
+    -> http_answer {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   for (;;) {
     for (const auto& address : settings_.control) {
@@ -76,8 +76,7 @@
   }
 }
 
-auto operator_client::CallAnyControl(const std::string& target)
-    -> http_answer {
+auto operator_client::CallAnyControl(const std::string& target) -> http_answer {
   return CallFirst(settings_.control, target, "control replica");
 }
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -42,9 +42,8 @@
     if (best_ && score >= best_->score) return;
     best_ = placement_choice{server.id,
                              server.state,
-                             cached_blocks > 0
-                                 ? placement_reason::kPrefixCached
-                                 : placement_reason::kLeastLoaded,
+                             cached_blocks > 0 ? placement_reason::kPrefixCached
+                                               : placement_reason::kLeastLoaded,
                              score,
                              cached_blocks,
                              0};
--- a/src/quality/evidence.cpp
+++ b/src/quality/evidence.cpp
@@ -6,8 +6,7 @@
 
 auto SignalBin(double signal) -> std::uint8_t {
   const auto scaled = std::clamp(signal, 0.0, 1.0) * kSignalBins;
-  return static_cast<std::uint8_t>(
-      std::min<double>(scaled, kSignalBins - 1));
+  return static_cast<std::uint8_t>(std::min<double>(scaled, kSignalBins - 1));
 }
 
 auto evidence_counts::operator+=(const evidence_counts& other)
--- a/src/questionnaire/questionnaire.cpp
+++ b/src/questionnaire/questionnaire.cpp
@@ -115,8 +115,8 @@
   }
 
   auto Add(const customer_answers& answers) -> void {
-    const auto mean_rate = answers.people * answers.requests_per_person_hour /
-                           kSecondsPerHour;
+    const auto mean_rate =
+        answers.people * answers.requests_per_person_hour / kSecondsPerHour;
     const auto rate = std::max(kMinRatePerSecond, mean_rate * kPeakFactor);
     const auto burst = std::ceil(rate * kBurstSeconds);
     const auto concurrent =
@@ -149,8 +149,8 @@
                const std::vector<std::string>& versions, double rate,
                std::int64_t concurrent) -> void {
     page_ << "## " << answers.name << "\n\n"
-          << "- `rate_per_s` " << rate << ": " << answers.people
-          << " people, " << answers.requests_per_person_hour
+          << "- `rate_per_s` " << rate << ": " << answers.people << " people, "
+          << answers.requests_per_person_hour
           << " requests an hour each, times " << kPeakFactor
           << " for peaks that nobody has measured; at least "
           << kMinRatePerSecond << ".\n"
@@ -175,8 +175,7 @@
   std::ostringstream page_;
 };
 
-auto AskNumber(const ask_function& ask, const std::string& question)
-    -> double {
+auto AskNumber(const ask_function& ask, const std::string& question) -> double {
   for (;;) {
     const auto text = ask(question);
     std::istringstream in(text);
@@ -206,8 +205,8 @@
   const auto& facts = value.as_object();
   for (const auto* key : {"zones", "models"}) {
     if (!facts.contains(key)) {
-      throw settings_invalid({{key, "", "the deployment's " +
-                                            std::string(key)}});
+      throw settings_invalid(
+          {{key, "", "the deployment's " + std::string(key)}});
     }
   }
   document_writer writer(facts);
--- a/src/replication/disk.cpp
+++ b/src/replication/disk.cpp
@@ -22,8 +22,8 @@
 }  // namespace
 
 auto posix_disk::OpenAppend(const std::string& path) -> int {
-  const int fd =
-      ::open(path.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, kFileMode);
+  const int fd = ::open(path.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC,
+                        kFileMode);
   if (fd < 0) Fail("cannot open", path);
   return fd;
 }
--- a/src/replication/log_store.cpp
+++ b/src/replication/log_store.cpp
@@ -126,9 +126,9 @@
 auto SegmentPath(const std::string& folder, std::uint64_t number)
     -> std::string {
   auto digits = std::to_string(number);
-  digits.insert(0, kSegmentDigits - std::min<std::size_t>(kSegmentDigits,
-                                                          digits.size()),
-                '0');
+  digits.insert(
+      0, kSegmentDigits - std::min<std::size_t>(kSegmentDigits, digits.size()),
+      '0');
   return folder + "/" + std::string(kSegmentPrefix) + digits;
 }
 
@@ -165,9 +165,10 @@
   for (const auto number : segments) {
     // A start that stopped before its first write leaves an empty segment, so
     // the torn batch may be in one that has only empty successors.
-    const bool is_last = std::all_of(
-        segments.begin(), segments.end(), [&](std::uint64_t other) {
-          return other <= number || fs::file_size(SegmentPath(folder, other)) == 0;
+    const bool is_last =
+        std::all_of(segments.begin(), segments.end(), [&](std::uint64_t other) {
+          return other <= number ||
+                 fs::file_size(SegmentPath(folder, other)) == 0;
         });
     ReadSegment(SegmentPath(folder, number), is_last, opened.state);
     opened.last_segment = number;
@@ -176,12 +177,10 @@
 }
 
 auto InitializeDataFolder(const std::string& folder,
-                          const std::vector<std::string>& voter_names)
-    -> void {
+                          const std::vector<std::string>& voter_names) -> void {
   CreateFolder(folder);
   if (!fs::is_empty(folder)) {
-    throw storage_error(folder +
-                        " is not empty; a group is created only once");
+    throw storage_error(folder + " is not empty; a group is created only once");
   }
   log_snapshot snapshot;
   for (const auto& name : voter_names) {
--- a/src/replication/replica_core.cpp
+++ b/src/replication/replica_core.cpp
@@ -69,8 +69,7 @@
   return log_[index - log_start_];
 }
 
-auto replica_core::TermAt(log_index index) const
-    -> std::optional<term_number> {
+auto replica_core::TermAt(log_index index) const -> std::optional<term_number> {
   if (index + 1 == log_start_) return term_before_log_;
   if (index < log_start_ || index > last_index()) return std::nullopt;
   return EntryAt(index).term;
@@ -152,16 +151,17 @@
     if (!member.voter) continue;
     const auto peer = peers_.find(member.name);
     const bool is_self = member.name == name_;
-    if (is_self || (peer != peers_.end() && peer->second.acked_sent_at >=
-                                                now - options_.election_max_ms)) {
+    if (is_self ||
+        (peer != peers_.end() &&
+         peer->second.acked_sent_at >= now - options_.election_max_ms)) {
       ++reached;
     }
   }
   return reached >= members_.Majority();
 }
 
-auto replica_core::StartElection(bool pre_vote, bool transfer,
-                                 monotonic_ms now) -> void {
+auto replica_core::StartElection(bool pre_vote, bool transfer, monotonic_ms now)
+    -> void {
   role_ = replica_role::kCandidate;
   leader_.clear();
   collecting_pre_votes_ = pre_vote;
@@ -270,8 +270,8 @@
                           const append_request& request, monotonic_ms now)
     -> void {
   if (request.term < hard_.term) {
-    Send(from.from, append_response{hard_.term, false, last_index(),
-                                    request.sent_at});
+    Send(from.from,
+         append_response{hard_.term, false, last_index(), request.sent_at});
     return;
   }
   if (request.term > hard_.term || role_ != replica_role::kFollower) {
@@ -285,12 +285,11 @@
     return;
   }
   if (TermAt(request.prev_index) != request.prev_term) {
-    const auto resume =
-        std::min(last_index(), request.prev_index == 0 ? 0
-                                                       : request.prev_index - 1);
-    Send(from.from, append_response{hard_.term, false,
-                                    std::max(resume, commit_),
-                                    request.sent_at});
+    const auto resume = std::min(
+        last_index(), request.prev_index == 0 ? 0 : request.prev_index - 1);
+    Send(from.from,
+         append_response{hard_.term, false, std::max(resume, commit_),
+                         request.sent_at});
     return;
   }
   for (const auto& entry : request.entries) {
@@ -308,8 +307,8 @@
                           const install_request& request, monotonic_ms now)
     -> void {
   if (request.term < hard_.term) {
-    Send(from.from, append_response{hard_.term, false, last_index(),
-                                    request.sent_at});
+    Send(from.from,
+         append_response{hard_.term, false, last_index(), request.sent_at});
     return;
   }
   if (request.term > hard_.term || role_ != replica_role::kFollower) {
@@ -487,8 +486,8 @@
   if (!prev_term) {
     if (peer.snapshot_sent && !heartbeat) return;
     // Repeated at a slow pace only: a snapshot may be large.
-    if (peer.snapshot_sent && now - peer.last_sent_at <
-                                  options_.election_max_ms) {
+    if (peer.snapshot_sent &&
+        now - peer.last_sent_at < options_.election_max_ms) {
       return;
     }
     peer.snapshot_sent = true;
@@ -557,8 +556,7 @@
   return oldest < 0 ? 0 : oldest + options_.lease_ms;
 }
 
-auto replica_core::Compact(log_index index, std::string state)
-    -> log_snapshot {
+auto replica_core::Compact(log_index index, std::string state) -> log_snapshot {
   assert(index <= commit_ && index >= snapshot_.index);
   const auto term = *TermAt(index);
   snapshot_ = {index, term, MembersAt(index), std::move(state)};
--- a/src/rollout/guard.cpp
+++ b/src/rollout/guard.cpp
@@ -34,8 +34,7 @@
 
 auto MeansOf(const evidence_counts& counts, const guard_input& input,
              const guard_options& options) -> baseline_means {
-  baseline_means means{input.expected_quality,
-                       1 - options.expected_error_rate};
+  baseline_means means{input.expected_quality, 1 - options.expected_error_rate};
   if (counts.ratings >= kMinBaselineCount) means.quality = counts.MeanRating();
   if (counts.requests >= kMinBaselineCount) {
     means.success = 1 - static_cast<double>(counts.errors) /
@@ -72,8 +71,8 @@
     if (found != classes.end()) found->second.baseline += counts;
   }
   std::vector<guard_test> tests = {whole};
-  const auto class_rate = options.false_alarm_rate / 2 /
-                          static_cast<double>(options.max_classes);
+  const auto class_rate =
+      options.false_alarm_rate / 2 / static_cast<double>(options.max_classes);
   for (auto& [name, test] : classes) {
     if (tests.size() > options.max_classes) break;
     test.alarm_rate = class_rate;
@@ -88,8 +87,7 @@
   // Each test's rate is shared by its two signals.
   const auto threshold = std::log(2 / test.alarm_rate);
   const auto& counts = test.candidate;
-  if (LogEvidenceOfDrop(counts.rating_sum,
-                        static_cast<double>(counts.ratings),
+  if (LogEvidenceOfDrop(counts.rating_sum, static_cast<double>(counts.ratings),
                         means.quality - options.quality_tolerance) >=
       threshold) {
     return "quality of " + test.name + " " +
@@ -97,8 +95,7 @@
            std::to_string(means.quality) + " after " +
            std::to_string(counts.ratings) + " ratings";
   }
-  if (LogEvidenceOfDrop(Successes(counts),
-                        static_cast<double>(counts.requests),
+  if (LogEvidenceOfDrop(Successes(counts), static_cast<double>(counts.requests),
                         means.success - options.error_tolerance) >= threshold) {
     return "errors of " + test.name + ": " + std::to_string(counts.errors) +
            " in " + std::to_string(counts.requests) + " requests against " +
@@ -116,8 +113,7 @@
       LogEvidenceOfRise(counts.rating_sum, static_cast<double>(counts.ratings),
                         means.quality - options.unacceptable_drop) >= threshold;
   const bool is_success_shown =
-      LogEvidenceOfRise(Successes(counts),
-                        static_cast<double>(counts.requests),
+      LogEvidenceOfRise(Successes(counts), static_cast<double>(counts.requests),
                         1 - options.unacceptable_error_rate) >= threshold;
   return is_quality_shown && is_success_shown;
 }
@@ -131,8 +127,8 @@
     const auto p1 = ClampMean(p0 - kDrops[i]);
     // For values in [0,1] this is a likelihood ratio of Bernoulli variables
     // extended linearly; by convexity its mean is at most 1 under the null.
-    logs[i] = sum * std::log(p1 / p0) +
-              (count - sum) * std::log((1 - p1) / (1 - p0));
+    logs[i] =
+        sum * std::log(p1 / p0) + (count - sum) * std::log((1 - p1) / (1 - p0));
   }
   return LogMeanExp(logs);
 }
@@ -150,7 +146,8 @@
     }
   }
   const auto& whole = tests.front();
-  const auto at_stage = whole.candidate.requests - input.requests_at_stage_start;
+  const auto at_stage =
+      whole.candidate.requests - input.requests_at_stage_start;
   if (whole.candidate.requests >= input.requests_at_stage_start &&
       at_stage >= options.min_requests_per_stage &&
       IsShownAcceptable(whole, input, options)) {
--- a/src/rpc/connection.cpp
+++ b/src/rpc/connection.cpp
@@ -85,17 +85,16 @@
   write_active_ = true;
   writing_.clear();
   writing_.swap(queued_);
-  asio::async_write(
-      socket_, asio::buffer(writing_),
-      [self = shared_from_this()](boost::system::error_code error,
-                                  std::size_t) {
-        self->write_active_ = false;
-        if (error) {
-          self->Close();
-          return;
-        }
-        if (!self->queued_.empty()) self->WriteQueued();
-      });
+  asio::async_write(socket_, asio::buffer(writing_),
+                    [self = shared_from_this()](boost::system::error_code error,
+                                                std::size_t) {
+                      self->write_active_ = false;
+                      if (error) {
+                        self->Close();
+                        return;
+                      }
+                      if (!self->queued_.empty()) self->WriteQueued();
+                    });
 }
 
 auto frame_connection::Close() -> void {
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -15,7 +15,8 @@
 
 constexpr int kDeadPeerMs = 5'000;
 
-using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+using reuse_port =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 }  // namespace
 
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -88,13 +88,12 @@
           {"total_tokens", input + tokens}};
 }
 
-auto Event(const engine_call& call, const json::object& delta)
-    -> std::string {
+auto Event(const engine_call& call, const json::object& delta) -> std::string {
   return "data: " +
-         json::serialize(json::value{
-             {"object", "chat.completion.chunk"},
-             {"model", call.version},
-             {"choices", {{{"index", 0}, {"delta", delta}}}}}) +
+         json::serialize(
+             json::value{{"object", "chat.completion.chunk"},
+                         {"model", call.version},
+                         {"choices", {{{"index", 0}, {"delta", delta}}}}}) +
          "\n\n";
 }
 
@@ -139,7 +138,8 @@
   const auto seed = HashFields(version, prompt);
   for (std::int64_t i = 0; i < tokens; ++i) {
     answer.push_back(
-        "w" + ToHex(MixBits(seed + static_cast<std::uint64_t>(i))).substr(0, 6) +
+        "w" +
+        ToHex(MixBits(seed + static_cast<std::uint64_t>(i))).substr(0, 6) +
         " ");
   }
   return answer;
@@ -165,10 +165,10 @@
 auto standin::Handle(http_exchange& exchange) -> void {
   const auto path = exchange.request().Path();
   if (path == "/load") {
-    exchange.RespondJson(
-        200, json::serialize(json::value{{"running", running_},
-                                         {"waiting", waiting_},
-                                         {"leaving", leaving_}}));
+    exchange.RespondJson(200,
+                         json::serialize(json::value{{"running", running_},
+                                                     {"waiting", waiting_},
+                                                     {"leaving", leaving_}}));
     return;
   }
   if (path == "/record") {
@@ -176,9 +176,9 @@
     return;
   }
   if (leaving_) {
-    exchange.RespondJson(503, R"({"error":{"type":"leaving"}})",
-                         {{"Lovagedale-Ran", "no"},
-                          {"Lovagedale-Leaving", "true"}});
+    exchange.RespondJson(
+        503, R"({"error":{"type":"leaving"}})",
+        {{"Lovagedale-Ran", "no"}, {"Lovagedale-Leaving", "true"}});
     return;
   }
   if (settings_.role == "rating") {
@@ -222,12 +222,12 @@
       Pause(settings_.token_ms, exchange);
     }
     if (call.include_usage) {
-      exchange.Write("data: " +
-                     json::serialize(json::value{
-                         {"object", "chat.completion.chunk"},
-                         {"choices", json::array{}},
-                         {"usage", Usage(call, answer.size())}}) +
-                     "\n\n");
+      exchange.Write(
+          "data: " +
+          json::serialize(json::value{{"object", "chat.completion.chunk"},
+                                      {"choices", json::array{}},
+                                      {"usage", Usage(call, answer.size())}}) +
+          "\n\n");
     }
     exchange.Write("data: [DONE]\n\n");
     exchange.EndStream();
@@ -240,12 +240,12 @@
   const bool good = IsGoodAnswer(settings_, call.version, call.prompt);
   const auto draw =
       UnitInterval(HashFields(call.version, call.prompt, "confidence"));
-  const auto confidence = (good ? kGoodConfidence : kBadConfidence) +
-                          kConfidenceSpread * draw;
-  json::object choice = {{"index", 0},
-                         {"finish_reason", "stop"},
-                         {"message",
-                          {{"role", "assistant"}, {"content", text}}}};
+  const auto confidence =
+      (good ? kGoodConfidence : kBadConfidence) + kConfidenceSpread * draw;
+  json::object choice = {
+      {"index", 0},
+      {"finish_reason", "stop"},
+      {"message", {{"role", "assistant"}, {"content", text}}}};
   if (call.logprobs) {
     choice["logprobs"] = {
         {"content", {{{"token", "w"}, {"logprob", std::log(confidence)}}}}};
@@ -272,12 +272,12 @@
   if (HasMarker(request.body, "[crash]")) std::_Exit(kCrashExitCode);
   if (HasMarker(request.body, "[silent]")) Pause(kForeverMs, exchange);
   Pause(settings_.first_token_ms, exchange);
-  exchange.RespondJson(
-      200, json::serialize(json::value{{"service", settings_.name},
-                                       {"method", request.method},
-                                       {"path", request.target},
-                                       {"order", order},
-                                       {"times", record_[order]}}));
+  exchange.RespondJson(200,
+                       json::serialize(json::value{{"service", settings_.name},
+                                                   {"method", request.method},
+                                                   {"path", request.target},
+                                                   {"order", order},
+                                                   {"times", record_[order]}}));
 }
 
 auto standin::HandleRating(http_exchange& exchange) -> void {
--- a/tests/billing/bill_store_test.cpp
+++ b/tests/billing/bill_store_test.cpp
@@ -24,9 +24,9 @@
 auto GenerateBill() -> rc::Gen<bill_record> {
   return rc::gen::apply(
       [](int cost, bool complete, int entry) {
-        auto bill = Bill("r", cost,
-                         complete ? bill_status::kComplete
-                                  : bill_status::kPartial);
+        auto bill =
+            Bill("r", cost,
+                 complete ? bill_status::kComplete : bill_status::kPartial);
         bill.entry = "entry-" + std::to_string(entry);
         return bill;
       },
@@ -75,10 +75,9 @@
     bill_sequence from_b = 0;
     for (int i = 0; i < 40; ++i) {
       auto& store = random() % 2 == 0 ? a : b;
-      store.Add({Bill("r" + std::to_string(random() % 8),
-                      static_cast<micros>(random() % 4),
-                      random() % 2 == 0 ? bill_status::kPartial
-                                        : bill_status::kComplete)});
+      store.Add({Bill(
+          "r" + std::to_string(random() % 8), static_cast<micros>(random() % 4),
+          random() % 2 == 0 ? bill_status::kPartial : bill_status::kComplete)});
       if (random() % 3 == 0) {
         const auto page = a.Since(from_a, 2);
         from_a = page.next;
@@ -106,8 +105,8 @@
     CHECK_THROWS_AS(
         {
           for (int i = 0; i < 100; ++i) {
-            store.Add({Bill("r" + std::to_string(i), 1,
-                            bill_status::kComplete)});
+            store.Add(
+                {Bill("r" + std::to_string(i), 1, bill_status::kComplete)});
             ++acknowledged;
           }
         },
--- a/tests/cascade/plan_test.cpp
+++ b/tests/cascade/plan_test.cpp
@@ -16,11 +16,11 @@
   const auto bins = has_signal ? std::size_t{kSignalBins} : std::size_t{1};
   for (std::size_t i = 0; i < bins; ++i) {
     auto& counts = known.bins[has_signal ? i : kSignalBins];
-    const auto mean = has_signal
-                          ? std::min(1.0, quality * 2.0 *
-                                              (static_cast<double>(i) + 0.5) /
-                                              kSignalBins)
-                          : quality;
+    const auto mean =
+        has_signal
+            ? std::min(1.0, quality * 2.0 * (static_cast<double>(i) + 0.5) /
+                                kSignalBins)
+            : quality;
     counts.requests = counts.ratings = ratings / bins;
     counts.rating_sum = mean * static_cast<double>(counts.ratings);
   }
@@ -39,18 +39,17 @@
 }
 
 TEST_CASE("a cheap version that meets the target answers alone") {
-  const auto plan =
-      PlanCascade({Known(0, 100, 0.9, 1'000, false),
-                   Known(1, 1'000, 0.95, 1'000, false)},
-                  0.8, {});
+  const auto plan = PlanCascade(
+      {Known(0, 100, 0.9, 1'000, false), Known(1, 1'000, 0.95, 1'000, false)},
+      0.8, {});
   REQUIRE(plan.first.steps.size() == 1);
   CHECK(plan.first.steps[0].version == 0);
 }
 
 TEST_CASE("with an informative signal a cascade beats both versions alone") {
-  const auto plan = PlanCascade({Known(0, 100, 0.6, 4'000, true),
-                                 Known(1, 1'000, 0.95, 4'000, false)},
-                                0.85, {});
+  const auto plan = PlanCascade(
+      {Known(0, 100, 0.6, 4'000, true), Known(1, 1'000, 0.95, 4'000, false)},
+      0.85, {});
   CHECK(plan.first.steps.size() == 2);
   CHECK(plan.first.expected_cost < 1'000);
 }
--- a/tests/catalog/catalog_test.cpp
+++ b/tests/catalog/catalog_test.cpp
@@ -43,8 +43,9 @@
         "100000");
   CHECK(Contains(ErrorAfter("\"slots\":4", "\"slot\":4"),
                  "pools[0].servers[0].slot: got 4; allowed: one of the keys"));
-  CHECK(Contains(ErrorAfter("\"target_quality\":0.8", "\"target_quality\":\"x\""),
-                 "customers[0].target_quality: got \"x\""));
+  CHECK(
+      Contains(ErrorAfter("\"target_quality\":0.8", "\"target_quality\":\"x\""),
+               "customers[0].target_quality: got \"x\""));
   CHECK(Contains(ErrorAfter("\"zone\":\"akl-b\"", "\"zone\":\"akl-z\""),
                  "pools[0].servers[1].zone: got \"akl-z\"; allowed: a declared "
                  "zone: akl-a akl-b"));
@@ -54,15 +55,16 @@
 }
 
 TEST_CASE("a cascade may name only versions that its customer may use") {
-  const auto document =
-      Replace(SmallDocument(),
-              "\"versions\":[\"scholar@1\",\"draft@1\",\"scholar@2\"],\n       "
-              "\"services\"",
-              "\"versions\":[\"draft@1\"],\"cascade\":[{\"version\":\"draft@1\"},"
-              "{\"version\":\"scholar@1\"}],\n       \"services\"");
-  CHECK(ErrorOf(document) ==
-        "customers[0].cascade[1].version: got \"scholar@1\"; allowed: a version "
-        "that the customer may use");
+  const auto document = Replace(
+      SmallDocument(),
+      "\"versions\":[\"scholar@1\",\"draft@1\",\"scholar@2\"],\n       "
+      "\"services\"",
+      "\"versions\":[\"draft@1\"],\"cascade\":[{\"version\":\"draft@1\"},"
+      "{\"version\":\"scholar@1\"}],\n       \"services\"");
+  CHECK(
+      ErrorOf(document) ==
+      "customers[0].cascade[1].version: got \"scholar@1\"; allowed: a version "
+      "that the customer may use");
 }
 
 TEST_CASE("all mistakes of a document are reported together") {
--- a/tests/claim/claim_machine_test.cpp
+++ b/tests/claim/claim_machine_test.cpp
@@ -67,7 +67,8 @@
   CHECK(machine.Decide(other).status == claim_status::kGranted);
 }
 
-TEST_CASE("under crashes and losses no key is granted twice without a release") {
+TEST_CASE(
+    "under crashes and losses no key is granted twice without a release") {
   CHECK(rc::check([](std::uint64_t seed) {
     replica_cluster cluster(3, seed);
     std::mt19937_64 random(seed);
@@ -100,7 +101,8 @@
         const auto [known, is_new] = holder.emplace(key, begin->attempt);
         RC_ASSERT(known->second == begin->attempt);
       } else if (const auto* release = std::get_if<release_claim>(&command)) {
-        if (result.status == claim_status::kDone) holder.erase(release->key.key);
+        if (result.status == claim_status::kDone)
+          holder.erase(release->key.key);
       } else if (const auto* finish = std::get_if<finish_claim>(&command)) {
         if (result.status == claim_status::kDone) {
           finished.insert(finish->key.key);
--- a/tests/configuration/in_force_test.cpp
+++ b/tests/configuration/in_force_test.cpp
@@ -11,7 +11,8 @@
 
 }  // namespace
 
-TEST_CASE("a revision is accepted only once every registered entry follows it") {
+TEST_CASE(
+    "a revision is accepted only once every registered entry follows it") {
   force_tracker tracker(0);
   tracker.Heartbeat("a", 1, 5, 100);
   tracker.Heartbeat("b", 1, 4, 100);
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -67,11 +67,12 @@
   limits.header_timeout = std::chrono::milliseconds(50);
   limits.body_timeout = std::chrono::milliseconds(50);
   running_server server(limits, Echo);
-  CHECK(Exchange(server.port(), "nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
-  CHECK(Exchange(server.port(),
-                 "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n" +
-                     std::string(101, 'x'))
-            .starts_with("HTTP/1.1 413"));
+  CHECK(
+      Exchange(server.port(), "nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+  CHECK(
+      Exchange(server.port(), "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n" +
+                                  std::string(101, 'x'))
+          .starts_with("HTTP/1.1 413"));
   CHECK(Exchange(server.port(), "POST / HTTP/1.1\r\nContent-Le")
             .starts_with("HTTP/1.1 408"));
   CHECK(Exchange(server.port(),
--- a/tests/placement/placement_test.cpp
+++ b/tests/placement/placement_test.cpp
@@ -12,7 +12,8 @@
 struct server_set {
   explicit server_set(std::size_t count, std::size_t local) {
     for (server_id id = 0; id < count; ++id) {
-      states.push_back(std::make_unique<server_state>("s" + std::to_string(id)));
+      states.push_back(
+          std::make_unique<server_state>("s" + std::to_string(id)));
       auto& list = id < local ? group.local : group.remote;
       list.push_back({id, 4, states.back().get()});
     }
@@ -83,7 +84,9 @@
   }));
 }
 
-TEST_CASE("a server that holds the prompt's prefix wins while it is not much busier") {
+TEST_CASE(
+    "a server that holds the prompt's prefix wins while it is not much "
+    "busier") {
   server_set servers(40, 40);
   prefix_index prefixes(100);
   const std::string prompt(20 * kPrefixBlockBytes, 'x');
--- a/tests/questionnaire/questionnaire_test.cpp
+++ b/tests/questionnaire/questionnaire_test.cpp
@@ -42,8 +42,8 @@
 
 TEST_CASE("wrong answers name the field") {
   try {
-    GenerateConfiguration(Answers(
-        R"({"name":"carts","key":"k","patience":"never"})"));
+    GenerateConfiguration(
+        Answers(R"({"name":"carts","key":"k","patience":"never"})"));
     FAIL("accepted");
   } catch (const settings_invalid& error) {
     CHECK(std::string(error.what()) ==
@@ -53,7 +53,7 @@
 }
 
 TEST_CASE("the same questions can be answered at a prompt") {
-  std::deque<std::string> lines = {"carts", "k",   "10", "4",
+  std::deque<std::string> lines = {"carts",    "k",   "10", "4",
                                    "can_wait", "0.8", "0",  ""};
   auto facts = SmallDocument();
   facts.resize(facts.find(",\n    \"customers\""));
@@ -62,9 +62,9 @@
     lines.pop_front();
     return line;
   });
-  CHECK(ParseCatalog(GenerateConfiguration(answers).document)
-            .customers[0]
-            .name == "carts");
+  CHECK(
+      ParseCatalog(GenerateConfiguration(answers).document).customers[0].name ==
+      "carts");
 }
 
 }  // namespace lovagedale::testing
--- a/tests/replication/log_store_test.cpp
+++ b/tests/replication/log_store_test.cpp
@@ -1,3 +1,5 @@
+#include "lovagedale/replication/log_store.h"
+
 #include <doctest/doctest.h>
 
 #include <filesystem>
@@ -5,7 +7,6 @@
 
 #include "lovagedale/replication/batch_file.h"
 #include "lovagedale/replication/errors.h"
-#include "lovagedale/replication/log_store.h"
 #include "support/memory_disk.h"
 #include "support/temporary_folder.h"
 
--- a/tests/replication/replica_core_test.cpp
+++ b/tests/replication/replica_core_test.cpp
@@ -70,7 +70,8 @@
 
 }  // namespace
 
-TEST_CASE("a committed entry is never lost or changed, and leases never overlap") {
+TEST_CASE(
+    "a committed entry is never lost or changed, and leases never overlap") {
   CHECK(rc::check([](std::uint64_t seed, bool five) {
     replica_cluster cluster(five ? 5 : 3, seed);
     const auto schedule = *rc::gen::container<std::vector<std::uint8_t>>(
@@ -120,7 +121,8 @@
     cluster.Run(300);
     const auto committed = cluster.committed().size();
     cluster.LoseDisk(seed % 3);
-    for (int i = 0; i < 500 && !cluster.IsRepairComplete(); ++i) cluster.Run(20);
+    for (int i = 0; i < 500 && !cluster.IsRepairComplete(); ++i)
+      cluster.Run(20);
     REQUIRE(cluster.IsRepairComplete());
     cluster.LoseDisk((seed + 1) % 3);
     cluster.Run(4'000);
--- a/tests/rollout/guard_test.cpp
+++ b/tests/rollout/guard_test.cpp
@@ -25,8 +25,8 @@
   guard_input input;
   input.expected_quality = 0.8;
   for (std::size_t c = 0; c < trial.classes; ++c) {
-    input.baseline[{"old", "class" + std::to_string(c)}] = {
-        10'000, 50, 10'000, 8'000, 8'000};
+    input.baseline[{"old", "class" + std::to_string(c)}] = {10'000, 50, 10'000,
+                                                            8'000, 8'000};
   }
   for (std::size_t i = 1; i <= limit; ++i) {
     const auto c = random() % trial.classes;
@@ -45,7 +45,9 @@
 
 }  // namespace
 
-TEST_CASE("a version as good as its baseline is withdrawn in 1% of roll-outs or less") {
+TEST_CASE(
+    "a version as good as its baseline is withdrawn in 1% of roll-outs or "
+    "less") {
   constexpr int kRollouts = 1'000;
   int alarms = 0;
   for (std::uint64_t seed = 0; seed < kRollouts; ++seed) {
@@ -56,8 +58,7 @@
 
 TEST_CASE("a version 20 points worse is withdrawn") {
   for (std::uint64_t seed = 0; seed < 100; ++seed) {
-    const auto requests =
-        RequestsUntilWithdrawn({.quality = 0.6}, seed, 2'000);
+    const auto requests = RequestsUntilWithdrawn({.quality = 0.6}, seed, 2'000);
     CHECK(requests > 0);
   }
 }
@@ -92,7 +93,8 @@
   const auto config = ParseCatalog(SmallDocument());
   fleet_view view;
   CHECK(DefaultSuccessor(config, view, "scholar@2") == "scholar@1");
-  view.versions = {{"scholar@1", version_phase::kWithdrawn, 0, {}, false, "", ""}};
+  view.versions = {
+      {"scholar@1", version_phase::kWithdrawn, 0, {}, false, "", ""}};
   CHECK(DefaultSuccessor(config, view, "scholar@2").empty());
 }
 
--- a/tests/session/session_token_test.cpp
+++ b/tests/session/session_token_test.cpp
@@ -17,8 +17,8 @@
 TEST_CASE("altered and foreign texts are no tokens") {
   auto text = FormatSessionToken({"scholar@2", 1}, "carts");
   text[0] = 'X';
-  for (const auto& bad : {std::string{}, std::string("~"),
-                                std::string("a~b~c"), text}) {
+  for (const auto& bad :
+       {std::string{}, std::string("~"), std::string("a~b~c"), text}) {
     CHECK_FALSE(ParseSessionToken(bad, "carts").has_value());
   }
 }
--- a/tools/lovagedalectl.cpp
+++ b/tools/lovagedalectl.cpp
@@ -135,8 +135,7 @@
                 << status.at("in_force") << " of " << status.at("entries")
                 << " entries";
       if (status.at("without_permit").to_number<int>() > 0) {
-        std::cout << ", " << status.at("without_permit")
-                  << " without a permit";
+        std::cout << ", " << status.at("without_permit") << " without a permit";
       }
       std::cout << "\n";
       return kExitOk;
@@ -321,21 +320,21 @@
   const auto value = json::parse(answer.body);
   std::cout << "leader " << value.at("leader") << " term " << value.at("term")
             << " revision " << value.at("revision") << "\n";
-  for (const auto* key : {"spread", "members", "entries", "versions",
-                          "quarantines"}) {
+  for (const auto* key :
+       {"spread", "members", "entries", "versions", "quarantines"}) {
     std::cout << key << ": " << value.at(key) << "\n";
   }
   return kExitOk;
 }
 
 auto RunEvidence(const arguments& /*args*/) -> int {
-  return PrintJson(MakeClient().CallLeader("GET", "/v1/evidence", "",
-                                           Timeout()));
+  return PrintJson(
+      MakeClient().CallLeader("GET", "/v1/evidence", "", Timeout()));
 }
 
 auto RunBills(const arguments& /*args*/) -> int {
-  return PrintJson(MakeClient().CallAnyLedger(
-      "/v1/bills?customer=" + absl::GetFlag(FLAGS_customer)));
+  return PrintJson(MakeClient().CallAnyLedger("/v1/bills?customer=" +
+                                              absl::GetFlag(FLAGS_customer)));
 }
 
 auto RunExplain(const arguments& args) -> int {
