Learned cascades: signal curves, portfolio over task classes, rated exploration

Cause of the misses: ratings are spent on kept answers, so their mean overstated a version's own. Ruled out: too few ratings alone.

--- a/include/lovagedale/cascade/plan.h
+++ b/include/lovagedale/cascade/plan.h
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "lovagedale/catalog/catalog.h"
@@ -24,7 +26,7 @@
   std::vector<cascade_step> steps;
   double expected_cost = 0;     ///< micros per 1k answer tokens
   double expected_quality = 0;  ///< mean rating, 0 to 1
-  double quality_bound = 0;     ///< lower confidence bound of it
+  double quality_variance = 0;  ///< of that estimate
   double expected_ms = 0;       ///< time to the whole answer
 
   auto operator==(const cascade_plan&) const -> bool = default;
@@ -52,26 +54,38 @@
   double expected_ms = 0;       ///< time to a whole answer
   /// Answers to first attempts by signal bin; the last one had no signal.
   std::array<evidence_counts, kSignalBins + 1> bins{};
-  /// Answers given after another version's answer was not kept.
-  evidence_counts escalated{};
+  /// Answers given after another version's answer was not kept: by that
+  /// version and the signal bin of its answer.
+  std::map<version_id, std::array<evidence_counts, kSignalBins>> escalated{};
+};
+
+/// What is known of a customer's versions on one of its task classes.
+struct class_knowledge {
+  double weight = 1;  ///< share of the customer's requests
+  /// By rising price.
+  std::vector<version_knowledge> versions;
 };
 
 struct planning_options {
   /// Standard errors that the quality bound lies below the estimate.
-  double confidence_z = 1.3;
+  double confidence_z = 1.0;
   /// Weight of the configured quality, in ratings.
   double prior_weight = 12;
-  /// Weight of a version's mean in each of its bins, in ratings.
-  double bin_prior_weight = 6;
   /// Cost of one millisecond, in micros per 1k tokens.
   double cost_per_ms = 0;
   /// Longest cascade.
   std::size_t max_steps = 2;
 };
 
-/// Chooses the plans with the least expected cost whose quality bound meets
-/// the target; the best expected quality if none does. `versions` are sorted
-/// by price. Pure.
+/// Chooses a plan for each task class, so that the mean quality over all of
+/// them meets the target at the least expected cost: quality is bought in the
+/// class where it costs least. The estimate must exceed the target by
+/// `confidence_z` standard errors. The safest plans if nothing meets it. Pure.
+auto PlanPortfolio(const std::vector<class_knowledge>& classes,
+                   double target_quality, const planning_options& options)
+    -> std::vector<mixed_plan>;
+
+/// PlanPortfolio for a single class.
 auto PlanCascade(const std::vector<version_knowledge>& versions,
                  double target_quality, const planning_options& options)
     -> mixed_plan;
@@ -81,7 +95,12 @@
                  const std::string& task_class, const evidence_table& evidence)
     -> version_knowledge;
 
-/// Task class under which answers after an escalation are counted.
-auto EscalatedClass(const std::string& task_class) -> std::string;
+/// Part of the task class of answers after an escalation.
+inline constexpr std::string_view kAfterMark = "+after:";
+
+/// Task class under which answers are counted that were given after `source`'s
+/// answer was not kept.
+auto EscalatedClass(const std::string& task_class, const std::string& source)
+    -> std::string;
 
 }  // namespace lovagedale
--- a/include/lovagedale/entry/chat_handler.h
+++ b/include/lovagedale/entry/chat_handler.h
@@ -43,11 +43,25 @@
   auto RunBuffered(chat_run& run, std::size_t step) -> buffered_answer;
   auto RunStreamed(chat_run& run, std::size_t step) -> void;
   auto MakeJob(chat_run& run, std::size_t step) -> dispatch_job;
+  /// Whether a step's answer is kept, so that no further step runs.
+  auto IsKept(chat_run& run, std::size_t step, const buffered_answer& answer)
+      -> bool;
+  auto ChooseLearnedPlan(chat_run& run) -> void;
+  auto AskRating(const chat_run& run, const std::string& version,
+                 const std::string& answer, const evidence_key& key,
+                 boost::asio::yield_context yield) -> std::optional<double>;
+  static auto RatingRequest(const chat_run& run, const std::string& version,
+                            const std::string& answer) -> http_request;
+  auto SendRating(const std::string& host, std::uint16_t port,
+                  const http_request& request, const evidence_key& key,
+                  boost::asio::yield_context yield) -> std::optional<double>;
   auto AnswerBuffered(chat_run& run, const buffered_answer& answer) -> void;
   auto EndStream(chat_run& run) -> void;
   auto Bill(chat_run& run, bill_status status) -> void;
+  auto KeyOf(const chat_run& run, const std::string& version,
+             std::optional<double> signal) const -> evidence_key;
   auto RecordOutcome(const chat_run& run, const std::string& version,
-                     bool is_error, std::optional<double> signal) -> void;
+                     std::optional<double> signal) -> void;
   auto MaybeRate(const chat_run& run, const std::string& version,
                  const std::string& answer, std::optional<double> signal)
       -> void;
--- a/include/lovagedale/entry/routing_table.h
+++ b/include/lovagedale/entry/routing_table.h
@@ -74,11 +74,23 @@
   auto operator==(const named_step&) const -> bool = default;
 };
 
+struct named_exploration {
+  std::string version;
+  double share = 0;
+
+  auto operator==(const named_exploration&) const -> bool = default;
+};
+
 /// A customer's plans for one task class.
 struct named_plan {
   std::vector<named_step> first;
   std::vector<named_step> second;
   double first_share = 1;
+  /// Versions to learn about, with the share of requests that try each; the
+  /// last step of `first` replaces their answers that are not good.
+  std::vector<named_exploration> explored;
+  /// Share of each version's ordinary answers to rate.
+  std::map<std::string, double> rating_shares;
 
   auto operator==(const named_plan&) const -> bool = default;
   auto Pick(double draw) const -> const std::vector<named_step>& {
@@ -100,6 +112,11 @@
                const std::string& task_class) const -> named_plan;
 
  private:
+  auto KnowledgeFor(const customer& item, const std::string& task_class) const
+      -> std::vector<version_knowledge>;
+  auto ClassesOf(const customer& item, const std::string& task_class) const
+      -> std::map<std::string, double>;
+
   std::shared_ptr<const routing_table> table_;
   evidence_table evidence_;
 };
--- /dev/null
+++ b/src/cascade/signal_curve.cpp
@@ -0,0 +1,95 @@
+#include "lovagedale/cascade/signal_curve.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lovagedale {
+namespace {
+
+constexpr int kNewtonSteps = 12;
+constexpr double kMinChance = 0.005;
+constexpr double kMaxStep = 2.0;
+/// Weight of the curve in each bin, in ratings.
+constexpr double kCurveWeight = 60;
+
+auto Logistic(double odds) -> double { return 1 / (1 + std::exp(-odds)); }
+
+/// A bin's centre, with the middle of the range at zero.
+auto Centre(std::size_t bin) -> double {
+  return (static_cast<double>(bin) + 0.5) / kSignalBins - 0.5;
+}
+
+}  // namespace
+
+auto LogOdds(double chance) -> double {
+  const auto kept = std::clamp(chance, kMinChance, 1 - kMinChance);
+  return std::log(kept / (1 - kept));
+}
+
+signal_curve::signal_curve(
+    const std::array<evidence_counts, kSignalBins>& bins,
+    const curve_prior& prior)
+    : intercept_(prior.intercept), slope_(prior.slope) {
+  const auto intercept_precision =
+      1 / (prior.intercept_deviation * prior.intercept_deviation);
+  const auto slope_precision =
+      1 / (prior.slope_deviation * prior.slope_deviation);
+  for (int step = 0; step < kNewtonSteps; ++step) {
+    // Gradient and curvature of the log posterior.
+    auto gradient_a = -(intercept_ - prior.intercept) * intercept_precision;
+    auto gradient_b = -(slope_ - prior.slope) * slope_precision;
+    auto curvature_aa = intercept_precision;
+    auto curvature_ab = 0.0;
+    auto curvature_bb = slope_precision;
+    for (std::size_t bin = 0; bin < kSignalBins; ++bin) {
+      const auto n = static_cast<double>(bins[bin].ratings);
+      if (n <= 0) continue;
+      const auto x = Centre(bin);
+      const auto p = OnCurve(bin);
+      const auto residual = bins[bin].rating_sum - n * p;
+      const auto weight = n * p * (1 - p);
+      gradient_a += residual;
+      gradient_b += residual * x;
+      curvature_aa += weight;
+      curvature_ab += weight * x;
+      curvature_bb += weight * x * x;
+    }
+    const auto determinant =
+        curvature_aa * curvature_bb - curvature_ab * curvature_ab;
+    intercept_variance_ = curvature_bb / determinant;
+    slope_variance_ = curvature_aa / determinant;
+    covariance_ = -curvature_ab / determinant;
+    const auto step_a =
+        intercept_variance_ * gradient_a + covariance_ * gradient_b;
+    const auto step_b = covariance_ * gradient_a + slope_variance_ * gradient_b;
+    intercept_ += std::clamp(step_a, -kMaxStep, kMaxStep);
+    slope_ += std::clamp(step_b, -kMaxStep, kMaxStep);
+  }
+  for (std::size_t bin = 0; bin < kSignalBins; ++bin) {
+    const auto n = static_cast<double>(bins[bin].ratings);
+    chances_[bin] = (bins[bin].rating_sum + kCurveWeight * OnCurve(bin)) /
+                    (n + kCurveWeight);
+  }
+}
+
+auto signal_curve::OnCurve(std::size_t bin) const -> double {
+  return Logistic(intercept_ + slope_ * Centre(bin));
+}
+
+auto signal_curve::Sum(const bin_weights& weights) const -> quality_estimate {
+  quality_estimate sum;
+  double by_intercept = 0;
+  double by_slope = 0;
+  for (std::size_t bin = 0; bin < kSignalBins; ++bin) {
+    const auto p = At(bin);
+    sum.mean += weights[bin] * p;
+    by_intercept += weights[bin] * p * (1 - p);
+    by_slope += weights[bin] * p * (1 - p) * Centre(bin);
+  }
+  sum.variance = by_intercept * by_intercept * intercept_variance_ +
+                 2 * by_intercept * by_slope * covariance_ +
+                 by_slope * by_slope * slope_variance_;
+  return sum;
+}
+
+}  // namespace lovagedale
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/json.hpp>
 
+#include "lovagedale/cascade/exploration.h"
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/session/session_token.h"
@@ -26,8 +27,13 @@
 constexpr int kMaxChoices = 5;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kFirstClientError = 400;
-/// Share of a steady version's answers offered for rating.
-constexpr double kSteadyRatingShare = 0.3;
+/// Share of answers offered for rating where no plan names one.
+constexpr double kDefaultRatingShare = 0.1;
+/// Ratings from this on count as good.
+constexpr double kGoodScore = 0.5;
+constexpr http_deadlines kRatingDeadlines{milliseconds(300),
+                                          milliseconds(5'000),
+                                          milliseconds(5'000)};
 constexpr double kRatingBurstSeconds = 2;
 constexpr std::int64_t kTokensPerPrice = 1'000;
 
@@ -104,6 +110,8 @@
   std::vector<step> steps;
   std::string reason;
   std::vector<std::string> alternatives;
+  bool explores = false;  ///< the first step's answer is rated before use
+  double rating_share = kDefaultRatingShare;
 
   event_relay relay;
   std::string delivered;  ///< events that the caller has
@@ -112,6 +120,9 @@
   micros cost = 0;
   std::uint32_t attempts = 0;
   std::string answered_by;
+  /// The version whose answer was not kept, and the answer's signal bin.
+  std::string rejected_version;
+  std::uint8_t rejected_bin = kNoSignal;
   bool billed = false;
   monotonic_ms started = 0;
   std::optional<monotonic_ms> first_byte_at;
@@ -170,13 +181,14 @@
           return;
         }
         const auto answer = RunBuffered(run, step);
-        const auto bin =
-            answer.facts.signal ? SignalBin(*answer.facts.signal) : kNoSignal;
-        if (is_last || bin >= run.steps[step].accept_from_bin) {
+        if (is_last || IsKept(run, step, answer)) {
           AnswerBuffered(run, answer);
           return;
         }
         context_.metrics->Count(entry_counter::kEscalations);
+        run.rejected_version = run.steps[step].version;
+        run.rejected_bin =
+            answer.facts.signal ? SignalBin(*answer.facts.signal) : kNoSignal;
         log_line(log_level::kInfo, "cascade_escalated")
             .With("request", run.caller.request_id)
             .With("from", run.steps[step].version)
@@ -215,12 +227,7 @@
   if (run.request.model != kAutoModel) {
     ChooseNamedVersion(run);
   } else {
-    const auto draw = UnitInterval(HashFields(run.caller.request_id, "mix"));
-    for (const auto& step :
-         context_.PlanFor(run.owner.name, run.task_class).Pick(draw)) {
-      run.steps.push_back({step.version, step.accept_from_bin});
-    }
-    run.reason = run.steps.size() > 1 ? "cascade" : "direct";
+    ChooseLearnedPlan(run);
     // A session keeps one version: the one that the cascade ends with.
     if (run.wants_session && run.steps.size() > 1) {
       run.steps.erase(run.steps.begin(), run.steps.end() - 1);
@@ -238,6 +245,45 @@
   }
 }
 
+auto chat_handler::ChooseLearnedPlan(chat_run& run) -> void {
+  const auto& plan = context_.PlanFor(run.owner.name, run.task_class);
+  const auto draw = UnitInterval(HashFields(run.caller.request_id, "mix"));
+  for (const auto& step : plan.Pick(draw)) {
+    run.steps.push_back({step.version, step.accept_from_bin});
+  }
+  run.reason = run.steps.size() > 1 ? "cascade" : "direct";
+  if (run.steps.empty()) return;
+  const auto shares = plan.rating_shares.find(run.steps.back().version);
+  if (shares != plan.rating_shares.end()) run.rating_share = shares->second;
+  auto explore_draw =
+      UnitInterval(HashFields(run.caller.request_id, "explore"));
+  for (const auto& item : plan.explored) {
+    if (explore_draw >= item.share) {
+      explore_draw -= item.share;
+      continue;
+    }
+    const auto safe = plan.first.back().version;
+    if (run.wants_session || item.version == safe) return;
+    run.steps = {{item.version, kExplorationBin}, {safe, 0}};
+    run.reason = "exploration";
+    run.explores = true;
+    return;
+  }
+}
+
+auto chat_handler::IsKept(chat_run& run, std::size_t step,
+                          const buffered_answer& answer) -> bool {
+  const auto& signal = answer.facts.signal;
+  const auto bin = signal ? SignalBin(*signal) : kNoSignal;
+  const bool is_confident = bin >= run.steps[step].accept_from_bin;
+  if (!run.explores) return is_confident;
+  const auto score =
+      AskRating(run, run.steps[step].version, answer.facts.text,
+                KeyOf(run, run.steps[step].version, signal),
+                run.exchange.yield());
+  return is_confident && score && *score >= kGoodScore;
+}
+
 auto chat_handler::ChooseSessionVersion(chat_run& run) -> void {
   const auto token = ParseSessionToken(
       run.exchange.request().Header("Lovagedale-Session"), run.owner.name);
@@ -369,11 +415,8 @@
                         TextOfEvents(run.delivered)});
     return request;
   };
-  const auto task_class =
-      step == 0 ? run.task_class : EscalatedClass(run.task_class);
-  job.on_failure = [this, version, task_class] {
-    context_.state.evidence.Add({version, task_class, kNoSignal},
-                                {.requests = 1, .errors = 1});
+  job.on_failure = [this, key = KeyOf(run, version, std::nullopt)] {
+    context_.state.evidence.Add(key, {.requests = 1, .errors = 1});
   };
   return job;
 }
@@ -404,7 +447,7 @@
   const auto& config = run.table->config();
   run.cost +=
       CostOf(config.versions[*config.FindVersion(job.version)], answer.facts);
-  RecordOutcome(run, job.version, /*is_error=*/false, answer.facts.signal);
+  RecordOutcome(run, job.version, answer.facts.signal);
   return answer;
 }
 
@@ -454,7 +497,7 @@
   run.facts.output_tokens += facts.output_tokens;
   const auto& config = run.table->config();
   run.cost += CostOf(config.versions[*config.FindVersion(job.version)], facts);
-  RecordOutcome(run, job.version, /*is_error=*/false, std::nullopt);
+  RecordOutcome(run, job.version, std::nullopt);
 }
 
 auto chat_handler::AnswerHeaders(const chat_run& run) const -> header_list {
@@ -524,26 +567,80 @@
                             static_cast<double>(context_.clock.Now() - before));
 }
 
+auto chat_handler::KeyOf(const chat_run& run, const std::string& version,
+                         std::optional<double> signal) const -> evidence_key {
+  if (!run.rejected_version.empty()) {
+    return {version, EscalatedClass(run.task_class, run.rejected_version),
+            run.rejected_bin};
+  }
+  return {version, run.task_class, signal ? SignalBin(*signal) : kNoSignal};
+}
+
 auto chat_handler::RecordOutcome(const chat_run& run,
-                                 const std::string& version, bool is_error,
+                                 const std::string& version,
                                  std::optional<double> signal) -> void {
-  const bool is_first = version == run.steps.front().version;
-  context_.state.evidence.Add(
-      {version, is_first ? run.task_class : EscalatedClass(run.task_class),
-       signal ? SignalBin(*signal) : kNoSignal},
-      {.requests = 1, .errors = is_error ? 1U : 0U});
+  context_.state.evidence.Add(KeyOf(run, version, signal), {.requests = 1});
+}
+
+auto chat_handler::RatingRequest(const chat_run& run,
+                                 const std::string& version,
+                                 const std::string& answer) -> http_request {
+  http_request request;
+  request.method = "POST";
+  request.target = "/v1/ratings";
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = json::serialize(
+      json::value{{"request_id", run.caller.request_id},
+                  {"customer", run.owner.name},
+                  {"task_class", run.task_class},
+                  {"version", version},
+                  {"prompt", run.request.prompt},
+                  {"answer", answer}});
+  return request;
+}
+
+auto chat_handler::AskRating(const chat_run& run, const std::string& version,
+                             const std::string& answer,
+                             const evidence_key& key,
+                             asio::yield_context yield)
+    -> std::optional<double> {
+  const auto rating = run.table->config().rating;
+  if (!rating) return std::nullopt;
+  return SendRating(rating->host, rating->port,
+                    RatingRequest(run, version, answer), key, yield);
+}
+
+auto chat_handler::SendRating(const std::string& host, std::uint16_t port,
+                              const http_request& request,
+                              const evidence_key& key,
+                              asio::yield_context yield)
+    -> std::optional<double> {
+  try {
+    const auto reply = HttpCall(context_.io, host, port, request,
+                                kRatingDeadlines, yield);
+    const auto value = json::parse(reply.body);
+    const auto score = value.at("score").to_number<double>();
+    context_.state.evidence.Add(key, {.ratings = 1,
+                                      .rating_sum = score,
+                                      .rating_square_sum = score * score});
+    context_.metrics->Count(entry_counter::kRatings);
+    return score;
+  } catch (const std::exception& error) {
+    log_line(log_level::kDebug, "rating_failed").With("reason", error.what());
+    return std::nullopt;
+  }
 }
 
 auto chat_handler::MaybeRate(const chat_run& run, const std::string& version,
                              const std::string& answer,
                              std::optional<double> signal) -> void {
   const auto& rating = run.table->config().rating;
-  if (!rating) return;
+  if (!rating || (run.explores && run.rejected_version.empty())) return;
   const auto id = run.table->config().FindVersion(version);
   const bool is_rollout =
       id && run.table->Route(*id).phase == version_phase::kRollout;
   const auto draw = UnitInterval(HashFields(run.caller.request_id, "rating"));
-  if (!is_rollout && draw >= kSteadyRatingShare) return;
+  if (!is_rollout && draw >= run.rating_share) return;
   const auto now = context_.clock.Now();
   const auto sharers = static_cast<double>(
       std::max<std::uint32_t>(context_.state.live_entries, 1) *
@@ -552,39 +649,12 @@
   context_.ratings.SetLimit(rate, std::max(1.0, rate * kRatingBurstSeconds),
                             now);
   if (!context_.ratings.TryTake(now)) return;
-  const bool is_first = version == run.steps.front().version;
-  const evidence_key key{
-      version, is_first ? run.task_class : EscalatedClass(run.task_class),
-      signal ? SignalBin(*signal) : kNoSignal};
-  http_request request;
-  request.method = "POST";
-  request.target = "/v1/ratings";
-  request.headers = {{"Content-Type", "application/json"}};
-  request.body =
-      json::serialize(json::value{{"request_id", run.caller.request_id},
-                                  {"customer", run.owner.name},
-                                  {"task_class", run.task_class},
-                                  {"version", version},
-                                  {"prompt", run.request.prompt},
-                                  {"answer", answer}});
   asio::spawn(
       context_.io,
-      [this, request, key, host = rating->host,
+      [this, request = RatingRequest(run, version, answer),
+       key = KeyOf(run, version, signal), host = rating->host,
        port = rating->port](asio::yield_context yield) {
-        try {
-          const auto reply = HttpCall(context_.io, host, port, request,
-                                      context_.state.settings.deadlines, yield);
-          const auto value = json::parse(reply.body);
-          const auto score = value.at("score").to_number<double>();
-          context_.state.evidence.Add(key,
-                                      {.ratings = 1,
-                                       .rating_sum = score,
-                                       .rating_square_sum = score * score});
-          context_.metrics->Count(entry_counter::kRatings);
-        } catch (const std::exception& error) {
-          log_line(log_level::kDebug, "rating_failed")
-              .With("reason", error.what());
-        }
+        SendRating(host, port, request, key, yield);
       },
       asio::detached);
 }
--- a/src/entry/routing_table.cpp
+++ b/src/entry/routing_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "lovagedale/cascade/exploration.h"
+
 namespace lovagedale {
 namespace {
 
@@ -112,6 +114,36 @@
                        evidence_table evidence)
     : table_(std::move(table)), evidence_(std::move(evidence)) {}
 
+auto plan_table::KnowledgeFor(const customer& item,
+                              const std::string& task_class) const
+    -> std::vector<version_knowledge> {
+  std::vector<version_knowledge> versions;
+  for (const auto version : item.versions) {
+    if (table_->Route(version).phase != version_phase::kSteady) continue;
+    const auto& group = table_->ServersOf(version);
+    if (group.local.empty() && group.remote.empty()) continue;
+    versions.push_back(
+        KnowledgeOf(table_->config(), version, task_class, evidence_));
+  }
+  return versions;
+}
+
+auto plan_table::ClassesOf(const customer& item,
+                           const std::string& task_class) const
+    -> std::map<std::string, double> {
+  // A class without evidence still has to be planned for.
+  std::map<std::string, double> weights = {{task_class, 1}};
+  for (const auto& [key, counts] : evidence_) {
+    const auto version = table_->config().FindVersion(key.version);
+    if (!version || !item.Allows(*version) ||
+        key.task_class.find(kAfterMark) != std::string::npos) {
+      continue;
+    }
+    weights[key.task_class] += static_cast<double>(counts.requests);
+  }
+  return weights;
+}
+
 auto plan_table::PlanFor(const std::string& customer_name,
                          const std::string& task_class) const -> named_plan {
   const auto& config = table_->config();
@@ -119,20 +151,36 @@
   if (!id) return {};
   const auto& item = config.customers[*id];
   if (!item.cascade.empty()) return FixedPlan(*table_, item);
-  std::vector<version_knowledge> versions;
-  for (const auto version : item.versions) {
-    if (table_->Route(version).phase != version_phase::kSteady) continue;
-    const auto& group = table_->ServersOf(version);
-    if (group.local.empty() && group.remote.empty()) continue;
-    versions.push_back(KnowledgeOf(config, version, task_class, evidence_));
+  std::vector<class_knowledge> classes;
+  std::size_t wanted = 0;
+  for (const auto& [name, weight] : ClassesOf(item, task_class)) {
+    if (name == task_class) wanted = classes.size();
+    classes.push_back({weight, KnowledgeFor(item, name)});
   }
   planning_options options;
-  if (item.patience == patience_class::kInteractive) {
-    options.cost_per_ms = kInteractiveCostPerMs;
+  const bool is_patient = item.patience == patience_class::kPatient;
+  if (!is_patient) options.cost_per_ms = kInteractiveCostPerMs;
+  const auto plans = PlanPortfolio(classes, item.target_quality, options);
+  if (plans.empty()) return {};
+  const auto& chosen = plans[wanted];
+  named_plan result{NameSteps(config, chosen.first),
+                    NameSteps(config, chosen.second), chosen.first_share,
+                    {},
+                    {}};
+  const exploration_options exploration;
+  const auto& versions = classes[wanted].versions;
+  // Only patient callers wait for an answer to be rated.
+  if (is_patient && config.rating) {
+    for (const auto& share : ExplorationShares(versions, exploration)) {
+      result.explored.push_back(
+          {config.versions[share.version].name, share.share});
+    }
+  }
+  for (const auto& known : versions) {
+    result.rating_shares[config.versions[known.version].name] =
+        RatingShare(known, exploration);
   }
-  const auto plan = PlanCascade(versions, item.target_quality, options);
-  return {NameSteps(config, plan.first), NameSteps(config, plan.second),
-          plan.first_share};
+  return result;
 }
 
 }  // namespace lovagedale
--- a/tests/cascade/plan_test.cpp
+++ b/tests/cascade/plan_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <cmath>
+
 namespace lovagedale::testing {
 namespace {
 
@@ -24,8 +26,13 @@
     counts.requests = counts.ratings = ratings / bins;
     counts.rating_sum = mean * static_cast<double>(counts.ratings);
   }
-  known.escalated = {ratings, 0, ratings,
-                     quality * 0.95 * static_cast<double>(ratings), 0};
+  for (std::size_t i = 0; i < kSignalBins; ++i) {
+    const auto count = ratings / kSignalBins;
+    for (version_id source = 0; source < id; ++source) {
+      known.escalated[source][i] = {
+          count, 0, count, quality * 0.95 * static_cast<double>(count), 0};
+    }
+  }
   return known;
 }
 
@@ -54,32 +61,60 @@
   CHECK(plan.first.expected_cost < 1'000);
 }
 
-TEST_CASE("the mixture meets the target whenever some plan does") {
+TEST_CASE("the plans meet the target with margin and cost no more than one version") {
   CHECK(rc::check([] {
-    std::vector<version_knowledge> versions;
+    const planning_options options;
+    std::vector<class_knowledge> classes(*rc::gen::inRange<std::size_t>(1, 4));
     const auto count = *rc::gen::inRange<version_id>(1, 6);
-    for (version_id id = 0; id < count; ++id) {
-      versions.push_back(Known(id, 100 * (id + 1),
-                               *rc::gen::inRange(30, 99) / 100.0,
-                               *rc::gen::inRange<std::uint64_t>(0, 2'000),
-                               *rc::gen::arbitrary<bool>()));
+    for (auto& item : classes) {
+      item.weight = *rc::gen::inRange(1, 5);
+      for (version_id id = 0; id < count; ++id) {
+        item.versions.push_back(Known(id, 100 * (id + 1),
+                                      *rc::gen::inRange(30, 99) / 100.0,
+                                      *rc::gen::inRange<std::uint64_t>(0, 2'000),
+                                      *rc::gen::arbitrary<bool>()));
+      }
     }
     const auto target = *rc::gen::inRange(30, 99) / 100.0;
-    const auto plan = PlanCascade(versions, target, {});
-    const auto bound = plan.first_share * plan.first.quality_bound +
-                       (1 - plan.first_share) * plan.second.quality_bound;
-    const auto cost = plan.first_share * plan.first.expected_cost +
-                      (1 - plan.first_share) * plan.second.expected_cost;
-    for (const auto& known : versions) {
-      // Each version alone is a plan: none that meets the target is cheaper.
-      const auto alone = PlanCascade({known}, 0, {}).first;
-      if (alone.steps.size() != 1 || alone.quality_bound < target) continue;
-      RC_ASSERT(bound >= target - 1e-9);
-      RC_ASSERT(cost <= alone.expected_cost + 1e-6);
+    const auto plans = PlanPortfolio(classes, target, options);
+    RC_ASSERT(plans.size() == classes.size());
+    double weight = 0;
+    double cost = 0;
+    for (std::size_t i = 0; i < plans.size(); ++i) {
+      weight += classes[i].weight;
+      cost += classes[i].weight *
+              (plans[i].first_share * plans[i].first.expected_cost +
+               (1 - plans[i].first_share) * plans[i].second.expected_cost);
+    }
+    // Each version alone is a portfolio too: none that meets the target with
+    // its margin is cheaper.
+    for (version_id id = 0; id < count; ++id) {
+      double alone = 0;
+      double variance = 0;
+      for (const auto& item : classes) {
+        const auto plan = PlanCascade({item.versions[id]}, 0, options).first;
+        const auto share = item.weight / weight;
+        alone += share * plan.expected_quality;
+        variance += share * share * plan.quality_variance;
+      }
+      if (alone - 2 * options.confidence_z * std::sqrt(variance) < target) {
+        continue;
+      }
+      RC_ASSERT(cost / weight <= 100 * (id + 1) + 1e-6);
     }
   }));
 }
 
+TEST_CASE("quality is bought in the class where it costs least") {
+  // The second class gains nothing from the dear version.
+  const std::vector<class_knowledge> classes = {
+      {1, {Known(0, 100, 0.5, 4'000, false), Known(1, 1'000, 0.95, 4'000, false)}},
+      {1, {Known(0, 100, 0.8, 4'000, false), Known(1, 1'000, 0.81, 4'000, false)}}};
+  const auto plans = PlanPortfolio(classes, 0.8, {});
+  CHECK(plans[0].Pick(0.5).steps[0].version == 1);
+  CHECK(plans[1].Pick(0.5).steps[0].version == 0);
+}
+
 TEST_CASE("an impatient customer pays for speed") {
   auto slow = Known(0, 100, 0.9, 1'000, false);
   auto fast = Known(1, 300, 0.9, 1'000, false);
