--- a/benchmark/decisions/cost_study.h
+++ b/benchmark/decisions/cost_study.h
@@ -22,4 +22,9 @@
 auto RunCostStudy(figure_report& report, const cost_study_options& options)
     -> void;
 
+/// Latency of impatient customers on the first shape, beside always the
+/// fastest version that meets the target, and their cost beside always best.
+auto RunInteractiveStudy(figure_report& report,
+                         const cost_study_options& options) -> void;
+
 }  // namespace lovagedale::benchmark
--- a/benchmark/decisions/decisions_main.cpp
+++ b/benchmark/decisions/decisions_main.cpp
@@ -5,9 +5,11 @@
 #include <absl/flags/usage.h>
 
 #include "decisions/cost_study.h"
+#include "decisions/guard_study.h"
+#include "decisions/placement_study.h"
 #include "decisions/report.h"
 
-ABSL_FLAG(std::string, study, "all", "cost or all");
+ABSL_FLAG(std::string, study, "all", "cost, interactive, guard, placement or all");
 ABSL_FLAG(std::string, shape, "", "one workload shape only");
 ABSL_FLAG(uint64_t, seed, 1000, "first seed of the customers");
 ABSL_FLAG(double, confidence_z, -1, "overrides planning_options");
@@ -51,6 +53,11 @@
   if (wanted("cost")) {
     lovagedale::benchmark::RunCostStudy(report, CostOptions());
   }
+  if (wanted("interactive")) {
+    lovagedale::benchmark::RunInteractiveStudy(report, CostOptions());
+  }
+  if (wanted("guard")) lovagedale::benchmark::RunGuardStudy(report);
+  if (wanted("placement")) lovagedale::benchmark::RunPlacementStudy(report);
   report.Print();
   const auto path = absl::GetFlag(FLAGS_json);
   if (!path.empty()) report.WriteJson(path);
--- a/include/lovagedale/cascade/exploration.h
+++ b/include/lovagedale/cascade/exploration.h
@@ -8,6 +8,9 @@
 
 namespace lovagedale {
 
+/// How a customer's requests are used for learning. Patient callers wait until
+/// an explored answer is rated and get a better one if it is not good; with
+/// others, few requests explore and a low signal alone replaces an answer.
 struct exploration_options {
   /// Largest share of a class's requests that try a little-known version.
   double max_share = 0.9;
@@ -20,6 +23,9 @@
   double rating_knee = 40;
 };
 
+/// Options for customers whose callers do not wait for ratings.
+auto InteractiveExploration() -> exploration_options;
+
 /// Answers of an explored version with a lower signal are not kept; others
 /// are kept if they are rated as good.
 inline constexpr std::uint8_t kExplorationBin = kSignalBins / 2;
--- a/include/lovagedale/cascade/plan.h
+++ b/include/lovagedale/cascade/plan.h
@@ -68,7 +68,7 @@
 
 struct planning_options {
   /// Standard errors that the quality bound lies below the estimate.
-  double confidence_z = 1.0;
+  double confidence_z = 0.9;
   /// Weight of the configured quality, in ratings.
   double prior_weight = 12;
   /// Cost of one millisecond, in micros per 1k tokens.
--- a/include/lovagedale/entry/routing_table.h
+++ b/include/lovagedale/entry/routing_table.h
@@ -89,6 +89,7 @@
   /// Versions to learn about, with the share of requests that try each; the
   /// last step of `first` replaces their answers that are not good.
   std::vector<named_exploration> explored;
+  bool waits_for_rating = false;  ///< of explored answers
   /// Share of each version's ordinary answers to rate.
   std::map<std::string, double> rating_shares;
 
--- a/include/lovagedale/rollout/guard.h
+++ b/include/lovagedale/rollout/guard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,7 +26,9 @@
   std::size_t max_classes = 8;
   /// Before a stage ends its version must have run this many requests there.
   std::uint64_t min_requests_per_stage = 50;
-  /// And be shown not to be worse than its baseline by this much.
+  /// And be shown, as a whole and on each class that makes up `min_class_share`
+  /// of its requests, not to be worse than its baseline by this much.
+  double min_class_share = 0.05;
   double unacceptable_drop = 0.2;
   double unacceptable_error_rate = 0.05;
   /// Probability of advancing a version that is worse by that much.
@@ -45,15 +48,24 @@
   auto operator==(const guard_decision&) const -> bool = default;
 };
 
+/// Drops of a mean that a test looks for. The average of their likelihood
+/// ratios is evidence too, whatever the true drop is; the nearer one of them
+/// is to it, the sooner it shows.
+using drop_list = std::array<double, 4>;
+inline constexpr drop_list kQualityDrops = {0.05, 0.1, 0.2, 0.35};
+inline constexpr drop_list kSuccessDrops = {0.02, 0.045, 0.1, 0.3};
+
 /// Evidence against "the mean is at least `null_mean`" in favour of a lower
 /// mean, from `count` values between 0 and 1 whose sum is `sum`. Its
 /// expectation is at most 1 while the mean is at least `null_mean`, at any
 /// stopping time; so stopping once it reaches 1/a errs with probability at
 /// most a, however often it is looked at. Returns the natural logarithm.
-auto LogEvidenceOfDrop(double sum, double count, double null_mean) -> double;
+auto LogEvidenceOfDrop(double sum, double count, double null_mean,
+                       const drop_list& drops) -> double;
 
 /// The same for "the mean is at most `null_mean`", in favour of a higher one.
-auto LogEvidenceOfRise(double sum, double count, double null_mean) -> double;
+auto LogEvidenceOfRise(double sum, double count, double null_mean,
+                       const drop_list& rises) -> double;
 
 /// A version's evidence beside that of the versions it would replace.
 struct guard_input {
--- a/src/cascade/exploration.cpp
+++ b/src/cascade/exploration.cpp
@@ -10,6 +10,13 @@
   return count;
 }
 
+auto InteractiveExploration() -> exploration_options {
+  constexpr double kInteractiveShare = 0.1;
+  exploration_options options;
+  options.max_share = kInteractiveShare;
+  return options;
+}
+
 auto ExplorationShares(const std::vector<version_knowledge>& versions,
                        const exploration_options& options)
     -> std::vector<exploration_share> {
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -110,8 +110,10 @@
   std::vector<step> steps;
   std::string reason;
   std::vector<std::string> alternatives;
-  bool explores = false;  ///< the first step's answer is rated before use
+  bool explores = false;  ///< the first step tries a little-known version
+  bool waits_for_rating = false;  ///< before an explored answer is used
   double rating_share = kDefaultRatingShare;
+  bool was_rated = false;  ///< the answer in hand
 
   event_relay relay;
   std::string delivered;  ///< events that the caller has
@@ -187,6 +189,7 @@
         }
         context_.metrics->Count(entry_counter::kEscalations);
         run.rejected_version = run.steps[step].version;
+        run.was_rated = false;
         run.rejected_bin =
             answer.facts.signal ? SignalBin(*answer.facts.signal) : kNoSignal;
         log_line(log_level::kInfo, "cascade_escalated")
@@ -267,6 +270,7 @@
     run.steps = {{item.version, kExplorationBin}, {safe, 0}};
     run.reason = "exploration";
     run.explores = true;
+    run.waits_for_rating = plan.waits_for_rating;
     return;
   }
 }
@@ -277,6 +281,12 @@
   const auto bin = signal ? SignalBin(*signal) : kNoSignal;
   const bool is_confident = bin >= run.steps[step].accept_from_bin;
   if (!run.explores) return is_confident;
+  if (!run.waits_for_rating) {
+    MaybeRate(run, run.steps[step].version, answer.facts.text, signal);
+    run.was_rated = is_confident;
+    return is_confident;
+  }
+  run.was_rated = true;
   const auto score =
       AskRating(run, run.steps[step].version, answer.facts.text,
                 KeyOf(run, run.steps[step].version, signal),
@@ -635,12 +645,12 @@
                              const std::string& answer,
                              std::optional<double> signal) -> void {
   const auto& rating = run.table->config().rating;
-  if (!rating || (run.explores && run.rejected_version.empty())) return;
+  if (!rating || run.was_rated) return;
   const auto id = run.table->config().FindVersion(version);
   const bool is_rollout =
       id && run.table->Route(*id).phase == version_phase::kRollout;
   const auto draw = UnitInterval(HashFields(run.caller.request_id, "rating"));
-  if (!is_rollout && draw >= run.rating_share) return;
+  if (!is_rollout && !run.explores && draw >= run.rating_share) return;
   const auto now = context_.clock.Now();
   const auto sharers = static_cast<double>(
       std::max<std::uint32_t>(context_.state.live_entries, 1) *
--- a/src/entry/routing_table.cpp
+++ b/src/entry/routing_table.cpp
@@ -163,14 +163,15 @@
   const auto plans = PlanPortfolio(classes, item.target_quality, options);
   if (plans.empty()) return {};
   const auto& chosen = plans[wanted];
-  named_plan result{NameSteps(config, chosen.first),
-                    NameSteps(config, chosen.second), chosen.first_share,
-                    {},
-                    {}};
-  const exploration_options exploration;
+  named_plan result;
+  result.first = NameSteps(config, chosen.first);
+  result.second = NameSteps(config, chosen.second);
+  result.first_share = chosen.first_share;
+  result.waits_for_rating = is_patient;
+  const auto exploration =
+      is_patient ? exploration_options{} : InteractiveExploration();
   const auto& versions = classes[wanted].versions;
-  // Only patient callers wait for an answer to be rated.
-  if (is_patient && config.rating) {
+  if (config.rating) {
     for (const auto& share : ExplorationShares(versions, exploration)) {
       result.explored.push_back(
           {config.versions[share.version].name, share.share});
--- a/src/rollout/guard.cpp
+++ b/src/rollout/guard.cpp
@@ -8,9 +8,6 @@
 namespace lovagedale {
 namespace {
 
-/// Alternatives tested, as drops of the mean. The average of their likelihood
-/// ratios is evidence too, whatever the true drop is.
-constexpr std::array<double, 6> kDrops = {0.02, 0.05, 0.1, 0.2, 0.35, 0.6};
 constexpr double kMinMean = 1e-3;
 constexpr double kMaxMean = 1 - 1e-3;
 /// Baselines with fewer values are taken from the configuration instead.
@@ -20,7 +17,7 @@
   return std::clamp(mean, kMinMean, kMaxMean);
 }
 
-auto LogMeanExp(const std::array<double, kDrops.size()>& logs) -> double {
+auto LogMeanExp(const drop_list& logs) -> double {
   const auto top = *std::max_element(logs.begin(), logs.end());
   double sum = 0;
   for (const auto value : logs) sum += std::exp(value - top);
@@ -88,7 +85,8 @@
   const auto threshold = std::log(2 / test.alarm_rate);
   const auto& counts = test.candidate;
   if (LogEvidenceOfDrop(counts.rating_sum, static_cast<double>(counts.ratings),
-                        means.quality - options.quality_tolerance) >=
+                        means.quality - options.quality_tolerance,
+                        kQualityDrops) >=
       threshold) {
     return "quality of " + test.name + " " +
            std::to_string(counts.MeanRating()) + " against " +
@@ -96,7 +94,8 @@
            std::to_string(counts.ratings) + " ratings";
   }
   if (LogEvidenceOfDrop(Successes(counts), static_cast<double>(counts.requests),
-                        means.success - options.error_tolerance) >= threshold) {
+                        means.success - options.error_tolerance,
+                        kSuccessDrops) >= threshold) {
     return "errors of " + test.name + ": " + std::to_string(counts.errors) +
            " in " + std::to_string(counts.requests) + " requests against " +
            std::to_string(1 - means.success) + " a request";
@@ -104,27 +103,49 @@
   return std::nullopt;
 }
 
-auto IsShownAcceptable(const guard_test& whole, const guard_input& input,
-                       const guard_options& options) -> bool {
-  const auto means = MeansOf(whole.baseline, input, options);
-  const auto threshold = std::log(1 / options.advance_error_rate);
-  const auto& counts = whole.candidate;
-  const bool is_quality_shown =
-      LogEvidenceOfRise(counts.rating_sum, static_cast<double>(counts.ratings),
-                        means.quality - options.unacceptable_drop) >= threshold;
-  const bool is_success_shown =
-      LogEvidenceOfRise(Successes(counts), static_cast<double>(counts.requests),
-                        1 - options.unacceptable_error_rate) >= threshold;
-  return is_quality_shown && is_success_shown;
+auto IsQualityShown(const guard_test& test, const guard_input& input,
+                    const guard_options& options) -> bool {
+  const auto means = MeansOf(test.baseline, input, options);
+  const auto& counts = test.candidate;
+  return LogEvidenceOfRise(
+             counts.rating_sum, static_cast<double>(counts.ratings),
+             means.quality - options.unacceptable_drop, kQualityDrops) >=
+         std::log(1 / options.advance_error_rate);
+}
+
+auto IsSuccessShown(const guard_test& test, const guard_options& options)
+    -> bool {
+  const auto& counts = test.candidate;
+  return LogEvidenceOfRise(Successes(counts),
+                           static_cast<double>(counts.requests),
+                           1 - options.unacceptable_error_rate,
+                           kSuccessDrops) >=
+         std::log(1 / options.advance_error_rate);
+}
+
+/// `tests` holds the whole version first and then its classes.
+auto IsShownAcceptable(const std::vector<guard_test>& tests,
+                       const guard_input& input, const guard_options& options)
+    -> bool {
+  const auto& whole = tests.front();
+  if (!IsSuccessShown(whole, options)) return false;
+  const auto least = options.min_class_share *
+                     static_cast<double>(whole.candidate.requests);
+  return std::all_of(
+      tests.begin(), tests.end(), [&](const guard_test& test) {
+        return static_cast<double>(test.candidate.requests) < least ||
+               IsQualityShown(test, input, options);
+      });
 }
 
 }  // namespace
 
-auto LogEvidenceOfDrop(double sum, double count, double null_mean) -> double {
+auto LogEvidenceOfDrop(double sum, double count, double null_mean,
+                       const drop_list& drops) -> double {
   const auto p0 = ClampMean(null_mean);
-  std::array<double, kDrops.size()> logs{};
-  for (std::size_t i = 0; i < kDrops.size(); ++i) {
-    const auto p1 = ClampMean(p0 - kDrops[i]);
+  drop_list logs{};
+  for (std::size_t i = 0; i < drops.size(); ++i) {
+    const auto p1 = ClampMean(p0 - drops[i]);
     // For values in [0,1] this is a likelihood ratio of Bernoulli variables
     // extended linearly; by convexity its mean is at most 1 under the null.
     logs[i] =
@@ -133,8 +154,9 @@
   return LogMeanExp(logs);
 }
 
-auto LogEvidenceOfRise(double sum, double count, double null_mean) -> double {
-  return LogEvidenceOfDrop(count - sum, count, 1 - null_mean);
+auto LogEvidenceOfRise(double sum, double count, double null_mean,
+                       const drop_list& rises) -> double {
+  return LogEvidenceOfDrop(count - sum, count, 1 - null_mean, rises);
 }
 
 auto JudgeRollout(const guard_input& input, const guard_options& options)
@@ -150,7 +172,7 @@
       whole.candidate.requests - input.requests_at_stage_start;
   if (whole.candidate.requests >= input.requests_at_stage_start &&
       at_stage >= options.min_requests_per_stage &&
-      IsShownAcceptable(whole, input, options)) {
+      IsShownAcceptable(tests, input, options)) {
     return {guard_verdict::kAdvance,
             std::to_string(at_stage) + " requests at this stage, mean rating " +
                 std::to_string(whole.candidate.MeanRating())};
