Versions added to a model in use wait for their roll-out; entries stop bad versions on their own evidence; evidence is paced by bytes

Found while writing the roll-out test: applying a document with a new version gave it all of its model's requests at once (751 requests on the bad version before any roll-out began).

--- a/include/lovagedale/configuration/control_machine.h
+++ b/include/lovagedale/configuration/control_machine.h
@@ -60,6 +60,7 @@
   auto ApplyChange(const change& item, log_index index) -> change_result;
   auto Check(const change& item) const -> std::optional<std::string>;
   auto Perform(const change_action& action) -> void;
+  auto ReplaceDocument(const std::string& document) -> void;
   auto IsPermitGated(const change_action& action) const -> bool;
   auto Remember(change_record record) -> void;
   auto MutableStatus(const std::string& version) -> version_status&;
--- a/include/lovagedale/configuration/fleet_view.h
+++ b/include/lovagedale/configuration/fleet_view.h
@@ -14,6 +14,7 @@
   kSteady,     ///< serves under the last known configuration
   kRollout,    ///< serves a share of requests, and only under a live permit
   kWithdrawn,  ///< receives no new work
+  kStaged,     ///< added to a model that is in use; waits for its roll-out
 };
 
 /// Where a version stands; versions that are not listed are steady.
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -53,7 +53,7 @@
   /// How far a revision has spread; meaningful on the leader only.
   auto ForceStatusOf(config_revision revision) const -> force_status;
   auto SilentFor(const std::string& node) const -> monotonic_ms;
-  auto evidence() const -> evidence_table { return evidence_.Total(); }
+  auto evidence() const -> const evidence_table& { return evidence_.Total(); }
 
  private:
   /// A heartbeat whose answer waits for news.
@@ -68,6 +68,8 @@
   auto RegisterIfNew(const entry_heartbeat& heartbeat) -> void;
   auto HandleCrashes(const entry_heartbeat& heartbeat) -> void;
   auto Answer(const held_heartbeat& held) -> void;
+  auto AddEvidence(const std::string& node, heartbeat_response& response)
+      -> void;
   auto AnswerHeld(bool all) -> void;
   auto ScheduleTick() -> void;
   auto Tick() -> void;
@@ -89,6 +91,7 @@
   std::list<held_heartbeat> held_;
   std::map<std::string, bool> registering_;
   evidence_collector evidence_;
+  std::map<std::string, byte_pacer> evidence_pacers_;  // By entry.
   crash_attribution crashes_;
   guard_options guard_;
   /// Requests of a version when its present stage began, by version.
--- a/include/lovagedale/entry/control_link.h
+++ b/include/lovagedale/entry/control_link.h
@@ -44,6 +44,9 @@
       -> void;
   auto Adopt(const fleet_view& view) -> void;
   auto PublishPlans() -> void;
+  /// Stops versions under roll-out that this entry's evidence shows to be bad,
+  /// without waiting for control.
+  auto GuardRollouts() -> void;
   auto SendUrgent(entry_heartbeat heartbeat) -> void;
   /// Tells the ledgers that this entry may still have bills to store.
   auto PresenceLoop(boost::asio::yield_context yield) -> void;
@@ -65,8 +68,8 @@
   evidence_table own_evidence_;
   evidence_table fleet_evidence_;
   evidence_table planned_evidence_;
-  monotonic_ms evidence_sent_at_ = 0;
-  bool evidence_changed_ = false;
+  byte_pacer evidence_pacer_;
+  evidence_table unreported_;  // Rows that changed since they were sent.
   bool leaving_ = false;
 };
 
--- a/include/lovagedale/entry/entry_state.h
+++ b/include/lovagedale/entry/entry_state.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -78,6 +79,15 @@
   std::deque<decision> decisions_;
 };
 
+/// A version that this entry has stopped on its own evidence, at the revision
+/// under which it did; a later revision is control's word on it.
+struct stopped_version {
+  std::string version;
+  config_revision revision = 0;
+  auto operator<=>(const stopped_version&) const = default;
+};
+using stopped_version_set = std::set<stopped_version>;
+
 /// State that an entry's threads share. The routing table and the plans are
 /// replaced whole by the control thread and read by the traffic threads.
 class entry_state {
@@ -88,6 +98,8 @@
   const entry_settings settings;
   std::atomic<std::shared_ptr<const routing_table>> table;
   std::atomic<std::shared_ptr<const plan_table>> plans;
+  std::atomic<std::shared_ptr<const stopped_version_set>> stopped_versions{
+      std::make_shared<const stopped_version_set>()};
   /// Until then, versions that need a permit may be used.
   std::atomic<monotonic_ms> permit_until{0};
   std::atomic<std::uint32_t> live_entries{1};
@@ -104,6 +116,9 @@
   auto HasPermit(monotonic_ms now) const -> bool {
     return now < permit_until.load(std::memory_order_acquire);
   }
+  /// Whether a version may receive new work here and now.
+  auto MayRun(const routing_table& routes, version_id version,
+              monotonic_ms now) const -> bool;
 };
 
 }  // namespace lovagedale
--- a/include/lovagedale/quality/evidence.h
+++ b/include/lovagedale/quality/evidence.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "lovagedale/common/time.h"
+
 namespace lovagedale {
 
 /// What is known of one version on one task class. Counters only grow, so
@@ -18,6 +20,7 @@
 
   auto operator==(const evidence_counts&) const -> bool = default;
   auto operator+=(const evidence_counts& other) -> evidence_counts&;
+  auto operator-=(const evidence_counts& other) -> evidence_counts&;
   auto MeanRating() const -> double {
     return ratings == 0 ? 0 : rating_sum / static_cast<double>(ratings);
   }
@@ -46,6 +49,9 @@
   }
 };
 
+/// Encoded size of one row, about, in bytes; for pacing.
+inline constexpr std::size_t kEvidenceRowBytes = 80;
+
 using evidence_table = std::map<evidence_key, evidence_counts>;
 
 /// Sums of several reporters' cumulative counters. A report replaces the same
@@ -54,11 +60,29 @@
  public:
   auto Report(const std::string& reporter, std::uint64_t incarnation,
               const evidence_table& cumulative) -> void;
-  auto Total() const -> evidence_table;
+  /// Kept up to date by Report: asking costs nothing.
+  auto Total() const -> const evidence_table& { return total_; }
   auto TotalFor(const std::string& version) const -> evidence_table;
 
  private:
   std::map<std::pair<std::string, std::uint64_t>, evidence_table> reports_;
+  evidence_table total_;
+};
+
+/// Spaces out messages of varying size so that their mean rate stays within a
+/// budget: after `bytes` were sent, the next may follow once they are paid for.
+class byte_pacer {
+ public:
+  byte_pacer(std::int64_t bytes_per_s, monotonic_ms least_gap_ms)
+      : bytes_per_s_(bytes_per_s), least_gap_ms_(least_gap_ms) {}
+
+  auto MaySend(monotonic_ms now) const -> bool { return now >= next_at_; }
+  auto Sent(std::size_t bytes, monotonic_ms now) -> void;
+
+ private:
+  std::int64_t bytes_per_s_;
+  monotonic_ms least_gap_ms_;
+  monotonic_ms next_at_ = 0;
 };
 
 }  // namespace lovagedale
--- a/src/configuration/control_machine.cpp
+++ b/src/configuration/control_machine.cpp
@@ -60,7 +60,9 @@
 }  // namespace
 
 auto version_status::Share() const -> double {
-  if (phase == version_phase::kWithdrawn) return 0;
+  if (phase == version_phase::kWithdrawn || phase == version_phase::kStaged) {
+    return 0;
+  }
   if (phase == version_phase::kSteady || stage >= stage_shares.size()) return 1;
   return stage_shares[stage];
 }
@@ -231,10 +233,27 @@
   return *list.insert(place, std::move(fresh));
 }
 
+auto control_machine::ReplaceDocument(const std::string& document) -> void {
+  const auto before =
+      view_.document.empty() ? catalog{} : ParseCatalog(view_.document);
+  const auto after = ParseCatalog(document);
+  for (const auto& version : after.versions) {
+    const bool is_model_used = std::any_of(
+        before.versions.begin(), before.versions.end(),
+        [&](const auto& known) { return known.model == version.model; });
+    const bool is_new = !before.FindVersion(version.name).has_value();
+    // Nobody has seen it answer yet: it must not take all the work at once.
+    if (is_model_used && is_new && view_.StatusOf(version.name) == nullptr) {
+      MutableStatus(version.name).phase = version_phase::kStaged;
+    }
+  }
+  view_.document = document;
+}
+
 auto control_machine::Perform(const change_action& action) -> void {
   std::visit(
       overloaded{
-          [&](const set_configuration& a) { view_.document = a.document; },
+          [&](const set_configuration& a) { ReplaceDocument(a.document); },
           [&](const start_rollout& a) {
             MutableStatus(a.version) = {a.version, version_phase::kRollout,
                                         0,         a.stage_shares,
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds kServiceTick{100};
 /// Entries heard within this time share the fleet-wide limits.
 constexpr monotonic_ms kLiveEntryMs = 5'000;
+/// Part of an entry's budget for control that the fleet's evidence may take.
+constexpr std::int64_t kEvidenceBytesPerSecond = 2'000;
+constexpr monotonic_ms kEvidenceGapMs = 900;
 constexpr std::int64_t kQuarantineMs = 60LL * 60 * 1'000;
 
 auto WrapEnvelope(const replica_envelope& envelope) -> std::string {
@@ -159,7 +162,7 @@
                         held.heartbeat.revision, clock_.Now());
   }
   if (response.is_leader) {
-    response.evidence = evidence_.Total();
+    AddEvidence(held.heartbeat.node, response);
     for (const auto& [name, node] : machine_.nodes()) {
       if (SilentFor(name) < kLiveEntryMs) ++response.live_entries;
     }
@@ -167,6 +170,18 @@
   held.reply(Encode(response));
 }
 
+auto control_service::AddEvidence(const std::string& node,
+                                  heartbeat_response& response) -> void {
+  const auto now = clock_.Now();
+  auto& pacer =
+      evidence_pacers_
+          .try_emplace(node, kEvidenceBytesPerSecond, kEvidenceGapMs)
+          .first->second;
+  if (!pacer.MaySend(now)) return;
+  response.evidence = evidence_.Total();
+  pacer.Sent(response.evidence.size() * kEvidenceRowBytes, now);
+}
+
 auto control_service::AnswerHeld(bool all) -> void {
   const auto now = clock_.Now();
   const auto revision = machine_.view().revision;
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -100,9 +100,9 @@
   const auto& config = table->config();
   json::array list;
   const auto id = config.FindCustomer(caller.customer);
-  const bool has_permit = context_.state.HasPermit(context_.clock.Now());
+  const auto now = context_.clock.Now();
   for (const auto version : config.customers[*id].versions) {
-    if (!table->MayRun(version, has_permit)) continue;
+    if (!context_.state.MayRun(*table, version, now)) continue;
     list.push_back({{"id", config.versions[version].name},
                     {"object", "model"},
                     {"owned_by", config.versions[version].model}});
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -319,8 +319,7 @@
                           "the customer may not use version " + name,
                           ran_state::kNo);
   }
-  if (!run.table->MayRun(*resolved,
-                         context_.state.HasPermit(context_.clock.Now()))) {
+  if (!context_.state.MayRun(*run.table, *resolved, context_.clock.Now())) {
     throw request_refused(503, "no_version",
                           "the session's version may not receive work now",
                           ran_state::kNo, 1);
@@ -352,8 +351,7 @@
                             "the customer may not use version " + wanted,
                             ran_state::kNo);
     }
-    if (!run.table->MayRun(*exact,
-                           context_.state.HasPermit(context_.clock.Now()))) {
+    if (!context_.state.MayRun(*run.table, *exact, context_.clock.Now())) {
       throw request_refused(503, "no_version",
                             "version " + wanted + " may not receive new work",
                             ran_state::kNo, 1);
@@ -377,7 +375,7 @@
 auto chat_handler::SubstituteRollouts(chat_run& run) -> void {
   if (run.reason == "named_version") return;
   const auto& config = run.table->config();
-  const bool has_permit = context_.state.HasPermit(context_.clock.Now());
+  const auto now = context_.clock.Now();
   for (auto& step : run.steps) {
     const auto steady = config.FindVersion(step.version);
     if (!steady) continue;  // Removed meanwhile; the dispatcher refuses it.
@@ -385,7 +383,7 @@
       const auto& route = run.table->Route(version);
       if (route.phase != version_phase::kRollout ||
           config.versions[version].model != config.versions[*steady].model ||
-          !run.table->MayRun(version, has_permit)) {
+          !context_.state.MayRun(*run.table, version, now)) {
         continue;
       }
       const auto& name = config.versions[version].name;
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -8,6 +8,7 @@
 #include "lovagedale/common/json_reader.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/ledger/messages.h"
+#include "lovagedale/rollout/guard.h"
 
 namespace lovagedale {
 namespace {
@@ -24,7 +25,9 @@
 constexpr int kUrgentAttempts = 200;
 constexpr milliseconds kPresencePeriod{500};
 constexpr milliseconds kEvidencePeriod{200};
-constexpr monotonic_ms kEvidenceReportMs = 1'000;
+/// Part of this entry's budget for control that its evidence may take.
+constexpr std::int64_t kEvidenceBytesPerSecond = 1'000;
+constexpr monotonic_ms kEvidenceGapMs = 900;
 constexpr milliseconds kLoadPeriod{1'000};
 /// Servers of other zones are polled this many times less often.
 constexpr std::uint64_t kRemoteLoadEvery = 5;
@@ -50,7 +53,8 @@
                 Decode<view_request>(body);
                 const auto table = state_.table.load();
                 reply(Encode(table ? table->view() : fleet_view{}));
-              }) {
+              }),
+      evidence_pacer_(kEvidenceBytesPerSecond, kEvidenceGapMs) {
   for (const auto& address : state.settings.control) {
     control_.push_back(std::make_unique<rpc_channel>(context, address));
   }
@@ -112,11 +116,9 @@
   heartbeat.incarnation = incarnation_;
   heartbeat.revision = state_.table.load()->revision();
   const auto now = clock_.Now();
-  if (with_evidence && evidence_changed_ &&
-      now - evidence_sent_at_ >= kEvidenceReportMs) {
-    heartbeat.evidence = own_evidence_;
-    evidence_sent_at_ = now;
-    evidence_changed_ = false;
+  if (with_evidence && !unreported_.empty() && evidence_pacer_.MaySend(now)) {
+    heartbeat.evidence.swap(unreported_);
+    evidence_pacer_.Sent(heartbeat.evidence.size() * kEvidenceRowBytes, now);
   }
   return heartbeat;
 }
@@ -137,8 +139,9 @@
     } catch (const std::exception& error) {
       if (leader_ == name) {
         leader_.clear();
-        // What the lost heartbeat carried is sent again.
-        evidence_changed_ = true;
+        // A new leader knows nothing yet, and what the lost heartbeat carried
+        // must be sent again.
+        unreported_ = own_evidence_;
         log_line(log_level::kWarning, "control_leader_lost")
             .With("replica", name)
             .With("reason", error.what());
@@ -202,12 +205,45 @@
       own_evidence_[key] += counts;
       // Until control's next sums, own evidence counts at once.
       fleet_evidence_[key] += counts;
-      evidence_changed_ = true;
+      unreported_[key] = own_evidence_[key];
     }
+    if (!fresh.empty()) GuardRollouts();
     if (fleet_evidence_ != planned_evidence_) PublishPlans();
   }
 }
 
+auto control_link::GuardRollouts() -> void {
+  const auto table = state_.table.load();
+  auto stopped = *state_.stopped_versions.load();
+  const auto before = stopped.size();
+  for (const auto& status : table->view().versions) {
+    const auto id = table->config().FindVersion(status.version);
+    if (status.phase != version_phase::kRollout || !id ||
+        stopped.contains({status.version, table->revision()})) {
+      continue;
+    }
+    guard_input input;
+    for (const auto& [key, counts] : fleet_evidence_) {
+      if (key.version == status.version) input.candidate[key] = counts;
+    }
+    input.baseline = BaselineEvidence(table->config(), table->view(),
+                                      status.version, fleet_evidence_);
+    input.expected_quality = table->config().versions[*id].expected_quality;
+    const auto decision = JudgeRollout(input, {});
+    if (decision.verdict != guard_verdict::kWithdraw) continue;
+    log_line(log_level::kWarning, "version_stopped_here")
+        .With("version", status.version)
+        .With("reason", decision.reason);
+    stopped.insert({status.version, table->revision()});
+  }
+  if (stopped.size() == before) return;
+  state_.stopped_versions.store(
+      std::make_shared<const stopped_version_set>(std::move(stopped)));
+  auto heartbeat = MakeHeartbeat(/*with_evidence=*/false);
+  heartbeat.evidence = own_evidence_;
+  SendUrgent(std::move(heartbeat));
+}
+
 auto control_link::ReportCrash(const crash_report& report) -> void {
   asio::post(context_, [this, report] {
     auto heartbeat = MakeHeartbeat(/*with_evidence=*/false);
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -117,7 +117,7 @@
   if (!version || !allowed.Allows(*version)) {
     throw version_unavailable(job.version + " is not allowed");
   }
-  if (!table.MayRun(*version, context_.state.HasPermit(context_.clock.Now()))) {
+  if (!context_.state.MayRun(table, *version, context_.clock.Now())) {
     throw version_unavailable(job.version + " may not receive new work");
   }
 }
--- a/src/entry/entry_state.cpp
+++ b/src/entry/entry_state.cpp
@@ -70,6 +70,14 @@
   }
 }
 
+auto entry_state::MayRun(const routing_table& routes, version_id version,
+                         monotonic_ms now) const -> bool {
+  if (!routes.MayRun(version, HasPermit(now))) return false;
+  if (routes.Route(version).phase != version_phase::kRollout) return true;
+  return !stopped_versions.load()->contains(
+      {routes.config().versions[version].name, routes.revision()});
+}
+
 auto decision_log::Add(const std::string& request_id, const std::string& json)
     -> void {
   const std::lock_guard lock(mutex_);
--- a/src/entry/routing_table.cpp
+++ b/src/entry/routing_table.cpp
@@ -94,7 +94,10 @@
 
 auto routing_table::MayRun(version_id version, bool has_permit) const -> bool {
   const auto& route = routes_[version];
-  if (route.phase == version_phase::kWithdrawn) return false;
+  if (route.phase == version_phase::kWithdrawn ||
+      route.phase == version_phase::kStaged) {
+    return false;
+  }
   return has_permit || !route.needs_permit;
 }
 
--- a/src/operator_api/operator_api.cpp
+++ b/src/operator_api/operator_api.cpp
@@ -29,6 +29,8 @@
       return "rollout";
     case version_phase::kWithdrawn:
       return "withdrawn";
+    case version_phase::kStaged:
+      return "staged";
   }
   return "unknown";
 }
--- a/src/quality/evidence.cpp
+++ b/src/quality/evidence.cpp
@@ -19,6 +19,23 @@
   return *this;
 }
 
+auto evidence_counts::operator-=(const evidence_counts& other)
+    -> evidence_counts& {
+  requests -= other.requests;
+  errors -= other.errors;
+  ratings -= other.ratings;
+  rating_sum -= other.rating_sum;
+  rating_square_sum -= other.rating_square_sum;
+  return *this;
+}
+
+auto byte_pacer::Sent(std::size_t bytes, monotonic_ms now) -> void {
+  constexpr std::int64_t kMsPerSecond = 1'000;
+  const auto paid_ms =
+      static_cast<std::int64_t>(bytes) * kMsPerSecond / bytes_per_s_;
+  next_at_ = now + std::max(least_gap_ms_, paid_ms);
+}
+
 auto evidence_collector::Report(const std::string& reporter,
                                 std::uint64_t incarnation,
                                 const evidence_table& cumulative) -> void {
@@ -28,28 +45,22 @@
     // Counters only grow: an older report that arrives late is ignored.
     if (counts.requests + counts.ratings + counts.errors >=
         known.requests + known.ratings + known.errors) {
+      auto& sum = total_[key];
+      sum -= known;
+      sum += counts;
       known = counts;
     }
   }
 }
 
-auto evidence_collector::Total() const -> evidence_table {
-  evidence_table total;
-  for (const auto& [reporter, table] : reports_) {
-    for (const auto& [key, counts] : table) total[key] += counts;
-  }
-  return total;
-}
-
 auto evidence_collector::TotalFor(const std::string& version) const
     -> evidence_table {
-  evidence_table total;
-  for (const auto& [reporter, table] : reports_) {
-    for (const auto& [key, counts] : table) {
-      if (key.version == version) total[key] += counts;
-    }
+  evidence_table found;
+  for (auto row = total_.lower_bound({version, "", 0});
+       row != total_.end() && row->first.version == version; ++row) {
+    found.insert(*row);
   }
-  return total;
+  return found;
 }
 
 }  // namespace lovagedale
--- a/tests/configuration/control_machine_test.cpp
+++ b/tests/configuration/control_machine_test.cpp
@@ -78,6 +78,21 @@
         version_phase::kWithdrawn);
 }
 
+TEST_CASE("a version that is added to a model in use waits for its roll-out") {
+  auto machine = MachineWithDocument();
+  auto document = Replace(SmallDocument(), "{\"name\":\"2\"",
+                          "{\"name\":\"3\"},{\"name\":\"2\"");
+  document = Replace(document, "\"models\":[",
+                     "\"models\":[{\"name\":\"new\",\"versions\":[{\"name\":"
+                     "\"1\"}]},");
+  ApplyTo(machine, SetDocument("more", 1, document));
+  CHECK(machine.view().StatusOf("scholar@3")->phase == version_phase::kStaged);
+  CHECK(machine.view().StatusOf("scholar@3")->Share() == 0);
+  CHECK(machine.view().StatusOf("new@1") == nullptr);
+  ApplyTo(machine, {"s", 2, "o", 0, start_rollout{"scholar@3", {1.0}}});
+  CHECK(machine.view().StatusOf("scholar@3")->phase == version_phase::kRollout);
+}
+
 TEST_CASE("a roll-out goes through its stages one by one and becomes steady") {
   auto machine = MachineWithDocument();
   ApplyTo(machine, {"s", 1, "o", 0, start_rollout{"scholar@2", {0.1, 1.0}}});
