--- /dev/null
+++ b/scripts/bench_entry.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# What an entry adds: the same load directly to stand-ins and through one
+# entry, alternating in one run, at 1, 32 and 256 concurrent requests; and the
+# most short requests a second on two traffic threads.
+set -euo pipefail
+root="$(cd "$(dirname "$0")/.." && pwd)"
+engines_per_zone=3
+# shellcheck source=tests/processes/fleet_test.sh
+. "$root/tests/processes/fleet_test.sh" "${1:-21000}"
+zones=(akl-a)
+start_fleet
+
+direct="$(port 0 30),$(port 0 31),$(port 0 32)"
+through="$(port 0 0)"
+run_load() { # ports, concurrency, extra...
+  local ports=$1 concurrency=$2
+  shift 2
+  load --targets="$ports" --model=scholar@1 --concurrency="$concurrency" \
+    --threads=2 --seconds=3 "$@"
+}
+compare() { # kind, concurrency, tokens
+  local a b
+  a=$(run_load "$direct" "$2" --kind="$1" --tokens="$3")
+  b=$(run_load "$through" "$2" --kind="$1" --tokens="$3")
+  printf '%-7s %4d at once: first byte p50 %.2f -> %.2f ms, p99 %.2f -> %.2f ms; whole p50 %.2f -> %.2f ms, p99 %.2f -> %.2f ms; %.0f -> %.0f /s\n' \
+    "$1" "$2" \
+    "$(field first_byte_p50_ms "$a")" "$(field first_byte_p50_ms "$b")" \
+    "$(field first_byte_p99_ms "$a")" "$(field first_byte_p99_ms "$b")" \
+    "$(field p50_ms "$a")" "$(field p50_ms "$b")" \
+    "$(field p99_ms "$a")" "$(field p99_ms "$b")" \
+    "$(field per_second "$a")" "$(field per_second "$b")"
+}
+for concurrency in 1 32 256; do compare stream "$concurrency" 40; done
+for concurrency in 1 32 256; do compare chat "$concurrency" 1; done
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -16,7 +16,7 @@
 /// Entries heard within this time share the fleet-wide limits.
 constexpr monotonic_ms kLiveEntryMs = 5'000;
 /// Part of an entry's budget for control that the fleet's evidence may take.
-constexpr std::int64_t kEvidenceBytesPerSecond = 2'000;
+constexpr std::int64_t kEvidenceBytesPerSecond = 1'200;
 constexpr monotonic_ms kEvidenceGapMs = 900;
 constexpr std::int64_t kQuarantineMs = 60LL * 60 * 1'000;
 
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -23,10 +23,10 @@
 constexpr milliseconds kLeaderPeriod{20};
 constexpr milliseconds kUrgentRetry{50};
 constexpr int kUrgentAttempts = 200;
-constexpr milliseconds kPresencePeriod{500};
+constexpr milliseconds kPresencePeriod{1'000};
 constexpr milliseconds kEvidencePeriod{200};
 /// Part of this entry's budget for control that its evidence may take.
-constexpr std::int64_t kEvidenceBytesPerSecond = 1'000;
+constexpr std::int64_t kEvidenceBytesPerSecond = 500;
 constexpr monotonic_ms kEvidenceGapMs = 900;
 constexpr milliseconds kLoadPeriod{1'000};
 /// Servers of other zones are polled this many times less often.
@@ -62,7 +62,10 @@
     if (address.name == state.settings.name) continue;
     peers_.push_back(std::make_unique<rpc_channel>(context, address));
   }
+  // Only the own zone's ledgers wait for this entry when they stop: its bills
+  // go there first.
   for (const auto& address : state.settings.ledgers) {
+    if (address.zone != state.settings.zone) continue;
     ledgers_.push_back(std::make_unique<rpc_channel>(context, address));
   }
   Adopt(fleet_view{});
--- /dev/null
+++ b/tests/configuration/budget_test.cpp
@@ -0,0 +1,77 @@
+#include <doctest/doctest.h>
+
+#include "lovagedale/common/codec.h"
+#include "lovagedale/control/messages.h"
+#include "lovagedale/quality/evidence.h"
+
+namespace lovagedale::testing {
+namespace {
+
+constexpr double kBudgetBytesPerSecond = 4'096;
+constexpr std::size_t kControlReplicas = 7;
+constexpr double kChangesPerDay = 310;
+constexpr double kSecondsPerDay = 86'400;
+/// Frame header, TCP and IP headers, in both directions.
+constexpr std::size_t kOverheadBytes = 2 * (13 + 40);
+
+auto HeartbeatBytes() -> std::size_t {
+  entry_heartbeat heartbeat;
+  heartbeat.node = "entry-semarang-c-360";
+  heartbeat.zone = "semarang-c";
+  heartbeat_response response;
+  response.leader = "control-semarang-c";
+  return Encode(control_request(heartbeat)).size() + Encode(response).size() +
+         kOverheadBytes;
+}
+
+/// A configuration of 600 servers, 13 versions and 10 customers.
+auto ViewBytes() -> std::size_t {
+  constexpr std::size_t kBytesPerServer = 230;
+  constexpr std::size_t kServers = 600;
+  heartbeat_response response;
+  response.view = fleet_view{};
+  response.view->document = std::string(kServers * kBytesPerServer, 'x');
+  return Encode(response).size();
+}
+
+}  // namespace
+
+TEST_CASE("control costs an entry at most 4 KB a second at 360 entries") {
+  // An entry's traffic does not depend on how many entries there are, but on
+  // the control replicas, the evidence's pace and the changes.
+  constexpr double kEvidenceDown = 1'200;
+  constexpr double kEvidenceUp = 500;
+  const auto heartbeats =
+      static_cast<double>(kControlReplicas * HeartbeatBytes());
+  const auto views =
+      static_cast<double>(ViewBytes()) * kChangesPerDay / kSecondsPerDay;
+  CHECK(heartbeats + views + kEvidenceDown + kEvidenceUp <=
+        kBudgetBytesPerSecond);
+}
+
+TEST_CASE("paced evidence keeps to its rate whatever the size of a message") {
+  for (const std::size_t rows : {1U, 36U, 500U}) {
+    byte_pacer pacer(1'200, 900);
+    std::size_t bytes = 0;
+    constexpr monotonic_ms kMinutes10 = 600'000;
+    for (monotonic_ms now = 0; now < kMinutes10; now += 100) {
+      if (!pacer.MaySend(now)) continue;
+      bytes += rows * kEvidenceRowBytes;
+      pacer.Sent(rows * kEvidenceRowBytes, now);
+    }
+    CHECK(static_cast<double>(bytes) / 600 <=
+          1'200 + static_cast<double>(rows * kEvidenceRowBytes) / 600);
+  }
+}
+
+TEST_CASE("sums follow the latest report of each entry's life") {
+  evidence_collector collector;
+  collector.Report("a", 1, {{{"v", "c", 0}, {10, 1, 2, 1.5, 1.2}}});
+  collector.Report("b", 1, {{{"v", "c", 0}, {5, 0, 0, 0, 0}}});
+  collector.Report("a", 1, {{{"v", "c", 0}, {8, 1, 2, 1.5, 1.2}}});  // Late.
+  collector.Report("a", 2, {{{"v", "c", 0}, {1, 0, 0, 0, 0}}});
+  CHECK(collector.TotalFor("v").at({"v", "c", 0}).requests == 16);
+  CHECK(collector.TotalFor("w").empty());
+}
+
+}  // namespace lovagedale::testing
--- a/tests/processes/fleet_test.sh
+++ b/tests/processes/fleet_test.sh
@@ -2,7 +2,7 @@
 # engines and one service a zone, on ports from $1 on. Options, set before
 # sourcing: engines_per_zone, cut_zone_index, first_byte_ms, between_reads_ms.
 set -euo pipefail
-root="$(cd "$(dirname "$0")/../.." && pwd)"
+root="$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)"
 base_port=$1
 zones=(akl-a akl-b akl-c)
 run="$(mktemp -d "${TMPDIR:-/tmp}/lovagedale-test.XXXXXX")"
