--- a/benchmark/capacity/capacity_main.cpp
+++ b/benchmark/capacity/capacity_main.cpp
@@ -186,8 +186,8 @@
   for (std::size_t i = 0; i < changes; ++i) {
     const change item{"change-" + std::to_string(i), kAnyRevision, "operator",
                       0, lift_quarantine{i}};
-    machine.Apply({i + 1, 1, entry_kind::kCommand,
-                   Encode(control_command(item))});
+    machine.Apply(
+        {i + 1, 1, entry_kind::kCommand, Encode(control_command(item))});
   }
   return HeapBytes() - before;
 }
--- a/benchmark/decisions/cost_study.cpp
+++ b/benchmark/decisions/cost_study.cpp
@@ -124,11 +124,11 @@
     result.first = version;
     result.version = version;
     result.first_bin = SignalBin(request.signal[version]);
-    result.cost = shape_.versions[version].price * request.length +
-                  shape_.rating_price;
+    result.cost =
+        shape_.versions[version].price * request.length + shape_.rating_price;
     result.ms = shape_.versions[version].answer_ms * request.length;
-    Learn(known.versions[version].bins[result.first_bin],
-          request.good[version], /*rated=*/true);
+    Learn(known.versions[version].bins[result.first_bin], request.good[version],
+          /*rated=*/true);
     const bool low = result.first_bin < kExplorationBin;
     if (!low && (!waits_for_rating_ || request.good[version])) return result;
     result.version = best;
@@ -142,17 +142,16 @@
     return result;
   }
 
-  auto Rate(const true_request& request, class_knowledge& known,
-            served result) -> served {
+  auto Rate(const true_request& request, class_knowledge& known, served result)
+      -> served {
     auto& version = known.versions[result.version];
-    const bool rated =
-        unit_(random_) < RatingShare(version, exploration_);
+    const bool rated = unit_(random_) < RatingShare(version, exploration_);
     if (rated) result.cost += shape_.rating_price;
     const bool escalated = result.version != result.first;
-    auto& counts = escalated
-                       ? version.escalated[static_cast<version_id>(
-                             result.first)][result.first_bin]
-                       : version.bins[SignalBin(request.signal[result.version])];
+    auto& counts =
+        escalated ? version.escalated[static_cast<version_id>(result.first)]
+                                     [result.first_bin]
+                  : version.bins[SignalBin(request.signal[result.version])];
     Learn(counts, request.good[result.version], rated);
     if (escalated) {
       // The first answer is counted, so that bins keep their true shares.
@@ -252,12 +251,12 @@
 auto PlannedPolicy(const workload_shape& shape, std::vector<mixed_plan> plans,
                    std::uint64_t seed) -> policy {
   auto random = std::make_shared<std::mt19937_64>(seed);
-  return [&shape, plans = std::move(plans), random](
-             const true_request& request) {
-    std::uniform_real_distribution<double> unit(0, 1);
-    return Serve(shape, request,
-                 plans[request.class_index].Pick(unit(*random)));
-  };
+  return
+      [&shape, plans = std::move(plans), random](const true_request& request) {
+        std::uniform_real_distribution<double> unit(0, 1);
+        return Serve(shape, request,
+                     plans[request.class_index].Pick(unit(*random)));
+      };
 }
 
 /// Knows each answer beforehand: the cheapest good one, or the cheapest.
@@ -274,8 +273,8 @@
 
 auto Quantile95(std::vector<double> values) -> double {
   constexpr double kShare = 0.95;
-  const auto place = static_cast<std::ptrdiff_t>(
-      kShare * static_cast<double>(values.size()));
+  const auto place =
+      static_cast<std::ptrdiff_t>(kShare * static_cast<double>(values.size()));
   std::nth_element(values.begin(), values.begin() + place, values.end());
   return values[static_cast<std::size_t>(place)];
 }
@@ -303,8 +302,7 @@
     row.p95_ms += Quantile95(run.warm.answer_ms) / kCustomers;
     // Missed: so far below the target that chance alone hardly explains it.
     const auto n = static_cast<double>(run.all.requests);
-    const auto error =
-        std::sqrt(shape.target * (1 - shape.target) / n);
+    const auto error = std::sqrt(shape.target * (1 - shape.target) / n);
     if (run.all.MeanGood() < shape.target - 1.645 * error) ++row.misses;
   }
   return row;
@@ -320,24 +318,30 @@
     }
     const auto best = static_cast<version_id>(shape.versions.size() - 1);
     const auto oracle_plans = OraclePlans(shape, options.planning);
-    const auto ours = Study(shape, options.first_seed, [&](std::uint64_t seed) -> policy {
-      auto policy_state = std::make_shared<learner>(
-          shape, options, /*waits_for_rating=*/true, seed);
-      return [policy_state](const true_request& request) {
-        return policy_state->Handle(request);
-      };
+    const auto ours =
+        Study(shape, options.first_seed, [&](std::uint64_t seed) -> policy {
+          auto policy_state = std::make_shared<learner>(
+              shape, options, /*waits_for_rating=*/true, seed);
+          return [policy_state](const true_request& request) {
+            return policy_state->Handle(request);
+          };
+        });
+    const auto oracle =
+        Study(shape, options.first_seed, [&](std::uint64_t seed) {
+          return PlannedPolicy(shape, oracle_plans, seed);
+        });
+    const auto always_best =
+        Study(shape, options.first_seed,
+              [&](std::uint64_t) { return AlwaysVersion(shape, best); });
+    const auto cheapest = Study(shape, options.first_seed, [&](std::uint64_t) {
+      return AlwaysVersion(shape, 0);
     });
-    const auto oracle = Study(shape, options.first_seed, [&](std::uint64_t seed) {
-      return PlannedPolicy(shape, oracle_plans, seed);
+    const auto fixed = Study(shape, options.first_seed, [&](std::uint64_t) {
+      return FixedCascade(shape);
     });
-    const auto always_best =
-        Study(shape, options.first_seed, [&](std::uint64_t) { return AlwaysVersion(shape, best); });
-    const auto cheapest =
-        Study(shape, options.first_seed, [&](std::uint64_t) { return AlwaysVersion(shape, 0); });
-    const auto fixed =
-        Study(shape, options.first_seed, [&](std::uint64_t) { return FixedCascade(shape); });
     const auto clairvoyant =
-        Study(shape, options.first_seed, [&](std::uint64_t) { return Clairvoyant(shape); });
+        Study(shape, options.first_seed,
+              [&](std::uint64_t) { return Clairvoyant(shape); });
 
     const auto name = "labs." + shape.name + ".";
     report.AtMost(name + "cost_to_oracle", ours.cost / oracle.cost, 1.10,
@@ -352,12 +356,11 @@
       report.Plain(name + "cost_to_always_best", ours.cost / always_best.cost,
                    "the informed oracle is above 0.4 too");
     }
-    report.AtMost(name + "customers_below_target", ours.misses / kCustomers, 0.05,
-                  "share of 60 customers, from a cold start");
-    report.Plain(name + "cold_cost_to_always_best",
-                 ours.cold_cost / always_best.cost,
-                 "first 2,000 requests, quality " +
-                     std::to_string(ours.cold_good));
+    report.AtMost(name + "customers_below_target", ours.misses / kCustomers,
+                  0.05, "share of 60 customers, from a cold start");
+    report.Plain(
+        name + "cold_cost_to_always_best", ours.cold_cost / always_best.cost,
+        "first 2,000 requests, quality " + std::to_string(ours.cold_good));
     report.Plain(name + "quality", ours.good,
                  "target " + std::to_string(shape.target));
     report.Plain(name + "oracle_to_always_best", oracle_share);
@@ -366,8 +369,7 @@
                  "quality " + std::to_string(fixed.good));
     report.Plain(name + "cheapest_to_oracle", cheapest.cost / oracle.cost,
                  "quality " + std::to_string(cheapest.good));
-    report.Plain(name + "clairvoyant_to_oracle",
-                 clairvoyant.cost / oracle.cost,
+    report.Plain(name + "clairvoyant_to_oracle", clairvoyant.cost / oracle.cost,
                  "quality " + std::to_string(clairvoyant.good));
   }
 }
@@ -392,10 +394,9 @@
           return state->Handle(request);
         };
       });
-  const auto fastest =
-      Study(shape, options.first_seed, [&](std::uint64_t) {
-        return AlwaysVersion(shape, kFastestThatMeets);
-      });
+  const auto fastest = Study(shape, options.first_seed, [&](std::uint64_t) {
+    return AlwaysVersion(shape, kFastestThatMeets);
+  });
   const auto best = Study(shape, options.first_seed, [&](std::uint64_t) {
     return AlwaysVersion(shape,
                          static_cast<version_id>(shape.versions.size() - 1));
--- a/benchmark/decisions/decisions_main.cpp
+++ b/benchmark/decisions/decisions_main.cpp
@@ -9,7 +9,8 @@
 #include "decisions/placement_study.h"
 #include "decisions/report.h"
 
-ABSL_FLAG(std::string, study, "all", "cost, interactive, guard, placement or all");
+ABSL_FLAG(std::string, study, "all",
+          "cost, interactive, guard, placement or all");
 ABSL_FLAG(std::string, shape, "", "one workload shape only");
 ABSL_FLAG(uint64_t, seed, 1000, "first seed of the customers");
 ABSL_FLAG(double, confidence_z, -1, "overrides planning_options");
--- a/benchmark/decisions/guard_study.cpp
+++ b/benchmark/decisions/guard_study.cpp
@@ -84,8 +84,7 @@
   std::mt19937_64 traffic(seed + 1'000'000);
   std::uniform_real_distribution<double> unit(0, 1);
   std::size_t stage = 0;
-  for (std::size_t i = 0;
-       stage < kStages.size() && i < kGuardedRequests; ++i) {
+  for (std::size_t i = 0; stage < kStages.size() && i < kGuardedRequests; ++i) {
     if (unit(traffic) >= kStages[stage]) continue;
     run.Serve();
     const auto verdict = run.Judge();
--- a/benchmark/decisions/placement_study.cpp
+++ b/benchmark/decisions/placement_study.cpp
@@ -26,7 +26,7 @@
 constexpr double kEventLoss = 0.05;
 constexpr monotonic_ms kReportPeriodMs = 1'000;
 constexpr double kServiceMs = 400;
-constexpr double kLoad = 0.75;  ///< of all slots
+constexpr double kLoad = 0.75;       ///< of all slots
 constexpr double kSavedShare = 0.6;  ///< of the service time, at a full hit
 
 /// An engine's prefix cache: least recently used blocks go first.
@@ -157,11 +157,10 @@
   auto Choose(const std::vector<prefix_hash>& wanted) -> server_id {
     if (kind_ == router_kind::kLeastLoaded) {
       // Sees the reports only: not even its own requests since.
-      return *std::min_element(ids_.begin(), ids_.end(),
-                               [&](server_id a, server_id b) {
-                                 return states_[a]->reported_load <
-                                        states_[b]->reported_load;
-                               });
+      return *std::min_element(
+          ids_.begin(), ids_.end(), [&](server_id a, server_id b) {
+            return states_[a]->reported_load < states_[b]->reported_load;
+          });
     }
     placement_request request;
     request.prefixes = wanted;
@@ -194,11 +193,12 @@
                        static_cast<double>(wanted.size());
     std::exponential_distribution<double> service(1 / kServiceMs);
     const auto queued =
-        std::max(0.0, static_cast<double>(states_[server]->in_flight - kSlots)) /
+        std::max(0.0,
+                 static_cast<double>(states_[server]->in_flight - kSlots)) /
         static_cast<double>(kSlots) * kServiceMs;
-    running_.push({static_cast<double>(now_) + queued +
-                       service(random_) * (1 - saved),
-                   server});
+    running_.push(
+        {static_cast<double>(now_) + queued + service(random_) * (1 - saved),
+         server});
   }
 
   auto Imbalance() const -> double {
--- a/benchmark/decisions/report.cpp
+++ b/benchmark/decisions/report.cpp
@@ -24,8 +24,8 @@
   Add({name, value, bound_kind::kAtMost, bound, note});
 }
 
-auto figure_report::AtLeast(const std::string& name, double value,
-                            double bound, const std::string& note) -> void {
+auto figure_report::AtLeast(const std::string& name, double value, double bound,
+                            const std::string& note) -> void {
   Add({name, value, bound_kind::kAtLeast, bound, note});
 }
 
@@ -38,9 +38,11 @@
   for (const auto& item : figures_) {
     std::printf("%-46s %12.4g", item.name.c_str(), item.value);
     if (item.kind == bound_kind::kAtMost) {
-      std::printf("  <= %-8.4g %s", item.bound, item.IsMet() ? "met" : "MISSED");
+      std::printf("  <= %-8.4g %s", item.bound,
+                  item.IsMet() ? "met" : "MISSED");
     } else if (item.kind == bound_kind::kAtLeast) {
-      std::printf("  >= %-8.4g %s", item.bound, item.IsMet() ? "met" : "MISSED");
+      std::printf("  >= %-8.4g %s", item.bound,
+                  item.IsMet() ? "met" : "MISSED");
     }
     std::printf("  %s\n", item.note.c_str());
   }
--- a/benchmark/decisions/workload.cpp
+++ b/benchmark/decisions/workload.cpp
@@ -22,9 +22,8 @@
 
 auto Classes(double first, double second, double third)
     -> std::vector<true_class> {
-  return {{"match", 0.5, first},
-          {"summary", 0.3, second},
-          {"dispute", 0.2, third}};
+  return {
+      {"match", 0.5, first}, {"summary", 0.3, second}, {"dispute", 0.2, third}};
 }
 
 }  // namespace
@@ -51,8 +50,8 @@
   }
   const bool easy =
       unit(random) < shape.classes[request.class_index].easy_share;
-  request.length = std::exp(kLengthSigma * normal(random) -
-                            kLengthSigma * kLengthSigma / 2);
+  request.length =
+      std::exp(kLengthSigma * normal(random) - kLengthSigma * kLengthSigma / 2);
   const auto shared = unit(random);
   const bool uses_shared = unit(random) < kSharedLuck;
   for (const auto& version : shape.versions) {
--- a/benchmark/decisions/workload.h
+++ b/benchmark/decisions/workload.h
@@ -11,11 +11,11 @@
 /// One version as the workload knows it.
 struct true_version {
   std::string name;
-  double price = 1;         ///< per answer of mean length
-  double good_easy = 0.9;   ///< chance of a good answer to an easy request
+  double price = 1;        ///< per answer of mean length
+  double good_easy = 0.9;  ///< chance of a good answer to an easy request
   double good_hard = 0.5;
-  double first_ms = 50;     ///< time to the first token
-  double answer_ms = 500;   ///< time to the whole answer
+  double first_ms = 50;    ///< time to the first token
+  double answer_ms = 500;  ///< time to the whole answer
 };
 
 struct true_class {
@@ -36,10 +36,10 @@
 /// One request with everything that is hidden from the policies.
 struct true_request {
   std::size_t class_index = 0;
-  double length = 1;  ///< relative answer length; heavy-tailed, mean 1
-  std::vector<bool> good;       ///< by version
-  std::vector<double> signal;   ///< by version
-  std::vector<double> chance;   ///< of a good answer, by version
+  double length = 1;           ///< relative answer length; heavy-tailed, mean 1
+  std::vector<bool> good;      ///< by version
+  std::vector<double> signal;  ///< by version
+  std::vector<double> chance;  ///< of a good answer, by version
 };
 
 /// Shapes: mostly easy requests, cheap versions rarely suffice, even.
--- a/benchmark/micro_main.cpp
+++ b/benchmark/micro_main.cpp
@@ -85,14 +85,17 @@
 
 /// A routing table from a configuration document; done at each change.
 auto BuildRoutingTable(::benchmark::State& state) -> void {
-  const auto view = MakeFleetView(
-      {static_cast<std::size_t>(state.range(0)), kVersions, 10});
+  const auto view =
+      MakeFleetView({static_cast<std::size_t>(state.range(0)), kVersions, 10});
   server_registry registry;
   for (auto _ : state) {
     ::benchmark::DoNotOptimize(routing_table(view, "zone-0", registry));
   }
 }
-BENCHMARK(BuildRoutingTable)->Arg(60)->Arg(600)->Unit(::benchmark::kMillisecond);
+BENCHMARK(BuildRoutingTable)
+    ->Arg(60)
+    ->Arg(600)
+    ->Unit(::benchmark::kMillisecond);
 
 }  // namespace
 }  // namespace lovagedale::benchmark
--- a/benchmark/scale/scale_fleet.cpp
+++ b/benchmark/scale/scale_fleet.cpp
@@ -32,8 +32,9 @@
   });
   out << R"(,"models":[{"name":"model","versions":)";
   WriteList(out, size.versions, [&](std::size_t v) {
-    out << "{\"name\":\"" << v << "\",\"price_micros_per_1k_tokens\":"
-        << 100 * (v + 1) << ",\"expected_quality\":0.7}";
+    out << "{\"name\":\"" << v
+        << "\",\"price_micros_per_1k_tokens\":" << 100 * (v + 1)
+        << ",\"expected_quality\":0.7}";
   });
   out << R"(}],"pools":[{"name":"pool","servers":)";
   WriteList(out, size.servers, [&](std::size_t s) {
--- a/include/lovagedale/billing/bill_store-inl.h
+++ b/include/lovagedale/billing/bill_store-inl.h
@@ -17,7 +17,8 @@
   const auto content = ReadWholeFile(path);
   const auto scan = ScanBatches(path, content, [&](std::string_view bytes) {
     for (const auto& record : Decode<std::vector<bill_record>>(bytes)) {
-      Merge(record);
+      // After a restart everything is offered again; merging is idempotent.
+      Merge(record, bill_source::kEntry);
     }
   });
   if (scan.HasTornTail()) {
@@ -41,23 +42,24 @@
 }
 
 template <durable_disk Disk>
-auto basic_bill_store<Disk>::Merge(const bill_record& record) -> bool {
+auto basic_bill_store<Disk>::Merge(const bill_record& record,
+                                   bill_source source) -> bool {
   const auto [place, is_new] = bills_.try_emplace(record.request_id, record);
   if (!is_new) {
     const auto& winner = MergeBills(place->second, record);
     if (winner == place->second) return false;
     place->second = winner;
   }
-  order_.push_back(record.request_id);
+  if (source == bill_source::kEntry) order_.push_back(&place->second);
   return true;
 }
 
 template <durable_disk Disk>
-auto basic_bill_store<Disk>::Add(const std::vector<bill_record>& records)
-    -> void {
+auto basic_bill_store<Disk>::Add(const std::vector<bill_record>& records,
+                                 bill_source source) -> void {
   std::vector<bill_record> changed;
   for (const auto& record : records) {
-    if (Merge(record)) changed.push_back(record);
+    if (Merge(record, source)) changed.push_back(record);
   }
   if (changed.empty()) return;
   disk_.Write(fd_, EncodeBatch(Encode(changed)));
@@ -70,7 +72,7 @@
   bill_page page{store_id_, {}, from};
   const auto end = std::min<bill_sequence>(order_.size(), from + limit);
   for (auto i = from; i < end; ++i) {
-    page.records.push_back(bills_.at(order_[i]));
+    page.records.push_back(*order_[i]);
   }
   page.next = std::max(from, end);
   return page;
--- a/include/lovagedale/load/load_run.h
+++ b/include/lovagedale/load/load_run.h
@@ -18,10 +18,10 @@
 struct load_options {
   std::vector<process_address> targets;  ///< tried in turn, as a balancer does
   load_kind kind = load_kind::kChat;
-  std::string key;      ///< bearer key
+  std::string key;  ///< bearer key
   std::string model = "auto";
   std::string prompt = "question";
-  std::string path;     ///< of the orders
+  std::string path;  ///< of the orders
   std::string id_prefix = "load";
   std::int64_t tokens = 20;
   std::size_t concurrency = 1;
@@ -42,8 +42,8 @@
 struct load_record {
   std::string id;
   bool answered = false;
-  bool said_not_run = false;    ///< its last refusal said "not run"
-  bool maybe_run = false;       ///< some try ended without saying "not run"
+  bool said_not_run = false;  ///< its last refusal said "not run"
+  bool maybe_run = false;     ///< some try ended without saying "not run"
   std::uint32_t tries = 0;
 
   auto operator==(const load_record&) const -> bool = default;
--- a/scripts/bench_entry.sh
+++ b/scripts/bench_entry.sh
@@ -5,9 +5,13 @@
 set -euo pipefail
 root="$(cd "$(dirname "$0")/.." && pwd)"
 engines_per_zone=3
+only_zone=akl-a
+engine_slots=1000
+first_token_ms=${first_token_ms:-2}
+token_ms=${token_ms:-4}
 # shellcheck source=tests/processes/fleet_test.sh
 . "$root/tests/processes/fleet_test.sh" "${1:-21000}"
-zones=(akl-a)
+
 start_fleet
 
 direct="$(port 0 30),$(port 0 31),$(port 0 32)"
@@ -32,3 +36,12 @@
 }
 for concurrency in 1 32 256; do compare stream "$concurrency" 40; done
 for concurrency in 1 32 256; do compare chat "$concurrency" 1; done
+cpu() { awk '{ print $14 + $15 }' "/proc/${process_ids[$1]}/stat"; }
+before=$(cpu entry-akl-a)
+ledger_before=$(cpu ledger-akl-a)
+report=$(run_load "$through" 256 --kind=chat --tokens=1)
+awk -v entry="$(($(cpu entry-akl-a) - before))" \
+  -v ledger="$(($(cpu ledger-akl-a) - ledger_before))" \
+  -v answered="$(field answered "$report")" 'BEGIN {
+  printf "processor time a request: entry %.1f us, ledger %.1f us\n",
+    entry * 10000 / answered, ledger * 10000 / answered }'
--- a/scripts/bench_overload.sh
+++ b/scripts/bench_overload.sh
@@ -21,7 +21,7 @@
 echo "open loop at twice that: $over"
 awk -v full="$full" -v over="$(field per_second "$over")" 'BEGIN {
   share = over / full
-  printf "goodput at twice the capacity: %.3f of capacity  >= 0.95 %s\n", share, share >= 0.95 ? "met" : "MISSED"
+  printf "goodput at twice the capacity: %.3f of capacity  >= 0.95 %s\n", share, (share >= 0.95 ? "met" : "MISSED")
 }'
 expect_zero cut "$over"
 expect_zero refused_maybe "$over"
--- a/src/cascade/exploration.cpp
+++ b/src/cascade/exploration.cpp
@@ -44,9 +44,9 @@
 auto RatingShare(const version_knowledge& known,
                  const exploration_options& options) -> double {
   const auto ratings = static_cast<double>(RatingCount(known));
-  return std::clamp(options.max_rating_share * options.rating_knee /
-                        std::max(ratings, 1.0),
-                    options.min_rating_share, options.max_rating_share);
+  return std::clamp(
+      options.max_rating_share * options.rating_knee / std::max(ratings, 1.0),
+      options.min_rating_share, options.max_rating_share);
 }
 
 }  // namespace lovagedale
--- a/src/cascade/plan.cpp
+++ b/src/cascade/plan.cpp
@@ -49,8 +49,8 @@
   return bins;
 }
 
-auto BuildModel(const version_knowledge& known,
-                const planning_options& options) -> version_model {
+auto BuildModel(const version_knowledge& known, const planning_options& options)
+    -> version_model {
   version_model model;
   model.known = &known;
   double signalled = 0;
@@ -67,10 +67,10 @@
     model.bin_share[bin] =
         static_cast<double>(known.bins[bin].requests) / signalled;
   }
-  model.curve.emplace(BinsOf(known),
-                      curve_prior{LogOdds(known.expected_quality),
-                                  kExpectedSlope, kInterceptDeviation,
-                                  kSlopeDeviation});
+  model.curve.emplace(
+      BinsOf(known),
+      curve_prior{LogOdds(known.expected_quality), kExpectedSlope,
+                  kInterceptDeviation, kSlopeDeviation});
   // Ratings are not spread over the bins as the answers are, so the mean is
   // taken over the answers.
   model.overall = model.curve->Sum(model.bin_share);
@@ -95,9 +95,9 @@
   const auto bins = found == high.known->escalated.end()
                         ? std::array<evidence_counts, kSignalBins>{}
                         : found->second;
-  return signal_curve(
-      bins, {LogOdds(high.overall.mean), kEscalatedSlope,
-             kEscalatedInterceptDeviation, kEscalatedSlopeDeviation});
+  return signal_curve(bins,
+                      {LogOdds(high.overall.mean), kEscalatedSlope,
+                       kEscalatedInterceptDeviation, kEscalatedSlopeDeviation});
 }
 
 auto TwoStepPlan(const version_model& low, const version_model& high,
@@ -137,8 +137,7 @@
     for (std::size_t high = low + 1; high < models.size(); ++high) {
       const auto escalated = EscalatedCurve(models[low], models[high]);
       for (std::uint8_t bin = 1; bin < kSignalBins; ++bin) {
-        plans.push_back(
-            TwoStepPlan(models[low], models[high], escalated, bin));
+        plans.push_back(TwoStepPlan(models[low], models[high], escalated, bin));
       }
     }
   }
@@ -159,8 +158,8 @@
 
 /// Plans on the upper hull of quality over price, by rising price: every other
 /// one is beaten by one of these or by a mixture of two.
-auto UpperHull(std::vector<cascade_plan> plans,
-               const planning_options& options) -> std::vector<cascade_plan> {
+auto UpperHull(std::vector<cascade_plan> plans, const planning_options& options)
+    -> std::vector<cascade_plan> {
   std::sort(plans.begin(), plans.end(),
             [&](const cascade_plan& left, const cascade_plan& right) {
               return std::pair(Price(left, options), -left.expected_quality) <
@@ -199,8 +198,8 @@
     if (upper_share <= 0) return low;
     const auto high = hull[place + 1].quality_variance;
     // Neighbours share most of their evidence, so their errors add up.
-    const auto deviation = (1 - upper_share) * std::sqrt(low) +
-                           upper_share * std::sqrt(high);
+    const auto deviation =
+        (1 - upper_share) * std::sqrt(low) + upper_share * std::sqrt(high);
     return deviation * deviation;
   }
   auto Mixture() const -> mixed_plan {
--- a/src/cascade/signal_curve.cpp
+++ b/src/cascade/signal_curve.cpp
@@ -26,9 +26,8 @@
   return std::log(kept / (1 - kept));
 }
 
-signal_curve::signal_curve(
-    const std::array<evidence_counts, kSignalBins>& bins,
-    const curve_prior& prior)
+signal_curve::signal_curve(const std::array<evidence_counts, kSignalBins>& bins,
+                           const curve_prior& prior)
     : intercept_(prior.intercept), slope_(prior.slope) {
   const auto intercept_precision =
       1 / (prior.intercept_deviation * prior.intercept_deviation);
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -173,10 +173,9 @@
 auto control_service::AddEvidence(const std::string& node,
                                   heartbeat_response& response) -> void {
   const auto now = clock_.Now();
-  auto& pacer =
-      evidence_pacers_
-          .try_emplace(node, kEvidenceBytesPerSecond, kEvidenceGapMs)
-          .first->second;
+  auto& pacer = evidence_pacers_
+                    .try_emplace(node, kEvidenceBytesPerSecond, kEvidenceGapMs)
+                    .first->second;
   if (!pacer.MaySend(now)) return;
   response.evidence = evidence_.Total();
   pacer.Sent(response.evidence.size() * kEvidenceRowBytes, now);
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -31,9 +31,8 @@
 constexpr double kDefaultRatingShare = 0.1;
 /// Ratings from this on count as good.
 constexpr double kGoodScore = 0.5;
-constexpr http_deadlines kRatingDeadlines{milliseconds(300),
-                                          milliseconds(5'000),
-                                          milliseconds(5'000)};
+constexpr http_deadlines kRatingDeadlines{
+    milliseconds(300), milliseconds(5'000), milliseconds(5'000)};
 constexpr double kRatingBurstSeconds = 2;
 constexpr std::int64_t kTokensPerPrice = 1'000;
 
@@ -287,10 +286,9 @@
     return is_confident;
   }
   run.was_rated = true;
-  const auto score =
-      AskRating(run, run.steps[step].version, answer.facts.text,
-                KeyOf(run, run.steps[step].version, signal),
-                run.exchange.yield());
+  const auto score = AskRating(run, run.steps[step].version, answer.facts.text,
+                               KeyOf(run, run.steps[step].version, signal),
+                               run.exchange.yield());
   return is_confident && score && *score >= kGoodScore;
 }
 
@@ -597,19 +595,18 @@
   request.method = "POST";
   request.target = "/v1/ratings";
   request.headers = {{"Content-Type", "application/json"}};
-  request.body = json::serialize(
-      json::value{{"request_id", run.caller.request_id},
-                  {"customer", run.owner.name},
-                  {"task_class", run.task_class},
-                  {"version", version},
-                  {"prompt", run.request.prompt},
-                  {"answer", answer}});
+  request.body =
+      json::serialize(json::value{{"request_id", run.caller.request_id},
+                                  {"customer", run.owner.name},
+                                  {"task_class", run.task_class},
+                                  {"version", version},
+                                  {"prompt", run.request.prompt},
+                                  {"answer", answer}});
   return request;
 }
 
 auto chat_handler::AskRating(const chat_run& run, const std::string& version,
-                             const std::string& answer,
-                             const evidence_key& key,
+                             const std::string& answer, const evidence_key& key,
                              asio::yield_context yield)
     -> std::optional<double> {
   const auto rating = run.table->config().rating;
@@ -624,8 +621,8 @@
                               asio::yield_context yield)
     -> std::optional<double> {
   try {
-    const auto reply = HttpCall(context_.io, host, port, request,
-                                kRatingDeadlines, yield);
+    const auto reply =
+        HttpCall(context_.io, host, port, request, kRatingDeadlines, yield);
     const auto value = json::parse(reply.body);
     const auto score = value.at("score").to_number<double>();
     context_.state.evidence.Add(key, {.ratings = 1,
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -271,7 +271,8 @@
         ran_state::kMaybe);
   }
   // Even if no crash could be confirmed, a third server is not risked.
-  if (state.breaks >= kMaxBreaks || state.attempts >= kMaxAttempts || !context_.retries.TryRetry()) {
+  if (state.breaks >= kMaxBreaks || state.attempts >= kMaxAttempts ||
+      !context_.retries.TryRetry()) {
     throw request_refused(502, "server_failed",
                           "the server failed and the request was not retried",
                           ran_state::kMaybe, kOverloadRetryAfterS);
--- a/src/ledger/service.cpp
+++ b/src/ledger/service.cpp
@@ -174,7 +174,7 @@
       } else {
         peer.next = page.next;
       }
-      bills_.Add(page.records);
+      bills_.Add(page.records, bill_source::kOtherStore);
       is_behind = is_behind || page.records.size() == kPageRecords;
     } catch (const rpc_error&) {
       // The peer is down or cut off; its records come later.
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -60,10 +60,10 @@
 
   auto PaceTo(std::uint64_t number, asio::yield_context yield) -> void {
     if (options_.rate <= 0) return;
-    const auto due = start_ + std::chrono::duration_cast<clock::duration>(
-                                  std::chrono::duration<double>(
-                                      static_cast<double>(number) /
-                                      options_.rate));
+    const auto due =
+        start_ + std::chrono::duration_cast<clock::duration>(
+                     std::chrono::duration<double>(static_cast<double>(number) /
+                                                   options_.rate));
     asio::steady_timer timer(context_, due);
     boost::system::error_code ignored;
     timer.async_wait(yield[ignored]);
@@ -76,8 +76,8 @@
     for (int attempt = 0; attempt <= options_.resends; ++attempt) {
       if (attempt > 0) Pause(yield);
       ++record.tries;
-      result = TryOnce(record.id, number + static_cast<unsigned>(attempt),
-                       yield);
+      result =
+          TryOnce(record.id, number + static_cast<unsigned>(attempt), yield);
       if (result == try_result::kCut) ++report.cut;
       record.said_not_run = result == try_result::kNotRun;
       record.maybe_run |= result != try_result::kNotRun;
@@ -135,15 +135,14 @@
     request.body = json::serialize(json::value{
         {"model", options_.model},
         {"stream", options_.kind == load_kind::kStream},
-        {"messages",
-         json::array{json::object{{"role", "user"},
-                                  {"content", PromptOf(id)}}}}});
+        {"messages", json::array{json::object{{"role", "user"},
+                                              {"content", PromptOf(id)}}}}});
     return request;
   }
 
   auto PromptOf(const std::string& id) const -> std::string {
-    return options_.prompt + " " + id + " [tokens:" +
-           std::to_string(options_.tokens) + "]";
+    return options_.prompt + " " + id +
+           " [tokens:" + std::to_string(options_.tokens) + "]";
   }
 
   auto TryOnce(const std::string& id, std::uint64_t target_number,
@@ -191,8 +190,7 @@
   }
 
   auto Judge(const std::string& id, const http_response_head& head,
-             const std::string& body, clock::time_point started)
-      -> try_result {
+             const std::string& body, clock::time_point started) -> try_result {
     if (head.status != kStatusOk) {
       return head.Header("Lovagedale-Ran") == "no" ? try_result::kNotRun
                                                    : try_result::kMaybe;
--- a/src/rollout/guard.cpp
+++ b/src/rollout/guard.cpp
@@ -86,8 +86,7 @@
   const auto& counts = test.candidate;
   if (LogEvidenceOfDrop(counts.rating_sum, static_cast<double>(counts.ratings),
                         means.quality - options.quality_tolerance,
-                        kQualityDrops) >=
-      threshold) {
+                        kQualityDrops) >= threshold) {
     return "quality of " + test.name + " " +
            std::to_string(counts.MeanRating()) + " against " +
            std::to_string(means.quality) + " after " +
@@ -109,18 +108,17 @@
   const auto& counts = test.candidate;
   return LogEvidenceOfRise(
              counts.rating_sum, static_cast<double>(counts.ratings),
-             means.quality - options.unacceptable_drop, kQualityDrops) >=
-         std::log(1 / options.advance_error_rate);
+             means.quality - options.unacceptable_drop,
+             kQualityDrops) >= std::log(1 / options.advance_error_rate);
 }
 
 auto IsSuccessShown(const guard_test& test, const guard_options& options)
     -> bool {
   const auto& counts = test.candidate;
-  return LogEvidenceOfRise(Successes(counts),
-                           static_cast<double>(counts.requests),
-                           1 - options.unacceptable_error_rate,
-                           kSuccessDrops) >=
-         std::log(1 / options.advance_error_rate);
+  return LogEvidenceOfRise(
+             Successes(counts), static_cast<double>(counts.requests),
+             1 - options.unacceptable_error_rate,
+             kSuccessDrops) >= std::log(1 / options.advance_error_rate);
 }
 
 /// `tests` holds the whole version first and then its classes.
@@ -129,13 +127,12 @@
     -> bool {
   const auto& whole = tests.front();
   if (!IsSuccessShown(whole, options)) return false;
-  const auto least = options.min_class_share *
-                     static_cast<double>(whole.candidate.requests);
-  return std::all_of(
-      tests.begin(), tests.end(), [&](const guard_test& test) {
-        return static_cast<double>(test.candidate.requests) < least ||
-               IsQualityShown(test, input, options);
-      });
+  const auto least =
+      options.min_class_share * static_cast<double>(whole.candidate.requests);
+  return std::all_of(tests.begin(), tests.end(), [&](const guard_test& test) {
+    return static_cast<double>(test.candidate.requests) < least ||
+           IsQualityShown(test, input, options);
+  });
 }
 
 }  // namespace
--- a/tests/billing/bill_store_test.cpp
+++ b/tests/billing/bill_store_test.cpp
@@ -81,16 +81,16 @@
       if (random() % 3 == 0) {
         const auto page = a.Since(from_a, 2);
         from_a = page.next;
-        b.Add(page.records);
+        b.Add(page.records, bill_source::kOtherStore);
       }
     }
     for (int i = 0; i < 100; ++i) {
       const auto page_a = a.Since(from_a, 3);
       from_a = page_a.next;
-      b.Add(page_a.records);
+      b.Add(page_a.records, bill_source::kOtherStore);
       const auto page_b = b.Since(from_b, 3);
       from_b = page_b.next;
-      a.Add(page_b.records);
+      a.Add(page_b.records, bill_source::kOtherStore);
     }
     RC_ASSERT(a.bills() == b.bills());
   }));
--- a/tests/cascade/plan_test.cpp
+++ b/tests/cascade/plan_test.cpp
@@ -61,7 +61,8 @@
   CHECK(plan.first.expected_cost < 1'000);
 }
 
-TEST_CASE("the plans meet the target with margin and cost no more than one version") {
+TEST_CASE(
+    "the plans meet the target with margin and cost no more than one version") {
   CHECK(rc::check([] {
     const planning_options options;
     std::vector<class_knowledge> classes(*rc::gen::inRange<std::size_t>(1, 4));
@@ -69,10 +70,10 @@
     for (auto& item : classes) {
       item.weight = *rc::gen::inRange(1, 5);
       for (version_id id = 0; id < count; ++id) {
-        item.versions.push_back(Known(id, 100 * (id + 1),
-                                      *rc::gen::inRange(30, 99) / 100.0,
-                                      *rc::gen::inRange<std::uint64_t>(0, 2'000),
-                                      *rc::gen::arbitrary<bool>()));
+        item.versions.push_back(
+            Known(id, 100 * (id + 1), *rc::gen::inRange(30, 99) / 100.0,
+                  *rc::gen::inRange<std::uint64_t>(0, 2'000),
+                  *rc::gen::arbitrary<bool>()));
       }
     }
     const auto target = *rc::gen::inRange(30, 99) / 100.0;
@@ -108,8 +109,11 @@
 TEST_CASE("quality is bought in the class where it costs least") {
   // The second class gains nothing from the dear version.
   const std::vector<class_knowledge> classes = {
-      {1, {Known(0, 100, 0.5, 4'000, false), Known(1, 1'000, 0.95, 4'000, false)}},
-      {1, {Known(0, 100, 0.8, 4'000, false), Known(1, 1'000, 0.81, 4'000, false)}}};
+      {1,
+       {Known(0, 100, 0.5, 4'000, false), Known(1, 1'000, 0.95, 4'000, false)}},
+      {1,
+       {Known(0, 100, 0.8, 4'000, false),
+        Known(1, 1'000, 0.81, 4'000, false)}}};
   const auto plans = PlanPortfolio(classes, 0.8, {});
   CHECK(plans[0].Pick(0.5).steps[0].version == 1);
   CHECK(plans[1].Pick(0.5).steps[0].version == 0);
--- a/tests/processes/fleet_test.sh
+++ b/tests/processes/fleet_test.sh
@@ -5,6 +5,7 @@
 root="$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)"
 base_port=$1
 zones=(akl-a akl-b akl-c)
+[ -z "${only_zone:-}" ] || zones=("$only_zone")
 run="$(mktemp -d "${TMPDIR:-/tmp}/lovagedale-test.XXXXXX")"
 mkdir -p "$run/logs" "$run/data"
 # shellcheck source=scripts/fleet.sh
@@ -50,7 +51,7 @@
   for index in "${!zones[@]}"; do
     zone_list+="$separator{\"name\":\"${zones[$index]}\"}"
     for ((number = 0; number < engines_per_zone; ++number)); do
-      engines+="${engines:+,}{\"name\":\"$(engine_name "$index" "$number")\",\"zone\":\"${zones[$index]}\",\"host\":\"127.0.0.1\",\"port\":$(engine_port "$index" "$number"),\"slots\":64,\"versions\":[\"draft@1\",\"scholar@1\",\"scholar@2\"]}"
+      engines+="${engines:+,}{\"name\":\"$(engine_name "$index" "$number")\",\"zone\":\"${zones[$index]}\",\"host\":\"127.0.0.1\",\"port\":$(engine_port "$index" "$number"),\"slots\":${engine_slots:-64},\"versions\":[\"draft@1\",\"scholar@1\",\"scholar@2\"]}"
     done
     services+="$separator{\"name\":\"service-${zones[$index]}\",\"zone\":\"${zones[$index]}\",\"host\":\"127.0.0.1\",\"port\":$(port "$index" 50),\"slots\":64}"
     separator=,
@@ -74,7 +75,7 @@
   for index in "${!zones[@]}"; do
     for ((number = 0; number < engines_per_zone; ++number)); do
       write_standin_settings "$(engine_name "$index" "$number")" engine \
-        "$(port "$index" $((30 + number)))" ",\"slots\":64,\"first_token_ms\":5,\"token_ms\":5"
+        "$(port "$index" $((30 + number)))" ",\"slots\":${engine_slots:-64},\"first_token_ms\":${first_token_ms:-5},\"token_ms\":${token_ms:-5}"
       start "$(engine_name "$index" "$number")" lovagedale-standin
     done
     write_standin_settings "service-${zones[$index]}" service \
--- a/tests/support/tcp_relay.cpp
+++ b/tests/support/tcp_relay.cpp
@@ -3,9 +3,9 @@
 // nothing, new ones are accepted and carry nothing. SIGUSR2 heals for new
 // connections; those that were open during a cut stay silent for good.
 
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/asio/spawn.hpp>
-#include <array>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -60,8 +60,8 @@
   connection->born = state.cuts;
   boost::system::error_code error;
   if (!state.cut) {
-    connection->far.async_connect(
-        {asio::ip::make_address("127.0.0.1"), target}, yield[error]);
+    connection->far.async_connect({asio::ip::make_address("127.0.0.1"), target},
+                                  yield[error]);
     if (error) {
       connection->near.close(error);
       return;
@@ -76,22 +76,21 @@
   Forward(connection, /*from_near=*/true, state, yield);
 }
 
-auto Accept(asio::io_context& context, std::uint16_t port,
-            std::uint16_t target, const relay_state& state,
-            std::vector<std::shared_ptr<forwarded_connection>>& kept)
-    -> void {
+auto Accept(asio::io_context& context, std::uint16_t port, std::uint16_t target,
+            const relay_state& state,
+            std::vector<std::shared_ptr<forwarded_connection>>& kept) -> void {
   asio::spawn(
       context,
       [&, port, target](asio::yield_context yield) {
-        tcp::acceptor acceptor(
-            context, {asio::ip::make_address("127.0.0.1"), port});
+        tcp::acceptor acceptor(context,
+                               {asio::ip::make_address("127.0.0.1"), port});
         for (;;) {
           tcp::socket socket(context);
           acceptor.async_accept(socket, yield);
           asio::spawn(
               context,
-              [&, target, socket = std::move(socket)](
-                  asio::yield_context serve) mutable {
+              [&, target,
+               socket = std::move(socket)](asio::yield_context serve) mutable {
                 Serve(std::move(socket), target, state, kept, serve);
               },
               asio::detached);
--- a/tools/lovagedalectl.cpp
+++ b/tools/lovagedalectl.cpp
@@ -258,8 +258,8 @@
 }
 
 auto NextStage(const std::string& version) -> std::int64_t {
-  const auto answer = MakeClient().CallLeader(
-      "GET", "/v1/status?current=true", "", Timeout());
+  const auto answer =
+      MakeClient().CallLeader("GET", "/v1/status?current=true", "", Timeout());
   const auto status = json::parse(answer.body);
   for (const auto& item : status.at("versions").as_array()) {
     if (item.at("version").as_string() == version) {
@@ -317,8 +317,7 @@
 
 auto RunStatus(const arguments& /*args*/) -> int {
   const auto answer =
-      MakeClient().CallLeader("GET", "/v1/status?current=true", "",
-                               Timeout());
+      MakeClient().CallLeader("GET", "/v1/status?current=true", "", Timeout());
   if (absl::GetFlag(FLAGS_json)) return PrintJson(answer);
   const auto value = json::parse(answer.body);
   std::cout << "leader " << value.at("leader") << " term " << value.at("term")
