Engine orders: a planner under control's lease, fenced, read back, without state of its own

Found: two copies were unloaded for one load, as a load under way was not seen as holding; now it is.

--- a/benchmark/decisions/cost_study.cpp
+++ b/benchmark/decisions/cost_study.cpp
@@ -1,7 +1,9 @@
 #include "decisions/cost_study.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <fstream>
 #include <functional>
 #include <memory>
 
@@ -410,4 +412,35 @@
   report.Plain("collective.p95_to_always_best", ours.p95_ms / best.p95_ms);
 }
 
+auto WriteCostCurve(const std::string& folder,
+                    const cost_study_options& options) -> void {
+  std::ofstream out(folder + "/cost.dat");
+  out << "# target  quality and cost of ours  quality and cost of the oracle\n";
+  constexpr std::array<double, 7> kTargets = {0.76, 0.80, 0.84, 0.88,
+                                              0.90, 0.92, 0.94};
+  for (const auto target : kTargets) {
+    auto shape = Shapes().front();
+    shape.target = target;
+    const auto plans = OraclePlans(shape, options.planning);
+    const auto best_version =
+        static_cast<version_id>(shape.versions.size() - 1);
+    const auto ours =
+        Study(shape, options.first_seed, [&](std::uint64_t seed) -> policy {
+          auto state = std::make_shared<learner>(
+              shape, options, /*waits_for_rating=*/true, seed);
+          return [state](const true_request& request) {
+            return state->Handle(request);
+          };
+        });
+    const auto oracle = Study(shape, options.first_seed, [&](std::uint64_t s) {
+      return PlannedPolicy(shape, plans, s);
+    });
+    const auto best = Study(shape, options.first_seed, [&](std::uint64_t) {
+      return AlwaysVersion(shape, best_version);
+    });
+    out << target << " " << ours.good << " " << ours.cost / best.cost << " "
+        << oracle.good << " " << oracle.cost / best.cost << "\n";
+  }
+}
+
 }  // namespace lovagedale::benchmark
--- a/benchmark/decisions/cost_study.h
+++ b/benchmark/decisions/cost_study.h
@@ -27,4 +27,9 @@
 auto RunInteractiveStudy(figure_report& report,
                          const cost_study_options& options) -> void;
 
+/// Writes `target quality cost` lines of the first shape to `folder`/cost.dat:
+/// ours and the informed oracle over a range of targets, in always best's cost.
+auto WriteCostCurve(const std::string& folder,
+                    const cost_study_options& options) -> void;
+
 }  // namespace lovagedale::benchmark
--- a/benchmark/decisions/decisions_main.cpp
+++ b/benchmark/decisions/decisions_main.cpp
@@ -7,10 +7,11 @@
 #include "decisions/cost_study.h"
 #include "decisions/guard_study.h"
 #include "decisions/placement_study.h"
+#include "decisions/planner_study.h"
 #include "decisions/report.h"
 
 ABSL_FLAG(std::string, study, "all",
-          "cost, interactive, guard, placement or all");
+          "cost, interactive, guard, placement, planner or all");
 ABSL_FLAG(std::string, shape, "", "one workload shape only");
 ABSL_FLAG(uint64_t, seed, 1000, "first seed of the customers");
 ABSL_FLAG(double, confidence_z, -1, "overrides planning_options");
@@ -18,6 +19,8 @@
 ABSL_FLAG(double, rating_knee, -1, "overrides exploration_options");
 ABSL_FLAG(double, max_share, -1, "overrides exploration_options");
 ABSL_FLAG(int, wanted_ratings, -1, "overrides exploration_options");
+ABSL_FLAG(std::string, curves, "",
+          "folder for the plots' data; nothing else runs");
 ABSL_FLAG(std::string, json, "", "file for the figures");
 
 namespace {
@@ -46,6 +49,12 @@
 auto main(int argc, char** argv) -> int {
   absl::SetProgramUsageMessage("Measures lovagedale's decisions.");
   absl::ParseCommandLine(argc, argv);
+  const auto folder = absl::GetFlag(FLAGS_curves);
+  if (!folder.empty()) {
+    lovagedale::benchmark::WriteCostCurve(folder, CostOptions());
+    lovagedale::benchmark::WriteExposureCurve(folder);
+    return 0;
+  }
   const auto study = absl::GetFlag(FLAGS_study);
   const auto wanted = [&](const std::string& name) {
     return study == "all" || study == name;
@@ -59,6 +68,7 @@
   }
   if (wanted("guard")) lovagedale::benchmark::RunGuardStudy(report);
   if (wanted("placement")) lovagedale::benchmark::RunPlacementStudy(report);
+  if (wanted("planner")) lovagedale::benchmark::RunPlannerStudy(report);
   report.Print();
   const auto path = absl::GetFlag(FLAGS_json);
   if (!path.empty()) report.WriteJson(path);
--- a/benchmark/decisions/guard_study.cpp
+++ b/benchmark/decisions/guard_study.cpp
@@ -1,6 +1,7 @@
 #include "decisions/guard_study.h"
 
 #include <array>
+#include <fstream>
 #include <random>
 
 #include "lovagedale/rollout/guard.h"
@@ -56,7 +57,9 @@
     counts.rating_square_sum += score;
   }
 
-  auto Judge() -> guard_verdict { return JudgeRollout(input_, {}).verdict; }
+  auto Judge(const guard_options& options) -> guard_verdict {
+    return JudgeRollout(input_, options).verdict;
+  }
   auto StartStage() -> void { input_.requests_at_stage_start = exposed_; }
   auto exposed() const -> std::size_t { return exposed_; }
 
@@ -78,8 +81,8 @@
 };
 
 /// Judged after each answer; goes on as soon as a stage is shown acceptable.
-auto RunGuarded(const candidate_version& version, std::uint64_t seed)
-    -> rollout_end {
+auto RunGuarded(const candidate_version& version, std::uint64_t seed,
+                const guard_options& options = {}) -> rollout_end {
   rollout_run run(version, seed);
   std::mt19937_64 traffic(seed + 1'000'000);
   std::uniform_real_distribution<double> unit(0, 1);
@@ -87,7 +90,7 @@
   for (std::size_t i = 0; stage < kStages.size() && i < kGuardedRequests; ++i) {
     if (unit(traffic) >= kStages[stage]) continue;
     run.Serve();
-    const auto verdict = run.Judge();
+    const auto verdict = run.Judge(options);
     if (verdict == guard_verdict::kWithdraw) return {run.exposed(), true};
     if (verdict == guard_verdict::kAdvance) {
       ++stage;
@@ -107,7 +110,7 @@
     for (std::size_t i = 0; i < kRequestsPerStage; ++i) {
       if (unit(traffic) < share) run.Serve();
     }
-    if (run.Judge() == guard_verdict::kWithdraw) return {run.exposed(), true};
+    if (run.Judge({}) == guard_verdict::kWithdraw) return {run.exposed(), true};
   }
   return {run.exposed(), false};
 }
@@ -161,4 +164,26 @@
                 "of 2,000 whole roll-outs");
 }
 
+auto WriteExposureCurve(const std::string& folder) -> void {
+  std::ofstream out(folder + "/exposure.dat");
+  out << "# false-alarm rate  exposure at 20 points worse  at 5% errors\n";
+  constexpr std::array<double, 5> kRates = {0.001, 0.003, 0.01, 0.05, 0.2};
+  constexpr std::uint64_t kRuns = 100;
+  for (const auto rate : kRates) {
+    guard_options options;
+    options.false_alarm_rate = rate;
+    double worse = 0;
+    double errors = 0;
+    for (std::uint64_t seed = 1; seed <= kRuns; ++seed) {
+      worse += static_cast<double>(
+                   RunGuarded({.quality_drop = 0.2}, seed, options).exposed) /
+               kRuns;
+      errors += static_cast<double>(
+                    RunGuarded({.error_rate = 0.05}, seed, options).exposed) /
+                kRuns;
+    }
+    out << rate << " " << worse << " " << errors << "\n";
+  }
+}
+
 }  // namespace lovagedale::benchmark
--- a/benchmark/decisions/guard_study.h
+++ b/benchmark/decisions/guard_study.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>
+
 #include "decisions/report.h"
 
 namespace lovagedale::benchmark {
@@ -9,4 +11,8 @@
 /// evidence; and the share of good versions that are withdrawn.
 auto RunGuardStudy(figure_report& report) -> void;
 
+/// Writes `false-alarm-rate exposure` lines for a version 20 points worse and
+/// one with 5% errors to `folder`/exposure.dat.
+auto WriteExposureCurve(const std::string& folder) -> void;
+
 }  // namespace lovagedale::benchmark
--- a/include/lovagedale/catalog/catalog.h
+++ b/include/lovagedale/catalog/catalog.h
@@ -55,6 +55,9 @@
   std::vector<version_id> versions;  ///< those it may run; empty for services
   std::int64_t slots = 1;            ///< requests it runs at once
   pool_id pool = 0;
+  /// Versions that it holds at once, by control's orders; 0 if it always holds
+  /// all of `versions` and takes no orders.
+  std::int64_t max_loaded = 0;
 
   auto operator==(const backend_server&) const -> bool = default;
 };
@@ -123,6 +126,8 @@
   std::vector<server_pool> pools;
   std::vector<customer> customers;
   std::optional<rating_service> rating;
+  /// Loads that the weight store serves at once, fleet-wide.
+  std::int64_t loads_at_once = 1;
 
   auto operator==(const catalog&) const -> bool = default;
 
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -13,6 +13,8 @@
 #include "lovagedale/configuration/in_force.h"
 #include "lovagedale/control/messages.h"
 #include "lovagedale/control/settings.h"
+#include "lovagedale/engine/order_service.h"
+#include "lovagedale/engine/planner.h"
 #include "lovagedale/health/crash_attribution.h"
 #include "lovagedale/http/server.h"
 #include "lovagedale/quality/evidence.h"
@@ -65,6 +67,7 @@
 
   auto HandleRpc(const std::string& body, rpc_reply reply) -> void;
   auto HandleHeartbeat(entry_heartbeat heartbeat, rpc_reply reply) -> void;
+  auto TrackDemand(const entry_heartbeat& heartbeat) -> void;
   auto RegisterIfNew(const entry_heartbeat& heartbeat) -> void;
   auto HandleCrashes(const entry_heartbeat& heartbeat) -> void;
   auto Answer(const held_heartbeat& held) -> void;
@@ -75,10 +78,12 @@
   auto Tick() -> void;
   auto TrackLeadership() -> void;
   auto JudgeRollouts() -> void;
+  auto OrderEngines() -> void;
+  auto OrderAuthority() const -> order_authority;
   auto JudgeVersion(const version_status& status) -> void;
   auto ProposeOwnChange(const std::string& change_id, change_action action,
                         const std::string& reason) -> void;
-  auto ParsedCatalog() -> const catalog&;
+  auto ParsedCatalog() -> std::shared_ptr<const catalog>;
 
   boost::asio::io_context& context_;
   replica_settings settings_;
@@ -93,10 +98,14 @@
   evidence_collector evidence_;
   std::map<std::string, byte_pacer> evidence_pacers_;  // By entry.
   crash_attribution crashes_;
+  demand_tracker demand_;
+  order_service orders_;
+  monotonic_ms leading_since_ = 0;
+  monotonic_ms ordered_at_ = 0;
   guard_options guard_;
   /// Requests of a version when its present stage began, by version.
   std::map<std::string, std::pair<std::uint32_t, std::uint64_t>> stage_start_;
-  catalog parsed_;
+  std::shared_ptr<const catalog> parsed_;
   std::optional<std::uint64_t> parsed_hash_;
   config_revision answered_revision_ = 0;
   bool stopped_ = false;
--- a/include/lovagedale/placement/placement.h
+++ b/include/lovagedale/placement/placement.h
@@ -46,6 +46,8 @@
   bool is_suspect = false;
   monotonic_ms now = 0;
   std::uint64_t random = 0;
+  /// Hash of the version's name, which the server must hold; 0 for services.
+  std::uint64_t version_hash = 0;
 };
 
 enum class placement_reason {
--- a/include/lovagedale/placement/server_state.h
+++ b/include/lovagedale/placement/server_state.h
@@ -32,6 +32,11 @@
   std::atomic<std::uint32_t> consecutive_failures{0};
   std::atomic<std::uint32_t> suspects_running{0};
 
+  /// Versions that the server says it holds, as sorted name hashes; null if it
+  /// always holds those it is configured for.
+  std::atomic<std::shared_ptr<const std::vector<std::uint64_t>>> loaded;
+  auto Holds(std::uint64_t version_hash) const -> bool;
+
   /// Requests that run there, for blame if it crashes.
   auto AddRunning(std::uint64_t fingerprint) -> void;
   auto RemoveRunning(std::uint64_t fingerprint) -> void;
--- a/include/lovagedale/quality/evidence.h
+++ b/include/lovagedale/quality/evidence.h
@@ -62,6 +62,9 @@
               const evidence_table& cumulative) -> void;
   /// Kept up to date by Report: asking costs nothing.
   auto Total() const -> const evidence_table& { return total_; }
+  /// One reporter's own counters.
+  auto CumulativeOf(const std::string& reporter,
+                    std::uint64_t incarnation) const -> const evidence_table&;
   auto TotalFor(const std::string& version) const -> evidence_table;
 
  private:
--- a/include/lovagedale/standin/standin.h
+++ b/include/lovagedale/standin/standin.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +24,13 @@
   std::int64_t first_token_ms = 5;
   std::int64_t token_ms = 1;
   std::int64_t default_tokens = 20;
+  /// Versions that an engine holds at its start, how many it can hold, and how
+  /// long a load takes. With max_loaded 0 it holds every version.
+  std::vector<std::string> loaded;
+  std::int64_t max_loaded = 0;
+  std::int64_t load_ms = 200;
+  /// Whether orders with an old fencing number are refused.
+  bool checks_fencing = true;
   /// Share of answers that a rater finds good, by version name.
   std::map<std::string, double> quality;
   std::string log_file;
@@ -61,6 +68,9 @@
   auto HandleChat(http_exchange& exchange) -> void;
   auto HandleService(http_exchange& exchange) -> void;
   auto HandleRating(http_exchange& exchange) -> void;
+  auto HandleOrder(http_exchange& exchange) -> void;
+  auto HandleLoad(http_exchange& exchange) -> void;
+  auto Holds(const std::string& version) const -> bool;
   auto HandleRecord(http_exchange& exchange) -> void;
   auto WaitForSlot(http_exchange& exchange) -> void;
   auto Pause(std::int64_t ms, http_exchange& exchange) -> void;
@@ -70,6 +80,9 @@
   std::int64_t running_ = 0;
   std::int64_t waiting_ = 0;
   bool leaving_ = false;
+  std::set<std::string> loaded_;
+  std::set<std::string> loading_;
+  std::uint64_t highest_fence_ = 0;
   /// Calls by order id (services) or version (engines), for tests.
   std::map<std::string, std::int64_t> record_;
 };
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -41,8 +41,7 @@
 overload() { "$root/scripts/bench_overload.sh" | tee "$out/overload.txt"; }
 
 plot() {
-  [ -f "$out/decisions.json" ] || decisions || true
-  "$bench/decisions" --study=curves --json="$out/curves.json" >"$out/curves.txt"
+  "$bench/decisions" --curves="$out"
   gnuplot -e "folder='$out'" "$root/scripts/plot.gnuplot"
   ls "$out"/*.svg
 }
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -57,6 +57,9 @@
     root.ForEach("pools", [&](object_reader& r) { ReadPool(r); });
     root.ForEach("customers", [&](object_reader& r) { ReadCustomer(r); });
     root.Object("rating", [&](object_reader& r) { ReadRating(r); });
+    root.Object("weight_store", [&](object_reader& r) {
+      catalog_.loads_at_once = r.Integer("loads_at_once", 1, kMaxSlots, 1);
+    });
     if (catalog_.zones.empty()) {
       root.AddError("zones", "", "at least one availability zone");
     }
@@ -160,6 +163,7 @@
       reader.AddError("versions", "a list", "nothing, for a plain service");
     }
     server.slots = reader.Integer("slots", 1, kMaxSlots, 1);
+    server.max_loaded = reader.Integer("max_loaded", 0, kMaxSlots, 0);
     pool.servers.push_back(static_cast<server_id>(catalog_.servers.size()));
     catalog_.servers.push_back(std::move(server));
   }
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -18,6 +18,7 @@
 /// Part of an entry's budget for control that the fleet's evidence may take.
 constexpr std::int64_t kEvidenceBytesPerSecond = 1'200;
 constexpr monotonic_ms kEvidenceGapMs = 900;
+constexpr monotonic_ms kOrderPeriodMs = 500;
 constexpr std::int64_t kQuarantineMs = 60LL * 60 * 1'000;
 
 auto WrapEnvelope(const replica_envelope& envelope) -> std::string {
@@ -36,7 +37,8 @@
               [this](std::string body, rpc_reply reply) {
                 HandleRpc(body, std::move(reply));
               }),
-      timer_(context) {}
+      timer_(context),
+      orders_(context, [this] { return OrderAuthority(); }) {}
 
 auto control_service::Start() -> void {
   node_.Start();
@@ -78,6 +80,7 @@
   TrackLeadership();
   if (!heartbeat.evidence.empty()) {
     evidence_.Report(heartbeat.node, heartbeat.incarnation, heartbeat.evidence);
+    TrackDemand(heartbeat);
   }
   const bool urgent = !heartbeat.crashes.empty() || heartbeat.leaving;
   held_heartbeat held{std::move(heartbeat), std::move(reply),
@@ -102,6 +105,18 @@
   held_.push_back(std::move(held));
 }
 
+auto control_service::TrackDemand(const entry_heartbeat& heartbeat) -> void {
+  std::map<std::string, std::uint64_t> totals;
+  for (const auto& [key, counts] :
+       evidence_.CumulativeOf(heartbeat.node, heartbeat.incarnation)) {
+    totals[key.version] += counts.requests;
+  }
+  for (const auto& [version, total] : totals) {
+    demand_.Update(heartbeat.node, heartbeat.zone, version, total,
+                   clock_.Now());
+  }
+}
+
 auto control_service::RegisterIfNew(const entry_heartbeat& heartbeat) -> void {
   const register_node node{heartbeat.node, heartbeat.zone};
   const auto known = machine_.nodes().find(node.name);
@@ -212,12 +227,37 @@
   const bool has_new_revision = answered_revision_ != machine_.view().revision;
   answered_revision_ = machine_.view().revision;
   AnswerHeld(/*all=*/has_new_revision || !tracker_);
-  if (tracker_) JudgeRollouts();
+  if (!tracker_) return;
+  JudgeRollouts();
+  OrderEngines();
+}
+
+auto control_service::OrderAuthority() const -> order_authority {
+  // A new leader first waits until every order of an earlier one has been
+  // answered or has timed out.
+  if (!tracker_ || clock_.Now() - leading_since_ < 2 * kOrderTimeoutMs) {
+    return {};
+  }
+  return {node_.LeaseRemainingMs(), node_.core().term()};
+}
+
+auto control_service::OrderEngines() -> void {
+  const auto now = clock_.Now();
+  if (!node_.IsCurrent() || now - ordered_at_ < kOrderPeriodMs ||
+      OrderAuthority().lease_ms <= kOrderTimeoutMs) {
+    return;
+  }
+  ordered_at_ = now;
+  const auto config = ParsedCatalog();
+  orders_.Run(config, machine_.view(), demand_.Demand(*config, now));
 }
 
 auto control_service::TrackLeadership() -> void {
   const bool leads = node_.core().role() == replica_role::kLeader;
-  if (leads && !tracker_) tracker_.emplace(clock_.Now());
+  if (leads && !tracker_) {
+    leading_since_ = clock_.Now();
+    tracker_.emplace(leading_since_);
+  }
   if (!leads && tracker_) {
     tracker_.reset();
     stage_start_.clear();
@@ -289,12 +329,13 @@
                [](const change_outcome&) {});
 }
 
-auto control_service::ParsedCatalog() -> const catalog& {
+auto control_service::ParsedCatalog() -> std::shared_ptr<const catalog> {
   const auto hash = Hash64(machine_.view().document);
   if (parsed_hash_ != hash) {
-    parsed_ = machine_.view().document.empty()
-                  ? catalog{}
-                  : ParseCatalog(machine_.view().document);
+    parsed_ = std::make_shared<const catalog>(
+        machine_.view().document.empty()
+            ? catalog{}
+            : ParseCatalog(machine_.view().document));
     parsed_hash_ = hash;
   }
   return parsed_;
@@ -310,7 +351,8 @@
 }
 
 auto control_service::JudgeVersion(const version_status& status) -> void {
-  const auto& config = ParsedCatalog();
+  const auto parsed = ParsedCatalog();
+  const auto& config = *parsed;
   const auto id = config.FindVersion(status.version);
   if (!id) return;
   guard_input input;
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -1,10 +1,12 @@
 #include "lovagedale/entry/control_link.h"
 
+#include <algorithm>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 #include "lovagedale/common/codec.h"
+#include "lovagedale/common/hash.h"
 #include "lovagedale/common/json_reader.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/ledger/messages.h"
@@ -41,6 +43,17 @@
   timer.async_wait(yield[ignored]);
 }
 
+/// Sorted hashes of the version names that an engine reports.
+auto HashesOf(const boost::json::array& names)
+    -> std::shared_ptr<const std::vector<std::uint64_t>> {
+  auto hashes = std::make_shared<std::vector<std::uint64_t>>();
+  for (const auto& name : names) {
+    hashes->push_back(Hash64(std::string_view(name.as_string())));
+  }
+  std::sort(hashes->begin(), hashes->end());
+  return hashes;
+}
+
 }  // namespace
 
 control_link::control_link(asio::io_context& context, entry_state& state,
@@ -342,6 +355,9 @@
         static_cast<std::int32_t>(load.at("running").to_number<std::int64_t>() +
                                   load.at("waiting").to_number<std::int64_t>());
     server_load.reported_at = clock_.Now();
+    if (server.max_loaded > 0) {
+      server_load.loaded.store(HashesOf(load.at("versions").as_array()));
+    }
     const auto* leaving = load.if_contains("leaving");
     server_load.leaving =
         leaving != nullptr && leaving->is_bool() && leaving->get_bool();
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
+#include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
 
 namespace lovagedale {
@@ -140,6 +141,7 @@
   request.is_suspect = context_.state.suspects.Contains(job.fingerprint);
   request.now = context_.clock.Now();
   request.random = context_.NextRandom();
+  if (!job.version.empty()) request.version_hash = Hash64(job.version);
   const auto choice =
       ChooseServer(group, context_.prefixes, request, placement_options{});
   if (!choice) return std::nullopt;
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
+#include <cmath>
 #include <thread>
 
 #include "lovagedale/entry/chat_body.h"
@@ -254,7 +255,7 @@
     -> double {
   if (sorted.empty()) return 0;
   const auto place = static_cast<std::size_t>(
-      q * static_cast<double>(sorted.size() - 1) + 0.5);
+      std::lround(q * static_cast<double>(sorted.size() - 1)));
   return sorted[place];
 }
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -26,7 +26,9 @@
 
   auto Offer(const placed_server& server, std::size_t cached_blocks) -> void {
     if (Contains(request_.excluded, server.id) ||
-        !IsAvailable(server, request_.now)) {
+        !IsAvailable(server, request_.now) ||
+        (request_.version_hash != 0 &&
+         !server.state->Holds(request_.version_hash))) {
       return;
     }
     ++considered_;
--- a/src/placement/server_state.cpp
+++ b/src/placement/server_state.cpp
@@ -4,6 +4,11 @@
 
 namespace lovagedale {
 
+auto server_state::Holds(std::uint64_t version_hash) const -> bool {
+  const auto held = loaded.load(std::memory_order_acquire);
+  return !held || std::binary_search(held->begin(), held->end(), version_hash);
+}
+
 auto server_state::AddRunning(std::uint64_t fingerprint) -> void {
   const std::lock_guard lock(mutex_);
   running_.push_back(fingerprint);
--- a/src/quality/evidence.cpp
+++ b/src/quality/evidence.cpp
@@ -53,6 +53,14 @@
   }
 }
 
+auto evidence_collector::CumulativeOf(const std::string& reporter,
+                                      std::uint64_t incarnation) const
+    -> const evidence_table& {
+  static const evidence_table none;
+  const auto found = reports_.find({reporter, incarnation});
+  return found == reports_.end() ? none : found->second;
+}
+
 auto evidence_collector::TotalFor(const std::string& version) const
     -> evidence_table {
   evidence_table found;
--- a/src/questionnaire/questionnaire.cpp
+++ b/src/questionnaire/questionnaire.cpp
@@ -108,7 +108,8 @@
  public:
   explicit document_writer(const json::object& facts)
       : versions_(ListVersions(facts)) {
-    for (const auto* key : {"zones", "models", "pools", "rating"}) {
+    for (const auto* key :
+         {"zones", "models", "pools", "rating", "weight_store"}) {
       if (facts.contains(key)) document_[key] = facts.at(key);
     }
     page_ << "# How this configuration was chosen\n\n";
@@ -191,7 +192,8 @@
   std::vector<customer_answers> customers;
   ReadSettings(answers, [&](object_reader& root) {
     // The facts are checked with the whole document below.
-    for (const auto* key : {"zones", "models", "pools", "rating"}) {
+    for (const auto* key :
+         {"zones", "models", "pools", "rating", "weight_store"}) {
       root.Accept(key);
     }
     root.ForEach("customers", [&](object_reader& reader) {
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -1,5 +1,7 @@
 #include "lovagedale/standin/standin.h"
 
+#include <algorithm>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/json.hpp>
 #include <charconv>
@@ -113,6 +115,12 @@
     settings.token_ms = root.Integer("token_ms", 0, kMaxMs, settings.token_ms);
     settings.default_tokens =
         root.Integer("default_tokens", 1, kMaxTokens, settings.default_tokens);
+    settings.loaded = root.StringList("loaded");
+    settings.max_loaded =
+        root.Integer("max_loaded", 0, kMaxTokens, settings.max_loaded);
+    settings.load_ms = root.Integer("load_ms", 0, kMaxMs, settings.load_ms);
+    settings.checks_fencing =
+        root.Bool("checks_fencing", settings.checks_fencing);
     root.ForEach("quality", [&](object_reader& item) {
       const auto version = item.RequiredString("version");
       settings.quality[version] = item.Number("share", 0, 1, kDefaultQuality);
@@ -146,7 +154,9 @@
 }
 
 standin::standin(asio::io_context& context, standin_settings settings)
-    : context_(context), settings_(std::move(settings)) {}
+    : context_(context),
+      settings_(std::move(settings)),
+      loaded_(settings_.loaded.begin(), settings_.loaded.end()) {}
 
 auto standin::Pause(std::int64_t ms, http_exchange& exchange) -> void {
   if (ms <= 0) return;
@@ -165,10 +175,11 @@
 auto standin::Handle(http_exchange& exchange) -> void {
   const auto path = exchange.request().Path();
   if (path == "/load") {
-    exchange.RespondJson(200,
-                         json::serialize(json::value{{"running", running_},
-                                                     {"waiting", waiting_},
-                                                     {"leaving", leaving_}}));
+    HandleLoad(exchange);
+    return;
+  }
+  if (path == "/orders") {
+    HandleOrder(exchange);
     return;
   }
   if (path == "/record") {
@@ -190,8 +201,63 @@
   }
 }
 
+auto standin::Holds(const std::string& version) const -> bool {
+  return settings_.max_loaded == 0 || loaded_.contains(version);
+}
+
+auto standin::HandleLoad(http_exchange& exchange) -> void {
+  json::object load = {
+      {"running", running_}, {"waiting", waiting_}, {"leaving", leaving_}};
+  if (settings_.max_loaded > 0) {
+    load["versions"] = json::array(loaded_.begin(), loaded_.end());
+    load["loading"] = json::array(loading_.begin(), loading_.end());
+    load["fence"] = highest_fence_;
+  }
+  exchange.RespondJson(200, json::serialize(load));
+}
+
+auto standin::HandleOrder(http_exchange& exchange) -> void {
+  const auto value = json::parse(exchange.request().body);
+  const auto fence = value.at("fence").to_number<std::uint64_t>();
+  const auto action = std::string(value.at("action").as_string());
+  const auto version = std::string(value.at("version").as_string());
+  if (settings_.checks_fencing && fence < highest_fence_) {
+    exchange.RespondJson(409, R"({"error":{"type":"old_fence"}})");
+    return;
+  }
+  highest_fence_ = std::max(highest_fence_, fence);
+  if (action == "unload") {
+    loaded_.erase(version);
+    exchange.RespondJson(200, R"({"ok":true})");
+    return;
+  }
+  const auto held = loaded_.size() + loading_.size();
+  if (static_cast<std::int64_t>(held) >= settings_.max_loaded) {
+    exchange.RespondJson(409, R"({"error":{"type":"full"}})");
+    return;
+  }
+  ++record_["load " + version];
+  loading_.insert(version);
+  exchange.RespondJson(202, R"({"ok":true})");
+  asio::spawn(
+      context_,
+      [this, version](asio::yield_context yield) {
+        asio::steady_timer timer(context_,
+                                 std::chrono::milliseconds(settings_.load_ms));
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+        if (loading_.erase(version) > 0) loaded_.insert(version);
+      },
+      asio::detached);
+}
+
 auto standin::HandleChat(http_exchange& exchange) -> void {
   const auto call = ReadCall(exchange.request().body);
+  if (!Holds(call.version)) {
+    exchange.RespondJson(503, R"({"error":{"type":"not_loaded"}})",
+                         {{"Lovagedale-Ran", "no"}});
+    return;
+  }
   if (HasMarker(call.prompt, "[crash]")) std::_Exit(kCrashExitCode);
   WaitForSlot(exchange);
   struct slot_release {
