--- a/benchmark/decisions/planner_study.cpp
+++ b/benchmark/decisions/planner_study.cpp
@@ -94,8 +94,7 @@
       report.loaded.insert(load->first.second);
       load = done_at.erase(load);
     }
-    for (const auto& order :
-         PlanOrders({&config, &view, reports, demand})) {
+    for (const auto& order : PlanOrders({&config, &view, reports, demand})) {
       auto& report = reports[order.server];
       if (order.action == order_action::kUnload) {
         report.loaded.erase(order.version);
@@ -134,9 +133,9 @@
     loads += static_cast<double>(ours.loads_after_shift) / kRuns;
     informed_loads += static_cast<double>(informed.loads_after_shift) / kRuns;
     // The weight store serves the needed loads in this many rounds.
-    shortest += std::ceil(static_cast<double>(ours.loads_needed) /
-                          kLoadsAtOnce) *
-                static_cast<double>(kLoadMs) / kRuns;
+    shortest +=
+        std::ceil(static_cast<double>(ours.loads_needed) / kLoadsAtOnce) *
+        static_cast<double>(kLoadMs) / kRuns;
     lost |= ours.lost_a_version;
   }
   report.AtMost("planner.followed_after_to_weight_store_limit",
--- a/include/lovagedale/engine/planner.h
+++ b/include/lovagedale/engine/planner.h
@@ -56,8 +56,8 @@
  public:
   /// `total`: all requests of a version so far, as one entry counts them.
   auto Update(const std::string& entry, const std::string& zone,
-              const std::string& version, std::uint64_t total,
-              monotonic_ms now) -> void;
+              const std::string& version, std::uint64_t total, monotonic_ms now)
+      -> void;
   /// Requests a second by zone, for the versions of `config`.
   auto Demand(const catalog& config, monotonic_ms now) const -> zone_demand;
 
--- a/src/engine/order_service.cpp
+++ b/src/engine/order_service.cpp
@@ -86,20 +86,19 @@
                          asio::yield_context yield) -> void {
   const auto& server = config.servers[order.server];
   const auto fence = authority_().fence;
-  const auto* action =
-      order.action == order_action::kLoad ? "load" : "unload";
+  const auto* action = order.action == order_action::kLoad ? "load" : "unload";
   const auto& version = config.versions[order.version].name;
   http_request request;
   request.method = "POST";
   request.target = "/orders";
   request.headers = {{"Content-Type", "application/json"}};
-  request.body = json::serialize(json::value{
-      {"fence", fence}, {"action", action}, {"version", version}});
+  request.body = json::serialize(
+      json::value{{"fence", fence}, {"action", action}, {"version", version}});
   unsigned status = 0;
   try {
-    status = HttpCall(context_, server.host, server.port, request, kDeadlines,
-                      yield)
-                 .head.status;
+    status =
+        HttpCall(context_, server.host, server.port, request, kDeadlines, yield)
+            .head.status;
   } catch (const http_call_error&) {
     // Whether it was carried out shows in the next report.
   }
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -55,8 +55,8 @@
       const auto version = MostWanted();
       if (!version) return;
       if (const auto server = FreeServer(*version)) {
-        orders.push_back({*server, order_action::kLoad, *version,
-                          Reason(*version)});
+        orders.push_back(
+            {*server, order_action::kLoad, *version, Reason(*version)});
         servers_[*server].loading.insert(*version);
         --loads_left;
         continue;
@@ -98,12 +98,12 @@
   auto CountWanted() -> void {
     double total = 0;
     for (const auto version : needed_) total += DemandOf(version);
-    const auto spare = std::max(
-        0.0, static_cast<double>(places_) - static_cast<double>(needed_.size()));
+    const auto spare = std::max(0.0, static_cast<double>(places_) -
+                                         static_cast<double>(needed_.size()));
     for (const auto version : needed_) {
       const auto share = total > 0 ? DemandOf(version) / total : 0;
-      wanted_[version] = std::min(1 + spare * share,
-                                  static_cast<double>(servers_.size()));
+      wanted_[version] =
+          std::min(1 + spare * share, static_cast<double>(servers_.size()));
     }
   }
 
@@ -145,10 +145,9 @@
           report.loading.contains(version)) {
         continue;
       }
-      const auto free =
-          input_.config->servers[id].max_loaded -
-          static_cast<std::int64_t>(report.loaded.size() +
-                                    report.loading.size());
+      const auto free = input_.config->servers[id].max_loaded -
+                        static_cast<std::int64_t>(report.loaded.size() +
+                                                  report.loading.size());
       if (free > most_free) {
         most_free = free;
         best = id;
@@ -165,8 +164,9 @@
             needed_.end()) {
           continue;
         }
-        orders.push_back(
-            {id, order_action::kUnload, version, "no customer may use it now"});
+        engine_order order{id, order_action::kUnload, version, {}};
+        order.reason.assign("no customer may use it now");
+        orders.push_back(std::move(order));
         report.loaded.erase(version);
       }
     }
--- a/tests/engine/planner_test.cpp
+++ b/tests/engine/planner_test.cpp
@@ -64,8 +64,8 @@
   }
   auto LoadedIn(const std::string& zone, version_id version) const
       -> std::size_t {
-    return static_cast<std::size_t>(std::count_if(
-        reports.begin(), reports.end(), [&](const auto& item) {
+    return static_cast<std::size_t>(
+        std::count_if(reports.begin(), reports.end(), [&](const auto& item) {
           return config.servers[item.first].zone == zone &&
                  item.second.loaded.contains(version);
         }));
@@ -127,7 +127,8 @@
   CHECK(engines.LoadedIn("zone-0", 1) == 0);
 }
 
-TEST_CASE("whatever happens, no needed version loses its last server in a zone") {
+TEST_CASE(
+    "whatever happens, no needed version loses its last server in a zone") {
   CHECK(rc::check([](std::uint64_t seed) {
     const auto zones = *rc::gen::inRange<std::size_t>(1, 4);
     const auto per_zone = *rc::gen::inRange<std::size_t>(2, 6);
