--- a/benchmark/decisions/decisions_main.cpp
+++ b/benchmark/decisions/decisions_main.cpp
@@ -8,10 +8,12 @@
 #include "decisions/guard_study.h"
 #include "decisions/placement_study.h"
 #include "decisions/planner_study.h"
+#include "decisions/recovery_study.h"
 #include "decisions/report.h"
 
 ABSL_FLAG(std::string, study, "all",
-          "cost, interactive, guard, placement, planner or all");
+          "cost, interactive, guard, placement, planner, recovery or "
+          "all");
 ABSL_FLAG(std::string, shape, "", "one workload shape only");
 ABSL_FLAG(uint64_t, seed, 1000, "first seed of the customers");
 ABSL_FLAG(double, confidence_z, -1, "overrides planning_options");
@@ -69,6 +71,7 @@
   if (wanted("guard")) lovagedale::benchmark::RunGuardStudy(report);
   if (wanted("placement")) lovagedale::benchmark::RunPlacementStudy(report);
   if (wanted("planner")) lovagedale::benchmark::RunPlannerStudy(report);
+  if (wanted("recovery")) lovagedale::benchmark::RunRecoveryStudy(report);
   report.Print();
   const auto path = absl::GetFlag(FLAGS_json);
   if (!path.empty()) report.WriteJson(path);
--- a/src/replication/replica_core.cpp
+++ b/src/replication/replica_core.cpp
@@ -167,7 +167,13 @@
   collecting_pre_votes_ = pre_vote;
   transfer_election_ = transfer;
   votes_ = {name_};
-  ResetElectionTimer(now);
+  // The leader's silence has been waited for already: another try may follow
+  // soon. The random part keeps two candidates from trying at once again.
+  const auto longest =
+      pre_vote ? options_.election_min_ms / 2 : options_.election_min_ms;
+  std::uniform_int_distribution<monotonic_ms> spread(
+      std::min(options_.heartbeat_ms, longest), longest);
+  election_at_ = now + spread(random_);
   if (!pre_vote) SetHardState(hard_.term + 1, name_);
   const auto term = pre_vote ? hard_.term + 1 : hard_.term;
   for (const auto& member : members_.members) {
