--- a/include/lovagedale/catalog/catalog.h
+++ b/include/lovagedale/catalog/catalog.h
@@ -116,6 +116,14 @@
   auto operator==(const rating_service&) const -> bool = default;
 };
 
+/// The platform's list of live and leaving hosts.
+struct host_list_service {
+  std::string host;
+  std::uint16_t port = 0;
+
+  auto operator==(const host_list_service&) const -> bool = default;
+};
+
 /// One accepted configuration document: pure values, looked up by name or by
 /// position. Never changed after ParseCatalog has built it.
 class catalog {
@@ -126,6 +134,7 @@
   std::vector<server_pool> pools;
   std::vector<customer> customers;
   std::optional<rating_service> rating;
+  std::optional<host_list_service> host_list;
   /// Loads that the weight store serves at once, fleet-wide.
   std::int64_t loads_at_once = 1;
 
--- a/include/lovagedale/entry/control_link.h
+++ b/include/lovagedale/entry/control_link.h
@@ -51,6 +51,8 @@
   /// Tells the ledgers that this entry may still have bills to store.
   auto PresenceLoop(boost::asio::yield_context yield) -> void;
   auto EvidenceLoop(boost::asio::yield_context yield) -> void;
+  /// Follows the platform's list of leaving hosts.
+  auto HostListLoop(boost::asio::yield_context yield) -> void;
   auto LoadLoop(boost::asio::yield_context yield) -> void;
   auto PollLoad(const backend_server& server, server_state& server_load,
                 boost::asio::yield_context yield) -> void;
--- a/include/lovagedale/placement/server_state.h
+++ b/include/lovagedale/placement/server_state.h
@@ -28,7 +28,12 @@
   std::atomic<monotonic_ms> reported_at{-1};
   /// No new work before this time; set when it cannot be reached.
   std::atomic<monotonic_ms> down_until{0};
-  std::atomic<bool> leaving{false};
+  std::atomic<bool> leaving{false};         ///< by its own report
+  std::atomic<bool> listed_leaving{false};  ///< by the platform's list
+  auto IsLeaving() const -> bool {
+    return leaving.load(std::memory_order_relaxed) ||
+           listed_leaving.load(std::memory_order_relaxed);
+  }
   std::atomic<std::uint32_t> consecutive_failures{0};
   std::atomic<std::uint32_t> suspects_running{0};
 
--- a/include/lovagedale/standin/standin.h
+++ b/include/lovagedale/standin/standin.h
@@ -17,7 +17,7 @@
 /// Settings of lovagedale-standin: a small fake of one outside system.
 struct standin_settings {
   std::string name;
-  std::string role;  ///< engine, service or rating
+  std::string role;  ///< engine, service, rating or hosts
   std::string host;
   std::uint16_t port = 0;
   std::int64_t slots = 8;
@@ -49,7 +49,8 @@
 auto StandinAnswer(std::string_view version, std::string_view prompt,
                    std::int64_t tokens) -> std::vector<std::string>;
 
-/// A fake engine, plain service or rating service. Faults are asked for in
+/// A fake engine, plain service, rating service or platform host list (which
+/// `POST /hosts/NAME/STATE` changes). Faults are asked for in
 /// the request itself:
 ///   [crash]         the process exits at once
 ///   [silent]        the request is read and never answered
@@ -71,6 +72,7 @@
   auto HandleOrder(http_exchange& exchange) -> void;
   auto HandleLoad(http_exchange& exchange) -> void;
   auto Holds(const std::string& version) const -> bool;
+  auto HandleHosts(http_exchange& exchange) -> void;
   auto HandleRecord(http_exchange& exchange) -> void;
   auto WaitForSlot(http_exchange& exchange) -> void;
   auto Pause(std::int64_t ms, http_exchange& exchange) -> void;
@@ -80,6 +82,7 @@
   std::int64_t running_ = 0;
   std::int64_t waiting_ = 0;
   bool leaving_ = false;
+  std::map<std::string, std::string> hosts_;  // State by name.
   std::set<std::string> loaded_;
   std::set<std::string> loading_;
   std::uint64_t highest_fence_ = 0;
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -57,6 +57,11 @@
     root.ForEach("pools", [&](object_reader& r) { ReadPool(r); });
     root.ForEach("customers", [&](object_reader& r) { ReadCustomer(r); });
     root.Object("rating", [&](object_reader& r) { ReadRating(r); });
+    root.Object("host_list", [&](object_reader& r) {
+      catalog_.host_list = {
+          r.RequiredString("host"),
+          static_cast<std::uint16_t>(r.Integer("port", 1, kMaxPort, 0))};
+    });
     root.Object("weight_store", [&](object_reader& r) {
       catalog_.loads_at_once = r.Integer("loads_at_once", 1, kMaxSlots, 1);
     });
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -107,6 +107,9 @@
   asio::spawn(
       context_, [this](asio::yield_context yield) { EvidenceLoop(yield); },
       asio::detached);
+  asio::spawn(
+      context_, [this](asio::yield_context yield) { HostListLoop(yield); },
+      asio::detached);
   asio::spawn(
       context_, [this](asio::yield_context yield) { LoadLoop(yield); },
       asio::detached);
@@ -316,6 +319,38 @@
   }
 }
 
+auto control_link::HostListLoop(asio::yield_context yield) -> void {
+  http_request request;
+  request.method = "GET";
+  request.target = "/hosts";
+  const http_deadlines deadlines{kLoadTimeout, kLoadTimeout, kLoadTimeout};
+  for (; !leaving_; Pause(context_, kLoadPeriod, yield)) {
+    const auto table = state_.table.load();
+    const auto& config = table->config();
+    if (!config.host_list) continue;
+    try {
+      const auto answer =
+          HttpCall(context_, config.host_list->host, config.host_list->port,
+                   request, deadlines, yield);
+      const auto value = boost::json::parse(answer.body);
+      for (const auto& item : value.at("hosts").as_array()) {
+        const auto id =
+            config.FindServer(std::string_view(item.at("name").as_string()));
+        if (!id) continue;
+        const bool leaving = item.at("state").as_string() == "leaving";
+        auto& server = table->State(*id);
+        if (server.listed_leaving.exchange(leaving) != leaving) {
+          log_line(log_level::kInfo, "host_list_change")
+              .With("server", server.name())
+              .With("leaving", leaving);
+        }
+      }
+    } catch (const std::exception&) {
+      // The list is a hint: what it last said stands.
+    }
+  }
+}
+
 auto control_link::LoadLoop(asio::yield_context yield) -> void {
   for (std::uint64_t round = 0; !leaving_; ++round) {
     const auto table = state_.table.load();
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -208,7 +208,7 @@
       server.host, server.port, /*fresh=*/!job.repeatable, deadlines, yield);
   // The configuration may have changed while the connection was made.
   EnsureAllowed(job, *context_.state.table.load());
-  if (placed.choice.state->leaving) {
+  if (placed.choice.state->IsLeaving()) {
     context_.metrics->Count(entry_counter::kStoppedBeforeDispatch);
     return false;
   }
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -111,7 +111,7 @@
 }
 
 auto IsAvailable(const placed_server& server, monotonic_ms now) -> bool {
-  return !server.state->leaving.load(std::memory_order_relaxed) &&
+  return !server.state->IsLeaving() &&
          server.state->down_until.load(std::memory_order_relaxed) <= now;
 }
 
--- a/src/questionnaire/questionnaire.cpp
+++ b/src/questionnaire/questionnaire.cpp
@@ -109,7 +109,7 @@
   explicit document_writer(const json::object& facts)
       : versions_(ListVersions(facts)) {
     for (const auto* key :
-         {"zones", "models", "pools", "rating", "weight_store"}) {
+         {"zones", "models", "pools", "rating", "weight_store", "host_list"}) {
       if (facts.contains(key)) document_[key] = facts.at(key);
     }
     page_ << "# How this configuration was chosen\n\n";
@@ -193,7 +193,7 @@
   ReadSettings(answers, [&](object_reader& root) {
     // The facts are checked with the whole document below.
     for (const auto* key :
-         {"zones", "models", "pools", "rating", "weight_store"}) {
+         {"zones", "models", "pools", "rating", "weight_store", "host_list"}) {
       root.Accept(key);
     }
     root.ForEach("customers", [&](object_reader& reader) {
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -105,8 +105,10 @@
   standin_settings settings;
   ReadSettings(text, [&](object_reader& root) {
     settings.name = root.RequiredString("name");
-    settings.role = root.Choice("role", {"engine", "service", "rating"}, "");
-    if (!root.Has("role")) root.AddError("role", "", "engine, service, rating");
+    settings.role =
+        root.Choice("role", {"engine", "service", "rating", "hosts"}, "");
+    if (!root.Has("role"))
+      root.AddError("role", "", "engine, service, rating, hosts");
     settings.host = root.RequiredString("host");
     settings.port = ReadPort(root, "port");
     settings.slots = root.Integer("slots", 1, kMaxTokens, settings.slots);
@@ -178,6 +180,10 @@
     HandleLoad(exchange);
     return;
   }
+  if (settings_.role == "hosts") {
+    HandleHosts(exchange);
+    return;
+  }
   if (path == "/orders") {
     HandleOrder(exchange);
     return;
@@ -355,6 +361,22 @@
                        json::serialize(json::value{{"score", good ? 1 : 0}}));
 }
 
+auto standin::HandleHosts(http_exchange& exchange) -> void {
+  const auto path = std::string(exchange.request().Path());
+  constexpr std::string_view kPrefix = "/hosts/";
+  if (exchange.request().method == "POST" && path.starts_with(kPrefix)) {
+    const auto slash = path.rfind('/');
+    hosts_[path.substr(kPrefix.size(), slash - kPrefix.size())] =
+        path.substr(slash + 1);
+  }
+  json::array list;
+  for (const auto& [name, state] : hosts_) {
+    list.push_back(json::object{{"name", name}, {"state", state}});
+  }
+  exchange.RespondJson(
+      200, json::serialize(json::value{{"hosts", std::move(list)}}));
+}
+
 auto standin::HandleRecord(http_exchange& exchange) -> void {
   json::object rows;
   for (const auto& [id, count] : record_) rows[id] = count;
--- a/tests/processes/permissions.sh
+++ b/tests/processes/permissions.sh
@@ -39,6 +39,27 @@
 check_stops 'target=scholar@1' ctl --wait rollout withdraw scholar@1 --successor=draft@1
 ctl --wait version restore scholar@1
 
+# The platform lists a server as leaving; it says nothing of that itself.
+write_standin_settings hosts hosts "$(port 0 61)" ""
+start hosts lovagedale-standin
+sed 's|"customers"|"host_list":{"host":"127.0.0.1","port":'"$(port 0 61)"'},&|' \
+  "$run/configuration.json" >"$run/with_list.json"
+ctl --wait config apply "$run/with_list.json"
+load --targets="$(port 1 0)" --model=scholar --tokens=3 --concurrency=4 \
+  --seconds=6 >"$run/load.json" &
+load_id=$!
+sleep 1
+curl -sf -X POST "http://127.0.0.1:$(port 0 61)/hosts/engine-akl-b-0/leaving"
+sleep 3
+before=$(routed 'server=engine-akl-b-0')
+[ "$before" -gt 0 ] || fail "engine-akl-b-0 had no work before"
+wait "$load_id"
+[ "$before" = "$(routed 'server=engine-akl-b-0')" ] ||
+  fail "a server that the platform lists as leaving got new work"
+for name in cut wrong failed refused_maybe refused_not_run; do
+  expect_zero "$name" "$(cat "$run/load.json")"
+done
+
 # A server leaves in the middle of long streams.
 load --targets="$(entry_ports)" --kind=stream --model=scholar --tokens=900 \
   --concurrency=12 --requests=24 >"$run/streams.json" &
