--- a/include/lovagedale/entry/chat_handler.h
+++ b/include/lovagedale/entry/chat_handler.h
@@ -8,7 +8,9 @@
 #include "lovagedale/entry/chat_body.h"
 #include "lovagedale/entry/dispatcher.h"
 #include "lovagedale/entry/event_relay.h"
+#include "lovagedale/entry/rating_client.h"
 #include "lovagedale/entry/traffic_context.h"
+#include "lovagedale/entry/version_choice.h"
 #include "lovagedale/http/server.h"
 
 namespace lovagedale {
@@ -24,7 +26,10 @@
 class chat_handler {
  public:
   chat_handler(traffic_context& context, dispatcher& servers)
-      : context_(context), servers_(servers) {}
+      : context_(context),
+        servers_(servers),
+        versions_(context),
+        ratings_(context) {}
 
   /// Throws request_refused or caller_gone.
   auto Handle(http_exchange& exchange, const caller_identity& caller) -> void;
@@ -33,12 +38,7 @@
   struct chat_run;
   struct buffered_answer;
 
-  auto ChoosePlan(chat_run& run) -> void;
-  auto ChooseSessionVersion(chat_run& run) -> void;
-  auto ChooseNamedVersion(chat_run& run) -> void;
-  auto SubstituteRollouts(chat_run& run) -> void;
-  auto SteadyVersionFor(const chat_run& run, const std::string& model)
-      -> std::string;
+  auto ChooseVersions(chat_run& run) -> void;
   auto RunPlan(chat_run& run) -> void;
   auto RunBuffered(chat_run& run, std::size_t step) -> buffered_answer;
   auto RunStreamed(chat_run& run, std::size_t step) -> void;
@@ -46,15 +46,6 @@
   /// Whether a step's answer is kept, so that no further step runs.
   auto IsKept(chat_run& run, std::size_t step, const buffered_answer& answer)
       -> bool;
-  auto ChooseLearnedPlan(chat_run& run) -> void;
-  auto AskRating(const chat_run& run, const std::string& version,
-                 const std::string& answer, const evidence_key& key,
-                 boost::asio::yield_context yield) -> std::optional<double>;
-  static auto RatingRequest(const chat_run& run, const std::string& version,
-                            const std::string& answer) -> http_request;
-  auto SendRating(const std::string& host, std::uint16_t port,
-                  const http_request& request, const evidence_key& key,
-                  boost::asio::yield_context yield) -> std::optional<double>;
   auto AnswerBuffered(chat_run& run, const buffered_answer& answer) -> void;
   auto EndStream(chat_run& run) -> void;
   auto Bill(chat_run& run, bill_status status) -> void;
@@ -62,6 +53,9 @@
              std::optional<double> signal) const -> evidence_key;
   auto RecordOutcome(const chat_run& run, const std::string& version,
                      std::optional<double> signal) -> void;
+  auto Rated(const chat_run& run, const std::string& version,
+             const std::string& answer, std::optional<double> signal) const
+      -> rated_answer;
   auto MaybeRate(const chat_run& run, const std::string& version,
                  const std::string& answer, std::optional<double> signal)
       -> void;
@@ -69,6 +63,8 @@
 
   traffic_context& context_;
   dispatcher& servers_;
+  version_chooser versions_;
+  rating_client ratings_;
 };
 
 }  // namespace lovagedale
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -1,24 +1,16 @@
 #include "lovagedale/entry/chat_handler.h"
 
 #include <algorithm>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/spawn.hpp>
-#include <boost/json.hpp>
 
-#include "lovagedale/cascade/exploration.h"
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
-#include "lovagedale/session/session_token.h"
 
 namespace lovagedale {
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 using std::chrono::milliseconds;
 
-constexpr std::string_view kAutoModel = "auto";
-constexpr std::string_view kNewSession = "new";
 constexpr std::string_view kEndOfStream = "data: [DONE]\n\n";
 constexpr std::string_view kDefaultTaskClass = "general";
 constexpr std::size_t kMaxTaskClassBytes = 64;
@@ -27,13 +19,8 @@
 constexpr int kMaxChoices = 5;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kFirstClientError = 400;
-/// Share of answers offered for rating where no plan names one.
-constexpr double kDefaultRatingShare = 0.1;
 /// Ratings from this on count as good.
 constexpr double kGoodScore = 0.5;
-constexpr http_deadlines kRatingDeadlines{
-    milliseconds(300), milliseconds(5'000), milliseconds(5'000)};
-constexpr double kRatingBurstSeconds = 2;
 constexpr std::int64_t kTokensPerPrice = 1'000;
 
 auto ReadWhole(http_connection& connection, const http_deadlines& deadlines,
@@ -60,11 +47,10 @@
   }
 }
 
-auto CostOf(const model_version& version, const answer_facts& facts) -> micros {
+auto CostOf(micros price_per_1k_tokens, const answer_facts& facts) -> micros {
   const auto tokens =
       static_cast<micros>(facts.input_tokens + facts.output_tokens);
-  return (tokens * version.price_per_1k_tokens + kTokensPerPrice - 1) /
-         kTokensPerPrice;
+  return (tokens * price_per_1k_tokens + kTokensPerPrice - 1) / kTokensPerPrice;
 }
 
 auto TaskClassOf(const http_request& request) -> std::string {
@@ -84,11 +70,6 @@
 
 /// One request on its way through the cascade.
 struct chat_handler::chat_run {
-  struct step {
-    std::string version;
-    std::uint8_t accept_from_bin = 0;
-  };
-
   chat_run(http_exchange& for_exchange, const caller_identity& for_caller,
            std::shared_ptr<const routing_table> at_table)
       : exchange(for_exchange),
@@ -103,21 +84,14 @@
   customer owner;
   std::string task_class;
   std::uint64_t fingerprint = 0;
-  std::optional<session_token> session;
-  bool wants_session = false;
-
-  std::vector<step> steps;
-  std::string reason;
-  std::vector<std::string> alternatives;
-  bool explores = false;  ///< the first step tries a little-known version
-  bool waits_for_rating = false;  ///< before an explored answer is used
-  double rating_share = kDefaultRatingShare;
+  version_choice choice;
   bool was_rated = false;  ///< the answer in hand
 
   event_relay relay;
   std::string delivered;  ///< events that the caller has
   bool stream_started = false;
-  answer_facts facts;
+  answer_facts facts;  ///< of all steps together
+  micros price = 0;    ///< of the running step's version, per 1k tokens
   micros cost = 0;
   std::uint32_t attempts = 0;
   std::string answered_by;
@@ -156,8 +130,10 @@
     caller_left = true;
   }
   if (!run.billed && (run.facts.output_tokens > 0 || run.stream_started)) {
-    run.facts.output_tokens =
-        std::max(run.facts.output_tokens, run.relay.events());
+    answer_facts broken_off;
+    broken_off.output_tokens = run.relay.events();
+    run.facts.output_tokens += broken_off.output_tokens;
+    run.cost += CostOf(run.price, broken_off);
     context_.metrics->Count(entry_counter::kPartialAnswers);
     Bill(run, bill_status::kPartial);
   }
@@ -172,10 +148,10 @@
 
 auto chat_handler::RunPlan(chat_run& run) -> void {
   for (int choice = 0; choice < kMaxChoices; ++choice) {
-    ChoosePlan(run);
+    ChooseVersions(run);
     try {
-      for (std::size_t step = 0; step < run.steps.size(); ++step) {
-        const bool is_last = step + 1 == run.steps.size();
+      for (std::size_t step = 0; step < run.choice.steps.size(); ++step) {
+        const bool is_last = step + 1 == run.choice.steps.size();
         if (is_last && run.request.stream) {
           RunStreamed(run, step);
           EndStream(run);
@@ -187,17 +163,17 @@
           return;
         }
         context_.metrics->Count(entry_counter::kEscalations);
-        run.rejected_version = run.steps[step].version;
+        run.rejected_version = run.choice.steps[step].version;
         run.was_rated = false;
         run.rejected_bin =
             answer.facts.signal ? SignalBin(*answer.facts.signal) : kNoSignal;
         log_line(log_level::kInfo, "cascade_escalated")
             .With("request", run.caller.request_id)
-            .With("from", run.steps[step].version)
-            .With("to", run.steps[step + 1].version)
+            .With("from", run.choice.steps[step].version)
+            .With("to", run.choice.steps[step + 1].version)
             .With("signal", answer.facts.signal.value_or(-1))
             .With("accept_from_bin",
-                  static_cast<int>(run.steps[step].accept_from_bin));
+                  static_cast<int>(run.choice.steps[step].accept_from_bin));
       }
     } catch (const version_unavailable& gone) {
       context_.metrics->Count(entry_counter::kStoppedBeforeDispatch);
@@ -212,192 +188,42 @@
       run.attempts > 0 ? ran_state::kMaybe : ran_state::kNo, 1);
 }
 
-auto chat_handler::ChoosePlan(chat_run& run) -> void {
-  run.steps.clear();
-  run.alternatives.clear();
-  for (const auto version : run.owner.versions) {
-    if (version < run.table->config().versions.size()) {
-      run.alternatives.push_back(run.table->config().versions[version].name);
-    }
-  }
-  const auto header = run.exchange.request().Header("Lovagedale-Session");
-  run.wants_session = header == kNewSession;
-  if (!header.empty() && !run.wants_session) {
-    ChooseSessionVersion(run);
-    return;
-  }
-  if (run.request.model != kAutoModel) {
-    ChooseNamedVersion(run);
-  } else {
-    ChooseLearnedPlan(run);
-    // A session keeps one version: the one that the cascade ends with.
-    if (run.wants_session && run.steps.size() > 1) {
-      run.steps.erase(run.steps.begin(), run.steps.end() - 1);
-    }
-  }
-  if (run.steps.empty()) {
-    throw request_refused(503, "no_version",
-                          "no allowed version may receive work now",
-                          ran_state::kNo, 1);
-  }
-  SubstituteRollouts(run);
-  if (run.wants_session) {
-    run.session =
-        session_token{run.steps.back().version, context_.NextRandom()};
-  }
-}
-
-auto chat_handler::ChooseLearnedPlan(chat_run& run) -> void {
-  const auto& plan = context_.PlanFor(run.owner.name, run.task_class);
-  const auto draw = UnitInterval(HashFields(run.caller.request_id, "mix"));
-  for (const auto& step : plan.Pick(draw)) {
-    run.steps.push_back({step.version, step.accept_from_bin});
-  }
-  run.reason = run.steps.size() > 1 ? "cascade" : "direct";
-  if (run.steps.empty()) return;
-  const auto shares = plan.rating_shares.find(run.steps.back().version);
-  if (shares != plan.rating_shares.end()) run.rating_share = shares->second;
-  auto explore_draw =
-      UnitInterval(HashFields(run.caller.request_id, "explore"));
-  for (const auto& item : plan.explored) {
-    if (explore_draw >= item.share) {
-      explore_draw -= item.share;
-      continue;
-    }
-    const auto safe = plan.first.back().version;
-    if (run.wants_session || item.version == safe) return;
-    run.steps = {{item.version, kExplorationBin}, {safe, 0}};
-    run.reason = "exploration";
-    run.explores = true;
-    run.waits_for_rating = plan.waits_for_rating;
-    return;
-  }
+auto chat_handler::ChooseVersions(chat_run& run) -> void {
+  run.choice = versions_.Choose(
+      {*run.table, run.owner, run.caller.request_id, run.request.model,
+       run.exchange.request().Header("Lovagedale-Session"), run.task_class});
+  run.rejected_version.clear();
+  run.was_rated = false;
 }
 
 auto chat_handler::IsKept(chat_run& run, std::size_t step,
                           const buffered_answer& answer) -> bool {
   const auto& signal = answer.facts.signal;
   const auto bin = signal ? SignalBin(*signal) : kNoSignal;
-  const bool is_confident = bin >= run.steps[step].accept_from_bin;
-  if (!run.explores) return is_confident;
-  if (!run.waits_for_rating) {
-    MaybeRate(run, run.steps[step].version, answer.facts.text, signal);
+  const bool is_confident = bin >= run.choice.steps[step].accept_from_bin;
+  if (!run.choice.explores) return is_confident;
+  if (!run.choice.waits_for_rating) {
+    MaybeRate(run, run.choice.steps[step].version, answer.facts.text, signal);
     run.was_rated = is_confident;
     return is_confident;
   }
   run.was_rated = true;
-  const auto score = AskRating(run, run.steps[step].version, answer.facts.text,
-                               KeyOf(run, run.steps[step].version, signal),
-                               run.exchange.yield());
+  const auto& rating = run.table->config().rating;
+  if (!rating) return is_confident;
+  const auto score = ratings_.Ask(
+      *rating,
+      Rated(run, run.choice.steps[step].version, answer.facts.text, signal),
+      run.exchange.yield());
   return is_confident && score && *score >= kGoodScore;
 }
 
-auto chat_handler::ChooseSessionVersion(chat_run& run) -> void {
-  const auto token = ParseSessionToken(
-      run.exchange.request().Header("Lovagedale-Session"), run.owner.name);
-  if (!token) {
-    throw request_refused(400, "invalid",
-                          "Lovagedale-Session: not a session of this customer; "
-                          "allowed: \"new\" or a session id that was returned",
-                          ran_state::kNo);
-  }
-  const auto& config = run.table->config();
-  const auto version = config.FindVersion(token->version);
-  const auto resolved =
-      version ? run.table->ResolveSession(*version) : std::nullopt;
-  if (!resolved) {
-    throw request_refused(410, "session_ended",
-                          "the session's version was withdrawn and has no "
-                          "successor",
-                          ran_state::kNo);
-  }
-  const auto& name = config.versions[*resolved].name;
-  if (!run.owner.Allows(*resolved)) {
-    throw request_refused(403, "not_allowed",
-                          "the customer may not use version " + name,
-                          ran_state::kNo);
-  }
-  if (!context_.state.MayRun(*run.table, *resolved, context_.clock.Now())) {
-    throw request_refused(503, "no_version",
-                          "the session's version may not receive work now",
-                          ran_state::kNo, 1);
-  }
-  run.steps = {{name, 0}};
-  run.reason = *resolved == *version ? "session" : "session_successor";
-  run.session = session_token{name, token->nonce};
-}
-
-auto chat_handler::SteadyVersionFor(const chat_run& run,
-                                    const std::string& model) -> std::string {
-  const auto& config = run.table->config();
-  std::string name;
-  for (version_id id = 0; id < config.versions.size(); ++id) {
-    if (config.versions[id].model != model || !run.owner.Allows(id)) continue;
-    if (run.table->Route(id).phase == version_phase::kSteady) {
-      name = config.versions[id].name;
-    }
-  }
-  return name;
-}
-
-auto chat_handler::ChooseNamedVersion(chat_run& run) -> void {
-  const auto& config = run.table->config();
-  const auto& wanted = run.request.model;
-  if (const auto exact = config.FindVersion(wanted)) {
-    if (!run.owner.Allows(*exact)) {
-      throw request_refused(403, "not_allowed",
-                            "the customer may not use version " + wanted,
-                            ran_state::kNo);
-    }
-    if (!context_.state.MayRun(*run.table, *exact, context_.clock.Now())) {
-      throw request_refused(503, "no_version",
-                            "version " + wanted + " may not receive new work",
-                            ran_state::kNo, 1);
-    }
-    run.steps = {{wanted, 0}};
-    run.reason = "named_version";
-    return;
-  }
-  const auto name = SteadyVersionFor(run, wanted);
-  if (name.empty()) {
-    throw request_refused(404, "unknown_model",
-                          "model: got \"" + wanted +
-                              "\"; allowed: \"auto\" or one that /v1/models "
-                              "lists",
-                          ran_state::kNo);
-  }
-  run.steps = {{name, 0}};
-  run.reason = "named_model";
-}
-
-auto chat_handler::SubstituteRollouts(chat_run& run) -> void {
-  if (run.reason == "named_version") return;
-  const auto& config = run.table->config();
-  const auto now = context_.clock.Now();
-  for (auto& step : run.steps) {
-    const auto steady = config.FindVersion(step.version);
-    if (!steady) continue;  // Removed meanwhile; the dispatcher refuses it.
-    for (const auto version : run.owner.versions) {
-      const auto& route = run.table->Route(version);
-      if (route.phase != version_phase::kRollout ||
-          config.versions[version].model != config.versions[*steady].model ||
-          !context_.state.MayRun(*run.table, version, now)) {
-        continue;
-      }
-      const auto& name = config.versions[version].name;
-      if (UnitInterval(HashFields(run.caller.request_id, name)) >=
-          route.share) {
-        continue;
-      }
-      step.version = name;
-      run.reason += "+rollout";
-      break;
-    }
-  }
-}
-
 auto chat_handler::MakeJob(chat_run& run, std::size_t step) -> dispatch_job {
-  const auto& version = run.steps[step].version;
+  const auto& version = run.choice.steps[step].version;
+  // The price at which the step starts is billed, whatever changes later.
+  const auto table = context_.state.table.load();
+  const auto id = table->config().FindVersion(version);
+  if (!id) throw version_unavailable(version + " was removed");
+  run.price = table->config().versions[*id].price_per_1k_tokens;
   dispatch_job job;
   job.request_id = run.caller.request_id;
   job.customer = run.owner.name;
@@ -405,9 +231,9 @@
   job.fingerprint = run.fingerprint;
   job.prefixes = PrefixHashes(version, run.request.prompt);
   job.patience = run.owner.patience;
-  job.reason = run.reason;
-  job.alternatives = run.alternatives;
-  const bool is_last = step + 1 == run.steps.size();
+  job.reason = run.choice.reason;
+  job.alternatives = run.choice.alternatives;
+  const bool is_last = step + 1 == run.choice.steps.size();
   job.make_request = [&run, version, is_last] {
     http_request request;
     request.method = "POST";
@@ -450,9 +276,7 @@
   run.answered_by = job.version;
   run.facts.input_tokens += answer.facts.input_tokens;
   run.facts.output_tokens += answer.facts.output_tokens;
-  const auto& config = run.table->config();
-  run.cost +=
-      CostOf(config.versions[*config.FindVersion(job.version)], answer.facts);
+  run.cost += CostOf(run.price, answer.facts);
   RecordOutcome(run, job.version, answer.facts.signal);
   return answer;
 }
@@ -501,17 +325,17 @@
   if (facts.output_tokens == 0) facts.output_tokens = run.relay.events();
   run.facts.input_tokens += facts.input_tokens;
   run.facts.output_tokens += facts.output_tokens;
-  const auto& config = run.table->config();
-  run.cost += CostOf(config.versions[*config.FindVersion(job.version)], facts);
+  run.cost += CostOf(run.price, facts);
   RecordOutcome(run, job.version, std::nullopt);
 }
 
 auto chat_handler::AnswerHeaders(const chat_run& run) const -> header_list {
   header_list headers = {{"Lovagedale-Request-Id", run.caller.request_id},
                          {"Lovagedale-Version", run.answered_by}};
-  if (run.session) {
-    headers.emplace_back("Lovagedale-Session",
-                         FormatSessionToken(*run.session, run.owner.name));
+  if (run.choice.session) {
+    headers.emplace_back(
+        "Lovagedale-Session",
+        FormatSessionToken(*run.choice.session, run.owner.name));
   }
   return headers;
 }
@@ -588,52 +412,16 @@
   context_.state.evidence.Add(KeyOf(run, version, signal), {.requests = 1});
 }
 
-auto chat_handler::RatingRequest(const chat_run& run,
-                                 const std::string& version,
-                                 const std::string& answer) -> http_request {
-  http_request request;
-  request.method = "POST";
-  request.target = "/v1/ratings";
-  request.headers = {{"Content-Type", "application/json"}};
-  request.body =
-      json::serialize(json::value{{"request_id", run.caller.request_id},
-                                  {"customer", run.owner.name},
-                                  {"task_class", run.task_class},
-                                  {"version", version},
-                                  {"prompt", run.request.prompt},
-                                  {"answer", answer}});
-  return request;
-}
-
-auto chat_handler::AskRating(const chat_run& run, const std::string& version,
-                             const std::string& answer, const evidence_key& key,
-                             asio::yield_context yield)
-    -> std::optional<double> {
-  const auto rating = run.table->config().rating;
-  if (!rating) return std::nullopt;
-  return SendRating(rating->host, rating->port,
-                    RatingRequest(run, version, answer), key, yield);
-}
-
-auto chat_handler::SendRating(const std::string& host, std::uint16_t port,
-                              const http_request& request,
-                              const evidence_key& key,
-                              asio::yield_context yield)
-    -> std::optional<double> {
-  try {
-    const auto reply =
-        HttpCall(context_.io, host, port, request, kRatingDeadlines, yield);
-    const auto value = json::parse(reply.body);
-    const auto score = value.at("score").to_number<double>();
-    context_.state.evidence.Add(key, {.ratings = 1,
-                                      .rating_sum = score,
-                                      .rating_square_sum = score * score});
-    context_.metrics->Count(entry_counter::kRatings);
-    return score;
-  } catch (const std::exception& error) {
-    log_line(log_level::kDebug, "rating_failed").With("reason", error.what());
-    return std::nullopt;
-  }
+auto chat_handler::Rated(const chat_run& run, const std::string& version,
+                         const std::string& answer,
+                         std::optional<double> signal) const -> rated_answer {
+  return {run.caller.request_id,
+          run.owner.name,
+          run.task_class,
+          version,
+          run.request.prompt,
+          answer,
+          KeyOf(run, version, signal)};
 }
 
 auto chat_handler::MaybeRate(const chat_run& run, const std::string& version,
@@ -645,23 +433,10 @@
   const bool is_rollout =
       id && run.table->Route(*id).phase == version_phase::kRollout;
   const auto draw = UnitInterval(HashFields(run.caller.request_id, "rating"));
-  if (!is_rollout && !run.explores && draw >= run.rating_share) return;
-  const auto now = context_.clock.Now();
-  const auto sharers = static_cast<double>(
-      std::max<std::uint32_t>(context_.state.live_entries, 1) *
-      context_.state.settings.traffic_threads);
-  const auto rate = rating->ratings_per_s / sharers;
-  context_.ratings.SetLimit(rate, std::max(1.0, rate * kRatingBurstSeconds),
-                            now);
-  if (!context_.ratings.TryTake(now)) return;
-  asio::spawn(
-      context_.io,
-      [this, request = RatingRequest(run, version, answer),
-       key = KeyOf(run, version, signal), host = rating->host,
-       port = rating->port](asio::yield_context yield) {
-        SendRating(host, port, request, key, yield);
-      },
-      asio::detached);
+  if (!is_rollout && !run.choice.explores && draw >= run.choice.rating_share) {
+    return;
+  }
+  ratings_.AskInBackground(*rating, Rated(run, version, answer, signal));
 }
 
 }  // namespace lovagedale
--- /dev/null
+++ b/src/replication/replica_log.cpp
@@ -0,0 +1,299 @@
+// The log of replica_core: appending, replicating, committing, snapshots and
+// membership. Elections and leases are in replica_core.cpp.
+
+#include <algorithm>
+#include <cassert>
+
+#include "lovagedale/common/codec.h"
+#include "lovagedale/replication/replica_core.h"
+
+namespace lovagedale {
+
+auto replica_core::last_index() const -> log_index {
+  return log_start_ + log_.size() - 1;
+}
+
+auto replica_core::EntryAt(log_index index) const -> const log_entry& {
+  assert(index >= log_start_ && index <= last_index());
+  return log_[index - log_start_];
+}
+
+auto replica_core::TermAt(log_index index) const -> std::optional<term_number> {
+  if (index + 1 == log_start_) return term_before_log_;
+  if (index < log_start_ || index > last_index()) return std::nullopt;
+  return EntryAt(index).term;
+}
+
+auto replica_core::EntriesAfter(log_index index) const
+    -> std::vector<log_entry> {
+  std::vector<log_entry> entries;
+  for (auto i = std::max(index + 1, log_start_); i <= last_index(); ++i) {
+    entries.push_back(EntryAt(i));
+  }
+  return entries;
+}
+
+auto replica_core::MatchIndex(const std::string& member) const -> log_index {
+  if (member == name_) return last_index();
+  const auto found = peers_.find(member);
+  return found == peers_.end() ? 0 : found->second.match;
+}
+
+auto replica_core::Handle(const replica_envelope& from,
+                          const append_request& request, monotonic_ms now)
+    -> void {
+  if (request.term < hard_.term) {
+    Send(from.from,
+         append_response{hard_.term, false, last_index(), request.sent_at});
+    return;
+  }
+  if (request.term > hard_.term || role_ != replica_role::kFollower) {
+    BecomeFollower(request.term, from.from, now);
+  }
+  HeardFromLeader(from.from, now);
+  if (request.prev_index < commit_ && request.prev_index + 1 < log_start_) {
+    // Everything up to the commit index is known to match.
+    Send(from.from,
+         append_response{hard_.term, false, commit_, request.sent_at});
+    return;
+  }
+  if (TermAt(request.prev_index) != request.prev_term) {
+    const auto resume = std::min(
+        last_index(), request.prev_index == 0 ? 0 : request.prev_index - 1);
+    Send(from.from,
+         append_response{hard_.term, false, std::max(resume, commit_),
+                         request.sent_at});
+    return;
+  }
+  for (const auto& entry : request.entries) {
+    const auto known = TermAt(entry.index);
+    if (known == entry.term) continue;
+    if (known) TruncateFrom(entry.index);
+    AppendEntry(entry);
+  }
+  const auto match = request.prev_index + request.entries.size();
+  CommitTo(std::min(request.commit, match));
+  Send(from.from, append_response{hard_.term, true, match, request.sent_at});
+}
+
+auto replica_core::Handle(const replica_envelope& from,
+                          const install_request& request, monotonic_ms now)
+    -> void {
+  if (request.term < hard_.term) {
+    Send(from.from,
+         append_response{hard_.term, false, last_index(), request.sent_at});
+    return;
+  }
+  if (request.term > hard_.term || role_ != replica_role::kFollower) {
+    BecomeFollower(request.term, from.from, now);
+  }
+  HeardFromLeader(from.from, now);
+  if (request.snapshot.index > commit_) {
+    snapshot_ = request.snapshot;
+    log_.clear();
+    log_start_ = snapshot_.index + 1;
+    term_before_log_ = snapshot_.term;
+    commit_ = snapshot_.index;
+    RecomputeMembers();
+    output_.installed = snapshot_;
+    output_.truncate_from.reset();
+    output_.appended.clear();
+    output_.committed.clear();
+  }
+  Send(from.from, append_response{hard_.term, true, commit_, request.sent_at});
+}
+
+auto replica_core::Handle(const replica_envelope& from,
+                          const append_response& response, monotonic_ms now)
+    -> void {
+  if (response.term > hard_.term) {
+    BecomeFollower(response.term, "", now);
+    return;
+  }
+  if (role_ != replica_role::kLeader || response.term < hard_.term) return;
+  const auto* member = members_.Find(from.from);
+  if (member == nullptr || member->incarnation != from.from_incarnation) {
+    ReconcileMember(from);
+    return;
+  }
+  auto& peer = peers_[from.from];
+  peer.acked_sent_at = std::max(peer.acked_sent_at, response.sent_at);
+  if (response.success) {
+    peer.snapshot_sent = false;
+    peer.match = std::max(peer.match, response.match_index);
+    peer.next = std::max(peer.next, peer.match + 1);
+    AdvanceCommit();
+    PromoteLearners();
+  } else {
+    peer.next = std::max(peer.match, response.match_index) + 1;
+  }
+  if (peer.next <= last_index()) {
+    SendAppendTo(from.from, /*heartbeat=*/false, now);
+  }
+}
+
+auto replica_core::ReconcileMember(const replica_envelope& from) -> void {
+  const auto* member = members_.Find(from.from);
+  // A name that is no member is not added by itself; operators do that.
+  if (member == nullptr || commit_ < members_index_ ||
+      commit_ < leader_start_index_) {
+    return;
+  }
+  peers_[from.from] = peer_progress{};
+  ProposeMembers(
+      members_.With({from.from, from.from_incarnation, /*voter=*/false}));
+}
+
+auto replica_core::PromoteLearners() -> void {
+  if (commit_ < members_index_ || commit_ < leader_start_index_) return;
+  for (const auto& member : members_.members) {
+    if (member.voter || peers_[member.name].match < commit_) continue;
+    ProposeMembers(
+        members_.With({member.name, member.incarnation, /*voter=*/true}));
+    return;
+  }
+}
+
+auto replica_core::ProposeMembers(const member_set& members) -> void {
+  AppendAsLeader(entry_kind::kMembers, Encode(members));
+}
+
+auto replica_core::Propose(std::string command, monotonic_ms now)
+    -> std::optional<log_index> {
+  if (role_ != replica_role::kLeader || transferring_) return std::nullopt;
+  now_ = now;
+  return AppendAsLeader(entry_kind::kCommand, std::move(command));
+}
+
+auto replica_core::AppendAsLeader(entry_kind kind, std::string payload)
+    -> log_index {
+  AppendEntry({last_index() + 1, hard_.term, kind, std::move(payload)});
+  AdvanceCommit();
+  return last_index();
+}
+
+auto replica_core::AppendEntry(const log_entry& entry) -> void {
+  assert(entry.index == last_index() + 1);
+  log_.push_back(entry);
+  output_.appended.push_back(entry);
+  if (entry.kind == entry_kind::kMembers) {
+    members_ = Decode<member_set>(entry.payload);
+    members_index_ = entry.index;
+  }
+}
+
+auto replica_core::TruncateFrom(log_index index) -> void {
+  assert(index > commit_);
+  log_.resize(index - log_start_);
+  std::erase_if(output_.appended,
+                [&](const auto& entry) { return entry.index >= index; });
+  output_.truncate_from =
+      std::min(output_.truncate_from.value_or(index), index);
+  if (members_index_ >= index) RecomputeMembers();
+}
+
+auto replica_core::MembersAt(log_index index) const -> member_set {
+  for (auto i = std::min(index, last_index()); i >= log_start_; --i) {
+    const auto& entry = EntryAt(i);
+    if (entry.kind == entry_kind::kMembers) {
+      return Decode<member_set>(entry.payload);
+    }
+  }
+  return snapshot_.members;
+}
+
+auto replica_core::RecomputeMembers() -> void {
+  members_index_ = snapshot_.index;
+  members_ = snapshot_.members;
+  for (auto i = last_index(); i >= log_start_ && i > snapshot_.index; --i) {
+    const auto& entry = EntryAt(i);
+    if (entry.kind != entry_kind::kMembers) continue;
+    members_ = Decode<member_set>(entry.payload);
+    members_index_ = i;
+    return;
+  }
+}
+
+auto replica_core::AdvanceCommit() -> void {
+  if (role_ != replica_role::kLeader) return;
+  std::vector<log_index> matches;
+  for (const auto& member : members_.members) {
+    if (member.voter) matches.push_back(MatchIndex(member.name));
+  }
+  const auto majority = members_.Majority();
+  if (matches.size() < majority) return;
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const auto candidate = matches[majority - 1];
+  // Only entries of this term are committed by counting; older ones follow.
+  if (candidate > commit_ && TermAt(candidate) == hard_.term) {
+    CommitTo(candidate);
+  }
+}
+
+auto replica_core::CommitTo(log_index index) -> void {
+  while (commit_ < index) {
+    ++commit_;
+    output_.committed.push_back(EntryAt(commit_));
+  }
+}
+
+auto replica_core::SendAppends(bool heartbeat, monotonic_ms now) -> void {
+  if (heartbeat) heartbeat_at_ = now + options_.heartbeat_ms;
+  for (const auto& member : members_.members) {
+    if (member.name == name_) continue;
+    SendAppendTo(member.name, heartbeat, now);
+  }
+}
+
+auto replica_core::SendAppendTo(const std::string& peer_name, bool heartbeat,
+                                monotonic_ms now) -> void {
+  auto& peer = peers_[peer_name];
+  const auto prev_term = TermAt(peer.next - 1);
+  if (!prev_term) {
+    if (peer.snapshot_sent && !heartbeat) return;
+    // Repeated at a slow pace only: a snapshot may be large.
+    if (peer.snapshot_sent &&
+        now - peer.last_sent_at < options_.election_max_ms) {
+      return;
+    }
+    peer.snapshot_sent = true;
+    peer.last_sent_at = now;
+    Send(peer_name, install_request{hard_.term, now, snapshot_});
+    return;
+  }
+  append_request request;
+  request.term = hard_.term;
+  request.prev_index = peer.next - 1;
+  request.prev_term = *prev_term;
+  request.commit = commit_;
+  request.sent_at = now;
+  std::size_t bytes = 0;
+  for (auto i = peer.next; i <= last_index(); ++i) {
+    const auto& entry = EntryAt(i);
+    bytes += entry.payload.size();
+    if (bytes > options_.max_append_bytes && !request.entries.empty()) break;
+    request.entries.push_back(entry);
+  }
+  if (request.entries.empty() && !heartbeat) return;
+  // Sent entries count as received until a response says otherwise, so the
+  // next batch does not wait for this one's round trip.
+  peer.next += request.entries.size();
+  peer.last_sent_at = now;
+  Send(peer_name, std::move(request));
+}
+
+auto replica_core::Compact(log_index index, std::string state) -> log_snapshot {
+  assert(index <= commit_ && index >= snapshot_.index);
+  const auto term = *TermAt(index);
+  snapshot_ = {index, term, MembersAt(index), std::move(state)};
+  const auto keep_from =
+      index > options_.kept_entries ? index - options_.kept_entries + 1 : 1;
+  while (log_start_ < keep_from && !log_.empty()) {
+    term_before_log_ = log_.front().term;
+    log_.pop_front();
+    ++log_start_;
+  }
+  return snapshot_;
+}
+
+}  // namespace lovagedale
