--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -107,8 +107,9 @@
     settings.name = root.RequiredString("name");
     settings.role =
         root.Choice("role", {"engine", "service", "rating", "hosts"}, "");
-    if (!root.Has("role"))
+    if (!root.Has("role")) {
       root.AddError("role", "", "engine, service, rating, hosts");
+    }
     settings.host = root.RequiredString("host");
     settings.port = ReadPort(root, "port");
     settings.slots = root.Integer("slots", 1, kMaxTokens, settings.slots);
