Background fibers that fail stop the process with their reason

Cause: boost::asio::detached drops a fiber's exception, so a ledger whose disk failed while it merged another's bills would have gone on without its exchange. Seen to fail: spawn_test with detached instead of SpawnTask (run() returns).

--- a/src/engine/order_service.cpp
+++ b/src/engine/order_service.cpp
@@ -1,9 +1,9 @@
 #include "lovagedale/engine/order_service.h"
 
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
 #include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
 #include "lovagedale/http/client.h"
 
 namespace lovagedale {
@@ -38,14 +38,11 @@
     -> void {
   if (running_) return;
   running_ = true;
-  asio::spawn(
-      context_,
-      [this, config = std::move(config), view,
-       demand](asio::yield_context yield) {
-        RunOnce(config, view, demand, yield);
-        running_ = false;
-      },
-      asio::detached);
+  SpawnTask(context_, [this, config = std::move(config), view,
+                       demand](asio::yield_context yield) {
+    RunOnce(config, view, demand, yield);
+    running_ = false;
+  });
 }
 
 auto order_service::RunOnce(std::shared_ptr<const catalog> config,
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -1,7 +1,6 @@
 #include "lovagedale/entry/control_link.h"
 
 #include <algorithm>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
@@ -9,6 +8,7 @@
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/json_reader.h"
 #include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
 #include "lovagedale/ledger/messages.h"
 #include "lovagedale/rollout/guard.h"
 
@@ -86,33 +86,22 @@
 
 auto control_link::Start() -> void {
   for (const auto& channel : control_) {
-    asio::spawn(
-        context_,
-        [this, &channel = *channel](asio::yield_context yield) {
-          HeartbeatLoop(channel, yield);
-        },
-        asio::detached);
+    SpawnTask(context_, [this, &channel = *channel](asio::yield_context yield) {
+      HeartbeatLoop(channel, yield);
+    });
   }
   for (const auto& channel : peers_) {
-    asio::spawn(
-        context_,
-        [this, &channel = *channel](asio::yield_context yield) {
-          AskPeer(channel, yield);
-        },
-        asio::detached);
+    SpawnTask(context_, [this, &channel = *channel](asio::yield_context yield) {
+      AskPeer(channel, yield);
+    });
   }
-  asio::spawn(
-      context_, [this](asio::yield_context yield) { PresenceLoop(yield); },
-      asio::detached);
-  asio::spawn(
-      context_, [this](asio::yield_context yield) { EvidenceLoop(yield); },
-      asio::detached);
-  asio::spawn(
-      context_, [this](asio::yield_context yield) { HostListLoop(yield); },
-      asio::detached);
-  asio::spawn(
-      context_, [this](asio::yield_context yield) { LoadLoop(yield); },
-      asio::detached);
+  SpawnTask(context_,
+            [this](asio::yield_context yield) { PresenceLoop(yield); });
+  SpawnTask(context_,
+            [this](asio::yield_context yield) { EvidenceLoop(yield); });
+  SpawnTask(context_,
+            [this](asio::yield_context yield) { HostListLoop(yield); });
+  SpawnTask(context_, [this](asio::yield_context yield) { LoadLoop(yield); });
 }
 
 auto control_link::AskPeer(rpc_channel& channel, asio::yield_context yield)
@@ -280,29 +269,26 @@
 }
 
 auto control_link::SendUrgent(entry_heartbeat heartbeat) -> void {
-  asio::spawn(
-      context_,
-      [this, heartbeat](asio::yield_context yield) {
-        const auto body = Encode(control_request(heartbeat));
-        for (int attempt = 0; attempt < kUrgentAttempts; ++attempt) {
-          for (const auto& channel : control_) {
-            if (!leader_.empty() && channel->address().name != leader_) {
-              continue;
-            }
-            const auto sent_at = clock_.Now();
-            try {
-              const auto response = Decode<heartbeat_response>(
-                  channel->Call(body, kHeartbeatTimeout, yield));
-              HandleResponse(response, sent_at);
-              if (response.is_leader) return;
-            } catch (const std::exception&) {
-              // The next replica, or the same after a pause.
-            }
-          }
-          Pause(context_, kUrgentRetry, yield);
+  SpawnTask(context_, [this, heartbeat](asio::yield_context yield) {
+    const auto body = Encode(control_request(heartbeat));
+    for (int attempt = 0; attempt < kUrgentAttempts; ++attempt) {
+      for (const auto& channel : control_) {
+        if (!leader_.empty() && channel->address().name != leader_) {
+          continue;
         }
-      },
-      asio::detached);
+        const auto sent_at = clock_.Now();
+        try {
+          const auto response = Decode<heartbeat_response>(
+              channel->Call(body, kHeartbeatTimeout, yield));
+          HandleResponse(response, sent_at);
+          if (response.is_leader) return;
+        } catch (const std::exception&) {
+          // The next replica, or the same after a pause.
+        }
+      }
+      Pause(context_, kUrgentRetry, yield);
+    }
+  });
 }
 
 auto control_link::Leave(asio::yield_context yield) -> void {
@@ -361,12 +347,9 @@
           table->config().pools[server.pool].kind == pool_kind::kEngine;
       const bool is_local = server.zone == state_.settings.zone;
       if (!is_engine || (!is_local && round % kRemoteLoadEvery != 0)) continue;
-      asio::spawn(
-          context_,
-          [this, table, id](asio::yield_context poll_yield) {
-            PollLoad(table->config().servers[id], table->State(id), poll_yield);
-          },
-          asio::detached);
+      SpawnTask(context_, [this, table, id](asio::yield_context poll_yield) {
+        PollLoad(table->config().servers[id], table->State(id), poll_yield);
+      });
     }
     Pause(context_, kLoadPeriod, yield);
   }
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -1,11 +1,11 @@
 #include "lovagedale/entry/entry_process.h"
 
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 #include <csignal>
 #include <random>
 
 #include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
 
 namespace lovagedale {
 namespace {
@@ -123,9 +123,7 @@
       return;
     }
     log_line(log_level::kInfo, "draining").With("signal", signal);
-    asio::spawn(
-        context_, [this](asio::yield_context yield) { Drain(yield); },
-        asio::detached);
+    SpawnTask(context_, [this](asio::yield_context yield) { Drain(yield); });
     WaitForSignal();
   });
 }
--- a/src/entry/ledger_client.cpp
+++ b/src/entry/ledger_client.cpp
@@ -1,10 +1,10 @@
 #include "lovagedale/entry/ledger_client.h"
 
 #include <algorithm>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "lovagedale/common/codec.h"
+#include "lovagedale/common/spawn.h"
 #include "lovagedale/ledger/messages.h"
 
 namespace lovagedale {
@@ -51,8 +51,8 @@
           body, std::min(left + milliseconds(1), kCallTimeout), yield));
       if (response.reply == claim_reply::kDecided) return response.result;
       leader = response.leader;
-    } catch (const rpc_error&) {
-      // Lost or refused: the next ledger may know more.
+    } catch (const std::runtime_error&) {
+      // Lost, refused or not understood: the next ledger may know more.
     }
     const auto known = std::find_if(
         ledgers_.begin(), ledgers_.end(),
@@ -69,16 +69,13 @@
 }
 
 auto ledger_client::ReleaseInBackground(const release_claim& command) -> void {
-  asio::spawn(
-      context_,
-      [this, command](asio::yield_context yield) {
-        try {
-          Claim(command, kReleaseLimit, yield);
-        } catch (const ledger_unreachable&) {
-          // The claim stays; a resend is refused as "maybe run", which is safe.
-        }
-      },
-      asio::detached);
+  SpawnTask(context_, [this, command](asio::yield_context yield) {
+    try {
+      Claim(command, kReleaseLimit, yield);
+    } catch (const ledger_unreachable&) {
+      // The claim stays; a resend is refused as "maybe run", which is safe.
+    }
+  });
 }
 
 auto ledger_client::PendingBills() const -> std::size_t {
@@ -91,9 +88,8 @@
   queued_.push_back({bill, stored});
   if (!flushing_) {
     flushing_ = true;
-    asio::spawn(
-        context_, [this](asio::yield_context flush) { FlushLoop(flush); },
-        asio::detached);
+    SpawnTask(context_,
+              [this](asio::yield_context flush) { FlushLoop(flush); });
   }
   return stored.Wait(timeout, yield);
 }
--- a/src/entry/rating_client.cpp
+++ b/src/entry/rating_client.cpp
@@ -1,10 +1,10 @@
 #include "lovagedale/entry/rating_client.h"
 
 #include <algorithm>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
 #include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
 #include "lovagedale/http/client.h"
 
 namespace lovagedale {
@@ -54,12 +54,10 @@
 auto rating_client::AskInBackground(const rating_service& service,
                                     rated_answer item) -> void {
   if (!TryTake(service)) return;
-  asio::spawn(
-      context_.io,
-      [this, service, item = std::move(item)](asio::yield_context yield) {
-        Ask(service, item, yield);
-      },
-      asio::detached);
+  SpawnTask(context_.io,
+            [this, service, item = std::move(item)](asio::yield_context yield) {
+              Ask(service, item, yield);
+            });
 }
 
 auto rating_client::TryTake(const rating_service& service) -> bool {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -6,6 +6,7 @@
 #include <list>
 
 #include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
 #include "lovagedale/rpc/connection.h"
 #include "lovagedale/rpc/server.h"
 
@@ -364,9 +365,7 @@
       state_(std::make_shared<shared_state>()) {
   state_->limits = limits;
   state_->handler = std::move(handler);
-  asio::spawn(
-      context, [this](asio::yield_context yield) { AcceptLoop(yield); },
-      asio::detached);
+  SpawnTask(context, [this](asio::yield_context yield) { AcceptLoop(yield); });
 }
 
 http_server::~http_server() { StopAccepting(); }
--- a/src/ledger/service.cpp
+++ b/src/ledger/service.cpp
@@ -1,10 +1,10 @@
 #include "lovagedale/ledger/service.h"
 
 #include <algorithm>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
 #include "lovagedale/common/codec.h"
+#include "lovagedale/common/spawn.h"
 #include "lovagedale/common/time.h"
 
 namespace lovagedale {
@@ -55,16 +55,12 @@
 auto ledger_service::Start() -> void {
   node_.Start();
   for (auto& [name, peer] : peers_) {
-    asio::spawn(
-        context_,
-        [this, &peer = peer](asio::yield_context yield) {
-          ExchangeLoop(peer, yield);
-        },
-        asio::detached);
+    SpawnTask(context_, [this, &peer = peer](asio::yield_context yield) {
+      ExchangeLoop(peer, yield);
+    });
   }
-  asio::spawn(
-      context_, [this](asio::yield_context yield) { HousekeepingLoop(yield); },
-      asio::detached);
+  SpawnTask(context_,
+            [this](asio::yield_context yield) { HousekeepingLoop(yield); });
   log_line(log_level::kInfo, "ledger_started")
       .With("name", settings_.name)
       .With("zone", settings_.zone)
@@ -178,6 +174,10 @@
       is_behind = is_behind || page.records.size() == kPageRecords;
     } catch (const rpc_error&) {
       // The peer is down or cut off; its records come later.
+    } catch (const codec_error& error) {
+      log_line(log_level::kWarning, "exchange_refused")
+          .With("peer", peer.channel->address().name)
+          .With("reason", error.what());
     }
     if (is_behind) continue;
     timer.expires_after(kExchangePeriod);
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -2,9 +2,8 @@
 
 #include <sys/socket.h>
 
-#include <boost/asio/detached.hpp>
-
 #include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
 #include "lovagedale/rpc/connection.h"
 
 namespace lovagedale {
@@ -44,9 +43,7 @@
       handler_(std::make_shared<rpc_handler>(std::move(handler))),
       connections_(
           std::make_shared<std::set<std::shared_ptr<frame_connection>>>()) {
-  asio::spawn(
-      context, [this](asio::yield_context yield) { AcceptLoop(yield); },
-      asio::detached);
+  SpawnTask(context, [this](asio::yield_context yield) { AcceptLoop(yield); });
 }
 
 rpc_server::~rpc_server() { Stop(); }
