--- a/scripts/bench_entry.sh
+++ b/scripts/bench_entry.sh
@@ -36,6 +36,14 @@
 }
 for concurrency in 1 32 256; do compare stream "$concurrency" 40; done
 for concurrency in 1 32 256; do compare chat "$concurrency" 1; done
+# At half of the 20,000 short requests a second that an entry is to carry.
+half_direct=$(run_load "$direct" 512 --kind=chat --tokens=1 --rate=10000)
+half_through=$(run_load "$through" 512 --kind=chat --tokens=1 --rate=10000)
+awk -v a="$(field p99_ms "$half_direct")" -v b="$(field p99_ms "$half_through")" 'BEGIN {
+  printf "p99 added at 10,000 short requests a second: %.2f ms  <= 1 %s\n", b - a, (b - a <= 1 ? "met" : "MISSED") }'
+most=$(run_load "$through" 256 --kind=chat --tokens=1)
+awk -v n="$(field per_second "$most")" 'BEGIN {
+  printf "short requests a second on 2 traffic threads: %.0f  >= 20000 %s\n", n, (n >= 20000 ? "met" : "MISSED") }'
 cpu() { awk '{ print $14 + $15 }' "/proc/${process_ids[$1]}/stat"; }
 before=$(cpu entry-akl-a)
 ledger_before=$(cpu ledger-akl-a)
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -5,6 +5,7 @@
 #   --labs   the Labs' deployment instead of the Collective's
 #   --keep   leave the fleet running and print its addresses
 #   --no-build  use the build that is there
+# LOVAGEDALE_PORT sets the first port; by default it is drawn.
 set -euo pipefail
 root="$(cd "$(dirname "$0")/.." && pwd)"
 
@@ -34,6 +35,7 @@
       note="Summarise: seven gloves were found this week; three are leather; one has a name tag; please list the owners."
       order='{"glove":"blue-left-wool","finder":"desk-4"}'
       ;;
+    "") ;;
     *)
       echo "unknown option $argument; allowed: --labs --keep --no-build" >&2
       exit 2
@@ -45,7 +47,7 @@
 
 run="$(mktemp -d "${TMPDIR:-/tmp}/lovagedale.XXXXXX")"
 mkdir -p "$run/logs" "$run/data"
-base_port=$((20000 + RANDOM % 200 * 50))
+base_port=${LOVAGEDALE_PORT:-$((20000 + RANDOM % 200 * 50))}
 # shellcheck source=scripts/fleet.sh
 . "$root/scripts/fleet.sh"
 trap kill_all EXIT
