Innocent neighbours of a crash are retried, whoever notices the crash first

Ruled out: the retry budget (20 in reserve, 5 used) and the limit of two breaks (one each). Now the suspicion counts that held when the request was dispatched. Stand-ins of plain services took /orders for engine orders (order_once and rolling_restart: every order refused): engines only.

--- a/include/lovagedale/entry/dispatcher.h
+++ b/include/lovagedale/entry/dispatcher.h
@@ -69,6 +69,9 @@
     std::uint32_t connect_failures = 0;
     /// Connections that the server's end broke while the request ran.
     std::uint32_t breaks = 0;
+    /// Whether the request was a suspect when it was last dispatched. A crash
+    /// makes suspects of all that ran there, before each has noticed it.
+    bool was_suspect = false;
     bool was_sent = false;
     monotonic_ms waiting_since = -1;
   };
@@ -94,7 +97,7 @@
   auto HasCrashed(const backend_server& server,
                   boost::asio::yield_context yield) -> bool;
   auto BlameCrash(const dispatch_job& job, const placed_attempt& placed,
-                  boost::asio::yield_context yield) -> void;
+                  bool was_suspect, boost::asio::yield_context yield) -> void;
   auto LogDecision(const dispatch_job& job, const placed_attempt& placed,
                    const attempt_state& state) -> void;
 
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -141,6 +141,11 @@
   if (!refusal) return;
   if (!run.stream_started) throw *refusal;
   // The answer cannot be finished: say so instead of just ending it.
+  log_line(log_level::kWarning, "stream_ended_early")
+      .With("request", caller.request_id)
+      .With("customer", run.owner.name)
+      .With("type", refusal->type())
+      .With("reason", refusal->what());
   exchange.Write("event: error\ndata: " +
                  RefusalJson(*refusal, caller.request_id) + "\n\n");
   exchange.EndStream();
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -34,6 +34,7 @@
 constexpr std::uint32_t kMaxBreaks = 2;
 constexpr milliseconds kQuarantineWait{1'500};
 constexpr milliseconds kQuarantinePoll{10};
+constexpr milliseconds kQuarantineSpread{1'000};
 constexpr int kOverloadRetryAfterS = 1;
 constexpr unsigned kStatusTooManyRequests = 429;
 constexpr unsigned kStatusUnavailable = 503;
@@ -176,9 +177,9 @@
   context_.retries.RecordRequest();
   for (;;) {
     const auto placed = Place(job, state, yield);
-    const bool is_suspect = context_.state.suspects.Contains(job.fingerprint);
+    state.was_suspect = context_.state.suspects.Contains(job.fingerprint);
     const running_guard running(*placed.choice.state, job.fingerprint,
-                                is_suspect);
+                                state.was_suspect);
     std::optional<http_call_error> failure;
     try {
       if (!TryOnce(job, placed, state, read_answer, yield)) continue;
@@ -263,7 +264,9 @@
   if (job.on_failure) job.on_failure();
   if (!error.timed_out()) {
     ++state.breaks;
-    if (HasCrashed(server, yield)) BlameCrash(job, placed, yield);
+    if (HasCrashed(server, yield)) {
+      BlameCrash(job, placed, state.was_suspect, yield);
+    }
   }
   if (!job.repeatable) {
     throw request_refused(
@@ -309,11 +312,10 @@
 }
 
 auto dispatcher::BlameCrash(const dispatch_job& job,
-                            const placed_attempt& placed,
+                            const placed_attempt& placed, bool was_suspect,
                             asio::yield_context yield) -> void {
   auto& server_state = *placed.choice.state;
   const auto now = context_.clock.Now();
-  const bool was_suspect = context_.state.suspects.Contains(job.fingerprint);
   // The first request that notices reports for all that ran there.
   if (server_state.down_until.exchange(now + kCrashDownMs) <= now) {
     context_.metrics->Count(entry_counter::kServerCrashes);
@@ -326,13 +328,15 @@
   }
   if (!was_suspect) return;
   // Refused only once every entry refuses it too: the caller may send it
-  // again elsewhere as soon as it hears of this.
+  // again elsewhere as soon as it hears of this. Other entries follow within
+  // kQuarantineSpread of this one.
   const auto deadline = now + kQuarantineWait.count();
   while (context_.clock.Now() < deadline) {
     const auto table = context_.state.table.load();
     if (table->QuarantineOf(job.fingerprint, WallClockMs()) != nullptr) break;
     Sleep(context_.io, kQuarantinePoll, yield);
   }
+  Sleep(context_.io, kQuarantineSpread, yield);
   context_.metrics->Count(entry_counter::kQuarantined);
   throw request_refused(422, "quarantined",
                         "two servers crashed while they ran this request",
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -185,7 +185,7 @@
     HandleHosts(exchange);
     return;
   }
-  if (path == "/orders") {
+  if (path == "/orders" && settings_.role == "engine") {
     HandleOrder(exchange);
     return;
   }
--- a/tests/billing/bill_store_test.cpp
+++ b/tests/billing/bill_store_test.cpp
@@ -6,7 +6,7 @@
 #include <random>
 
 #include "lovagedale/replication/errors.h"
-#include "support/memory_disk.h"
+#include "support/quota_disk.h"
 #include "support/temporary_folder.h"
 
 namespace lovagedale::testing {
--- a/tests/replication/log_store_test.cpp
+++ b/tests/replication/log_store_test.cpp
@@ -7,7 +7,7 @@
 
 #include "lovagedale/replication/batch_file.h"
 #include "lovagedale/replication/errors.h"
-#include "support/memory_disk.h"
+#include "support/quota_disk.h"
 #include "support/temporary_folder.h"
 
 namespace lovagedale::testing {
