Quarantines are the same change when resent, and end

Found by reading: the end of an operator's quarantine was computed when the request was parsed, so a resent change differed from its first sending and was refused as another one; ended quarantines counted against the limit for good. The two new tests were not run on the code before, whose types differ.

--- a/include/lovagedale/configuration/changes.h
+++ b/include/lovagedale/configuration/changes.h
@@ -68,11 +68,15 @@
   }
 };
 
+/// Refuses a request for a time from the change's own time on, so that a
+/// resent change is the same change.
 struct set_quarantine {
-  quarantine item;
+  std::uint64_t fingerprint = 0;
+  std::int64_t duration_ms = 0;
+  std::string reason;
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(item);
+    archive(fingerprint, duration_ms, reason);
   }
 };
 
--- a/include/lovagedale/configuration/control_machine.h
+++ b/include/lovagedale/configuration/control_machine.h
@@ -59,7 +59,7 @@
  private:
   auto ApplyChange(const change& item, log_index index) -> change_result;
   auto Check(const change& item) const -> std::optional<std::string>;
-  auto Perform(const change_action& action) -> void;
+  auto Perform(const change_action& action, std::int64_t at_ms) -> void;
   auto ReplaceDocument(const std::string& document) -> void;
   auto IsPermitGated(const change_action& action) const -> bool;
   auto Remember(change_record record) -> void;
--- a/src/configuration/control_machine.cpp
+++ b/src/configuration/control_machine.cpp
@@ -18,7 +18,7 @@
 overloaded(Handlers...) -> overloaded<Handlers...>;
 
 constexpr std::size_t kMaxStages = 16;
-constexpr std::size_t kMaxQuarantines = 1'000;
+constexpr std::ptrdiff_t kMaxQuarantines = 1'000;
 
 auto CheckStages(const std::vector<double>& shares)
     -> std::optional<std::string> {
@@ -97,7 +97,7 @@
             return "restore_version " + a.version;
           },
           [](const set_quarantine& a) {
-            return "set_quarantine " + ToHex(a.item.fingerprint);
+            return "set_quarantine " + ToHex(a.fingerprint);
           },
           [](const lift_quarantine& a) {
             return "lift_quarantine " + ToHex(a.fingerprint);
@@ -141,7 +141,7 @@
   } else if (const auto problem = Check(item)) {
     result = {change_status::kInvalid, view_.revision, *problem};
   } else {
-    Perform(item.action);
+    Perform(item.action, item.at_ms);
     ++view_.revision;
     result = {change_status::kApplied, view_.revision, ""};
   }
@@ -192,7 +192,10 @@
           },
           [&](const restore_version& a) { return check_version(a.version); },
           [&](const set_quarantine&) -> problem {
-            if (view_.quarantines.size() < kMaxQuarantines) return std::nullopt;
+            const auto running = std::count_if(
+                view_.quarantines.begin(), view_.quarantines.end(),
+                [&](const auto& known) { return known.until_ms > item.at_ms; });
+            if (running < kMaxQuarantines) return std::nullopt;
             return "quarantines: the limit is " +
                    std::to_string(kMaxQuarantines);
           },
@@ -250,7 +253,8 @@
   view_.document = document;
 }
 
-auto control_machine::Perform(const change_action& action) -> void {
+auto control_machine::Perform(const change_action& action, std::int64_t at_ms)
+    -> void {
   std::visit(
       overloaded{
           [&](const set_configuration& a) { ReplaceDocument(a.document); },
@@ -284,9 +288,11 @@
           },
           [&](const set_quarantine& a) {
             std::erase_if(view_.quarantines, [&](const auto& item) {
-              return item.fingerprint == a.item.fingerprint;
+              return item.fingerprint == a.fingerprint ||
+                     item.until_ms <= at_ms;
             });
-            view_.quarantines.push_back(a.item);
+            view_.quarantines.push_back(
+                {a.fingerprint, at_ms + a.duration_ms, a.reason});
           },
           [&](const lift_quarantine& a) {
             std::erase_if(view_.quarantines, [&](const auto& item) {
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -152,8 +152,8 @@
     for (const auto fingerprint : condemned) {
       ProposeOwnChange(
           "quarantine/" + report.report_id + "/" + ToHex(fingerprint),
-          set_quarantine{{fingerprint, WallClockMs() + kQuarantineMs,
-                          "ran on two servers that crashed"}},
+          set_quarantine{fingerprint, kQuarantineMs,
+                         "ran on two servers that crashed"},
           "ran on two servers that crashed");
     }
   }
--- a/src/operator_api/operator_api.cpp
+++ b/src/operator_api/operator_api.cpp
@@ -12,6 +12,7 @@
 namespace json = boost::json;
 
 constexpr std::chrono::milliseconds kProposeTimeout{5'000};
+constexpr std::int64_t kMsPerMinute = 60'000;
 constexpr std::int64_t kMaxQuarantineMinutes = 60LL * 24 * 30;
 constexpr std::size_t kShownHistory = 200;
 
@@ -110,9 +111,8 @@
   }
   if (kind == "set_quarantine") {
     const auto minutes = root.Integer("minutes", 1, kMaxQuarantineMinutes, 60);
-    return set_quarantine{{ParseFingerprint(root),
-                           WallClockMs() + minutes * 60'000,
-                           root.String("reason", "set by an operator")}};
+    return set_quarantine{ParseFingerprint(root), minutes * kMsPerMinute,
+                          root.String("reason", "set by an operator")};
   }
   if (kind == "lift_quarantine") return lift_quarantine{ParseFingerprint(root)};
   const auto version = root.RequiredString("version");
--- a/tests/configuration/control_machine_test.cpp
+++ b/tests/configuration/control_machine_test.cpp
@@ -53,6 +53,28 @@
   CHECK(restarted.TakeSnapshot() == machine.TakeSnapshot());
 }
 
+TEST_CASE("a resent quarantine is the same change whenever it is resent") {
+  auto machine = MachineWithDocument();
+  const set_quarantine action{42, 1'000, "crashes"};
+  const auto first = ApplyTo(machine, {"q", 1, "o", 5'000, action});
+  CHECK(first.status == change_status::kApplied);
+  CHECK(ApplyTo(machine, {"q", 1, "o", 9'000, action}) == first);
+  REQUIRE(machine.view().quarantines.size() == 1);
+  CHECK(machine.view().quarantines[0].until_ms == 6'000);
+}
+
+TEST_CASE("quarantines that have ended make room for new ones") {
+  auto machine = MachineWithDocument();
+  for (std::uint64_t i = 0; i < 1'200; ++i) {
+    const auto at_ms = static_cast<std::int64_t>(2 * i);
+    const auto result =
+        ApplyTo(machine, {"q" + std::to_string(i), i + 1, "o", at_ms,
+                          set_quarantine{i, 1, "crashes"}});
+    REQUIRE(result.status == change_status::kApplied);
+  }
+  CHECK(machine.view().quarantines.size() == 1);
+}
+
 TEST_CASE("a change id is not taken for another change") {
   auto machine = MachineWithDocument();
   const auto result =
