Suspects go to another zone rather than join another suspect

Found by reading: with five suspects and three servers left in a zone, the request that crashes its server had to share one with an innocent suspect, whose second broken connection would then end it.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -123,12 +123,15 @@
   if (!request.prefixes.empty()) {
     matches = prefixes.Find(request.prefixes, kMaxPrefixMatches);
   }
-  if (auto choice = ChooseIn(group.local, matches, request, options)) {
-    return choice;
-  }
-  auto choice = ChooseIn(group.remote, matches, request, options);
-  if (choice) choice->reason = placement_reason::kOtherZone;
-  return choice;
+  const auto local = ChooseIn(group.local, matches, request, options);
+  // A suspect goes to another zone rather than to a server that has one.
+  const bool has_suspect = request.is_suspect && local &&
+                           local->score >= kSuspectPenalty - options.max_gain;
+  if (local && !has_suspect) return local;
+  auto remote = ChooseIn(group.remote, matches, request, options);
+  if (!remote || (local && local->score <= remote->score)) return local;
+  remote->reason = placement_reason::kOtherZone;
+  return remote;
 }
 
 auto ReasonName(placement_reason reason) -> const char* {
--- a/tests/placement/placement_test.cpp
+++ b/tests/placement/placement_test.cpp
@@ -121,6 +121,20 @@
   CHECK(Choose(servers, {.is_suspect = true})->server == 2);
 }
 
+TEST_CASE("a suspect goes to another zone rather than join another suspect") {
+  server_set servers(4, 2);
+  servers.states[0]->suspects_running = 1;
+  servers.states[1]->suspects_running = 1;
+  const auto choice = Choose(servers, {.is_suspect = true});
+  REQUIRE(choice);
+  CHECK(choice->server >= 2);
+  CHECK(choice->reason == placement_reason::kOtherZone);
+  servers.states[2]->suspects_running = 2;
+  servers.states[3]->suspects_running = 2;
+  CHECK(Choose(servers, {.is_suspect = true})->server < 2);
+  CHECK(Choose(servers, {})->server < 2);
+}
+
 TEST_CASE("the prefix index is bounded and forgets the least recently used") {
   prefix_index prefixes(3);
   const std::vector<prefix_hash> all = {1, 2, 3, 4};
