--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -45,7 +45,7 @@
     return program.name + " " LOVAGEDALE_VERSION "\n";
   };
   usage.contains_help_flags = [](absl::string_view file) {
-    return file.find("process.cpp") != absl::string_view::npos ||
+    return file.find("src/process/") != absl::string_view::npos ||
            file.find("tools/") != absl::string_view::npos;
   };
   absl::SetFlagsUsageConfig(usage);
--- a/tools/lovagedale_ledger.cpp
+++ b/tools/lovagedale_ledger.cpp
@@ -1,33 +1,16 @@
 // lovagedale-ledger: one replica of the claims and one store of bills.
 
-#include <absl/flags/flag.h>
-
-#include <boost/asio/io_context.hpp>
-
 #include "lovagedale/common/hash.h"
-#include "lovagedale/common/settings_fields.h"
 #include "lovagedale/ledger/service.h"
+#include "lovagedale/process/replica_main.h"
 #include "lovagedale/process/replica_process.h"
-#include "lovagedale/replication/group_setup.h"
-
-ABSL_FLAG(bool, initialize, false,
-          "create the data folder of a new group's replica and exit; once per "
-          "group, never to repair a replica");
 
 namespace {
 
 using namespace lovagedale;  // NOLINT: a program's main file.
 
-auto Run(const replica_settings& settings) -> int {
-  if (absl::GetFlag(FLAGS_initialize)) {
-    InitializeGroupMember(settings);
-    return kExitOk;
-  }
-  InitializeLogging(settings.name, settings.log_file,
-                    ParseLogLevel(settings.log_level));
-  boost::asio::io_context context(1);
-  posix_disk disk;
-  log_store store(disk, settings.data_folder);
+auto Run(boost::asio::io_context& context, const replica_settings& settings,
+         posix_disk& disk, log_store& store) -> int {
   bill_store bills(disk, settings.data_folder,
                    HashFields(settings.name) ^ store.recovered().incarnation);
   ledger_service service(context, settings, store, bills);
@@ -37,13 +20,9 @@
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
-  return RunProcess(
-      argc, argv,
-      {"lovagedale-ledger",
-       "One replica of the claims of non-repeatable requests, and a store of "
-       "bills.",
-       [](const std::string& text) { ParseReplicaSettings(text); },
-       [](const std::string& text) {
-         return Run(ParseReplicaSettings(text));
-       }});
+  return RunReplicaProgram(
+      argc, argv, "lovagedale-ledger",
+      "One replica of the claims of non-repeatable requests, and a store of "
+      "bills.",
+      Run);
 }
