--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -5,6 +5,7 @@
 #include <cassert>
 
 #include "lovagedale/common/codec.h"
+#include "lovagedale/replication/errors.h"
 #include "lovagedale/replication/replica_core.h"
 
 namespace lovagedale {
@@ -125,7 +126,9 @@
     AdvanceCommit();
     PromoteLearners();
   } else {
-    peer.next = std::max(peer.match, response.match_index) + 1;
+    // Below `match` if the replica's disk lost what it had acknowledged: it is
+    // sent again.
+    peer.next = response.match_index + 1;
   }
   if (peer.next <= last_index()) {
     SendAppendTo(from.from, /*heartbeat=*/false, now);
@@ -183,7 +186,12 @@
 }
 
 auto replica_core::TruncateFrom(log_index index) -> void {
-  assert(index > commit_);
+  if (index <= commit_) {
+    throw storage_error(
+        "entry " + std::to_string(index) +
+        " is committed here and differs from the leader's: a disk of the group "
+        "has lost what it had synced");
+  }
   log_.resize(index - log_start_);
   std::erase_if(output_.appended,
                 [&](const auto& entry) { return entry.index >= index; });
--- a/tests/replication/replica_core_test.cpp
+++ b/tests/replication/replica_core_test.cpp
@@ -132,6 +132,25 @@
   }
 }
 
+TEST_CASE("a replica whose disk lost its last entry is sent it again") {
+  for (std::uint64_t seed = 0; seed < 10; ++seed) {
+    replica_cluster cluster(3, seed);
+    cluster.Run(2'000);
+    REQUIRE(cluster.Leader());
+    const auto leader = *cluster.Leader();
+    cluster.Propose(leader, "first");
+    cluster.Run(300);
+    cluster.Propose(leader, "last");
+    cluster.Run(300);
+    const auto follower = (leader + 1) % 3;
+    cluster.CrashLosingLastSync(follower);
+    cluster.Start(follower);
+    cluster.Run(1'000);
+    CHECK(cluster.HaveConverged());
+    CHECK(cluster.violation() == "");
+  }
+}
+
 TEST_CASE("an isolated leader loses its lease before another one gets it") {
   for (std::uint64_t seed = 0; seed < 30; ++seed) {
     replica_cluster cluster(3, seed);
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "lovagedale/common/hash.h"
+#include "lovagedale/replication/errors.h"
 #include "lovagedale/replication/replica_core.h"
 
 namespace lovagedale::testing {
@@ -67,6 +68,12 @@
     if (fault_ == fake_fault::kDiskForgetsSyncs) node.disk = node.older_disk;
   }
 
+  /// The replica's disk loses what was synced last, which was acknowledged.
+  auto CrashLosingLastSync(std::size_t i) -> void {
+    Crash(i);
+    nodes_[i].disk = nodes_[i].older_disk;
+  }
+
   /// The replica loses its disk and starts blank.
   auto LoseDisk(std::size_t i) -> void {
     Crash(i);
@@ -247,7 +254,13 @@
             cuts_.contains(Pair(i, message.from))) {
           continue;
         }
-        nodes_[i].core->Receive(message.envelope, now_);
+        try {
+          nodes_[i].core->Receive(message.envelope, now_);
+        } catch (const storage_error& error) {
+          Violate(error.what());
+          nodes_[i].core.reset();
+          continue;
+        }
         Process(i);
       }
     }
