--- a/include/lovagedale/common/fiber_event.h
+++ b/include/lovagedale/common/fiber_event.h
@@ -8,6 +8,15 @@
 
 namespace lovagedale {
 
+/// Lets a fiber wait for a time; others go on meanwhile.
+inline auto Pause(const boost::asio::any_io_executor& executor,
+                  std::chrono::milliseconds time,
+                  boost::asio::yield_context yield) -> void {
+  boost::asio::steady_timer timer(executor, time);
+  boost::system::error_code ignored;
+  timer.async_wait(yield[ignored]);
+}
+
 /// Lets a fiber wait for a callback on the same thread. Copies share state,
 /// so a callback may outlive the fiber that waited.
 class fiber_event {
--- a/include/lovagedale/http/client.h
+++ b/include/lovagedale/http/client.h
@@ -67,6 +67,9 @@
   /// the next call.
   auto ReadSome(const http_deadlines& deadlines,
                 boost::asio::yield_context yield) -> std::string_view;
+  /// The whole body of the answer.
+  auto ReadAll(const http_deadlines& deadlines,
+               boost::asio::yield_context yield) -> std::string;
   /// Whether the answer has been read whole and another request may follow.
   auto IsReusable() const -> bool;
   /// Whether the peer has closed the connection or sent something unasked.
--- a/include/lovagedale/replication/replica_core.h
+++ b/include/lovagedale/replication/replica_core.h
@@ -121,6 +121,9 @@
   auto StartElection(bool pre_vote, bool transfer, monotonic_ms now) -> void;
   auto BecomeLeader(monotonic_ms now) -> void;
   auto HasWonVote() const -> bool;
+  /// Follows the sender of a leader's message; refuses an old leader's.
+  auto FollowLeader(const std::string& leader, term_number term,
+                    monotonic_ms sent_at, monotonic_ms now) -> bool;
   auto HeardFromLeader(const std::string& leader, monotonic_ms now) -> void;
   auto ResetElectionTimer(monotonic_ms now) -> void;
   auto HasQuorumContact(monotonic_ms now) const -> bool;
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -23,16 +23,6 @@
 constexpr double kGoodScore = 0.5;
 constexpr std::int64_t kTokensPerPrice = 1'000;
 
-auto ReadWhole(http_connection& connection, const http_deadlines& deadlines,
-               asio::yield_context yield) -> std::string {
-  std::string body;
-  for (;;) {
-    const auto part = connection.ReadSome(deadlines, yield);
-    if (part.empty()) return body;
-    body += part;
-  }
-}
-
 /// Throws unless the engine answered with success: a server error may be
 /// retried, a client error is passed on.
 auto CheckEngineStatus(const http_response_head& head, const std::string& body)
@@ -267,7 +257,7 @@
   const auto result = servers_.Run(
       job,
       [&](http_connection& connection, const http_response_head& head) {
-        answer.body = ReadWhole(connection, deadlines, yield);
+        answer.body = connection.ReadAll(deadlines, yield);
         CheckEngineStatus(head, answer.body);
         const auto facts = ParseEngineAnswer(answer.body);
         if (!facts) {
@@ -308,7 +298,7 @@
   const auto read_events = [&](http_connection& connection,
                                const http_response_head& head) {
     if (head.status >= kFirstClientError) {
-      CheckEngineStatus(head, ReadWhole(connection, deadlines, yield));
+      CheckEngineStatus(head, connection.ReadAll(deadlines, yield));
     }
     run.relay.DropIncomplete();
     if (!run.delivered.empty()) {
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "lovagedale/common/codec.h"
+#include "lovagedale/common/fiber_event.h"
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/json_reader.h"
 #include "lovagedale/common/log.h"
@@ -36,13 +37,6 @@
 constexpr milliseconds kLoadTimeout{400};
 constexpr milliseconds kLeaveTimeout{500};
 
-auto Pause(asio::io_context& context, milliseconds time,
-           asio::yield_context yield) -> void {
-  asio::steady_timer timer(context, time);
-  boost::system::error_code ignored;
-  timer.async_wait(yield[ignored]);
-}
-
 /// Sorted hashes of the version names that an engine reports.
 auto HashesOf(const boost::json::array& names)
     -> std::shared_ptr<const std::vector<std::uint64_t>> {
@@ -155,7 +149,8 @@
             .With("reason", error.what());
       }
     }
-    Pause(context_, is_leader ? kLeaderPeriod : kFollowerPeriod, yield);
+    Pause(context_.get_executor(), is_leader ? kLeaderPeriod : kFollowerPeriod,
+          yield);
   }
 }
 
@@ -201,13 +196,13 @@
       Encode(ledger_request(entry_presence{state_.settings.name}));
   while (!leaving_) {
     for (const auto& ledger : ledgers_) ledger->SendOneWay(body);
-    Pause(context_, kPresencePeriod, yield);
+    Pause(context_.get_executor(), kPresencePeriod, yield);
   }
 }
 
 auto control_link::EvidenceLoop(asio::yield_context yield) -> void {
   while (!leaving_) {
-    Pause(context_, kEvidencePeriod, yield);
+    Pause(context_.get_executor(), kEvidencePeriod, yield);
     const auto fresh = state_.evidence.Take();
     for (const auto& [key, counts] : fresh) {
       own_evidence_[key] += counts;
@@ -286,7 +281,7 @@
           // The next replica, or the same after a pause.
         }
       }
-      Pause(context_, kUrgentRetry, yield);
+      Pause(context_.get_executor(), kUrgentRetry, yield);
     }
   });
 }
@@ -310,7 +305,7 @@
   request.method = "GET";
   request.target = "/hosts";
   const http_deadlines deadlines{kLoadTimeout, kLoadTimeout, kLoadTimeout};
-  for (; !leaving_; Pause(context_, kLoadPeriod, yield)) {
+  for (; !leaving_; Pause(context_.get_executor(), kLoadPeriod, yield)) {
     const auto table = state_.table.load();
     const auto& config = table->config();
     if (!config.host_list) continue;
@@ -351,7 +346,7 @@
         PollLoad(table->config().servers[id], table->State(id), poll_yield);
       });
     }
-    Pause(context_, kLoadPeriod, yield);
+    Pause(context_.get_executor(), kLoadPeriod, yield);
   }
 }
 
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
+#include "lovagedale/common/fiber_event.h"
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
 
@@ -53,13 +54,6 @@
   return was_sent ? ran_state::kMaybe : ran_state::kNo;
 }
 
-auto Sleep(asio::io_context& io, milliseconds time, asio::yield_context yield)
-    -> void {
-  asio::steady_timer timer(io, time);
-  boost::system::error_code ignored;
-  timer.async_wait(yield[ignored]);
-}
-
 /// The server refused the request before running it.
 auto IsRefusedUnrun(const http_response_head& head) -> bool {
   return (head.status == kStatusUnavailable ||
@@ -164,7 +158,7 @@
                             "no server could take the request in time",
                             RanState(state.was_sent), kOverloadRetryAfterS);
     }
-    Sleep(context_.io, kQueuePoll, yield);
+    Pause(context_.io.get_executor(), kQueuePoll, yield);
     // No other server can take it: one that failed earlier may, on a new
     // connection.
     state.tried.clear();
@@ -300,7 +294,7 @@
   // A dying process closes its connections before its listening socket, so
   // the first probe waits, and one that succeeds is not believed alone.
   for (const auto delay : kProbeDelays) {
-    Sleep(context_.io, delay, yield);
+    Pause(context_.io.get_executor(), delay, yield);
     try {
       http_connection connection(context_.io, server.host, server.port);
       connection.Connect(deadlines, yield);
@@ -334,9 +328,9 @@
   while (context_.clock.Now() < deadline) {
     const auto table = context_.state.table.load();
     if (table->QuarantineOf(job.fingerprint, WallClockMs()) != nullptr) break;
-    Sleep(context_.io, kQuarantinePoll, yield);
+    Pause(context_.io.get_executor(), kQuarantinePoll, yield);
   }
-  Sleep(context_.io, kQuarantineSpread, yield);
+  Pause(context_.io.get_executor(), kQuarantineSpread, yield);
   context_.metrics->Count(entry_counter::kQuarantined);
   throw request_refused(422, "quarantined",
                         "two servers crashed while they ran this request",
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <random>
 
+#include "lovagedale/common/fiber_event.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/common/spawn.h"
 
@@ -23,13 +24,6 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-auto Pause(asio::io_context& context, milliseconds time,
-           asio::yield_context yield) -> void {
-  asio::steady_timer timer(context, time);
-  boost::system::error_code ignored;
-  timer.async_wait(yield[ignored]);
-}
-
 }  // namespace
 
 traffic_thread::traffic_thread(entry_state& state, std::size_t index,
@@ -131,7 +125,7 @@
 auto entry_process::Drain(asio::yield_context yield) -> void {
   for (const auto& thread : threads_) thread->BeginDrain();
   // The balancer still sends work until it has seen that this entry leaves.
-  Pause(context_, state_.settings.drain_delay, yield);
+  Pause(context_.get_executor(), state_.settings.drain_delay, yield);
   for (const auto& thread : threads_) thread->CloseIdle();
   const auto deadline =
       std::chrono::steady_clock::now() + state_.settings.drain_limit;
@@ -142,7 +136,7 @@
     if (quiet_polls == kQuietPolls / 2) {
       for (const auto& thread : threads_) thread->StopAccepting();
     }
-    Pause(context_, kDrainPoll, yield);
+    Pause(context_.get_executor(), kDrainPoll, yield);
   }
   const auto cut = Unfinished();
   if (cut > 0) exit_code_ = 1;
--- a/src/entry/service_handler.cpp
+++ b/src/entry/service_handler.cpp
@@ -205,12 +205,7 @@
   const auto result = servers_.Run(
       job,
       [&](http_connection& connection, const http_response_head& head) {
-        answer.body.clear();
-        for (;;) {
-          const auto part = connection.ReadSome(deadlines, yield);
-          if (part.empty()) break;
-          answer.body += part;
-        }
+        answer.body = connection.ReadAll(deadlines, yield);
         if (head.status >= kFirstServerError && call.repeatable) {
           throw http_call_error(
               http_call_error::stage::kSent,
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -147,6 +147,16 @@
   return {};
 }
 
+auto http_connection::ReadAll(const http_deadlines& deadlines,
+                              asio::yield_context yield) -> std::string {
+  std::string body;
+  for (;;) {
+    const auto part = ReadSome(deadlines, yield);
+    if (part.empty()) return body;
+    body += part;
+  }
+}
+
 auto http_connection::IsReusable() const -> bool {
   return !impl_->failed && impl_->parser && impl_->parser->is_done() &&
          impl_->parser->keep_alive() && impl_->buffer.size() == 0;
@@ -175,11 +185,8 @@
   connection.Connect(deadlines, yield);
   http_answer answer;
   answer.head = connection.Send(request, deadlines, yield);
-  for (;;) {
-    const auto part = connection.ReadSome(deadlines, yield);
-    if (part.empty()) return answer;
-    answer.body += part;
-  }
+  answer.body = connection.ReadAll(deadlines, yield);
+  return answer;
 }
 
 auto BlockingHttpCall(const std::string& host, std::uint16_t port,
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -40,18 +40,24 @@
   return found == peers_.end() ? 0 : found->second.match;
 }
 
+auto replica_core::FollowLeader(const std::string& leader, term_number term,
+                                monotonic_ms sent_at, monotonic_ms now)
+    -> bool {
+  if (term < hard_.term) {
+    Send(leader, append_response{hard_.term, false, last_index(), sent_at});
+    return false;
+  }
+  if (term > hard_.term || role_ != replica_role::kFollower) {
+    BecomeFollower(term, leader, now);
+  }
+  HeardFromLeader(leader, now);
+  return true;
+}
+
 auto replica_core::Handle(const replica_envelope& from,
                           const append_request& request, monotonic_ms now)
     -> void {
-  if (request.term < hard_.term) {
-    Send(from.from,
-         append_response{hard_.term, false, last_index(), request.sent_at});
-    return;
-  }
-  if (request.term > hard_.term || role_ != replica_role::kFollower) {
-    BecomeFollower(request.term, from.from, now);
-  }
-  HeardFromLeader(from.from, now);
+  if (!FollowLeader(from.from, request.term, request.sent_at, now)) return;
   if (request.prev_index < commit_ && request.prev_index + 1 < log_start_) {
     // Everything up to the commit index is known to match.
     Send(from.from,
@@ -80,15 +86,7 @@
 auto replica_core::Handle(const replica_envelope& from,
                           const install_request& request, monotonic_ms now)
     -> void {
-  if (request.term < hard_.term) {
-    Send(from.from,
-         append_response{hard_.term, false, last_index(), request.sent_at});
-    return;
-  }
-  if (request.term > hard_.term || role_ != replica_role::kFollower) {
-    BecomeFollower(request.term, from.from, now);
-  }
-  HeardFromLeader(from.from, now);
+  if (!FollowLeader(from.from, request.term, request.sent_at, now)) return;
   if (request.snapshot.index > commit_) {
     snapshot_ = request.snapshot;
     log_.clear();
