Process tests run on ports that the kernel gave and a process of the test holds

Their first ports, 33000 and 34500, lie in the kernel's range for outgoing connections (32768 to 60999); after eight tests' connections one of them was taken: 'cannot listen on 127.0.0.1:33010: Address already in use'. Ruled out: the product (the same tests pass on free ports), order of tests. Now reserve_ports binds the fleet's ports to port 0 and holds them without listening, so nothing else gets them and processes can listen on them again after a restart. Quickstart uses the same.

--- a/scripts/bench_entry.sh
+++ b/scripts/bench_entry.sh
@@ -10,7 +10,7 @@
 first_token_ms=${first_token_ms:-2}
 token_ms=${token_ms:-4}
 # shellcheck source=tests/processes/fleet_test.sh
-. "$root/tests/processes/fleet_test.sh" "${1:-21000}"
+. "$root/tests/processes/fleet_test.sh"
 
 start_fleet
 
--- a/scripts/bench_overload.sh
+++ b/scripts/bench_overload.sh
@@ -5,7 +5,7 @@
 root="$(cd "$(dirname "$0")/.." && pwd)"
 engines_per_zone=1
 # shellcheck source=tests/processes/fleet_test.sh
-. "$root/tests/processes/fleet_test.sh" "${1:-21000}"
+. "$root/tests/processes/fleet_test.sh"
 start_fleet
 
 # 3 engines of 64 slots, 105 ms a request (5 ms and 20 tokens of 5 ms).
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,8 +1,6 @@
 # Functions that start and stop a small fleet on loopback. Sourced by
 # quickstart.sh and by the tests of real processes; needs: root, run (a folder
-# of this run), zones (array), region, engines_pool, service_pool, base_port.
-#
-# Ports: base_port + 100*zone index + offset, see the functions below.
+# of this run), zones (array), region, engines_pool, service_pool.
 
 bin="$root/build/tools"
 declare -A process_ids=()
@@ -12,23 +10,34 @@
   exit 1
 }
 
-port() { echo $((base_port + 100 * $1 + $2)); }
+# Ports that the kernel gave and a process of this run holds: for each zone one
+# per offset, then as many again for the relays.
+ports_per_zone=64
+reserve_ports() {
+  local number=$((2 * ${#zones[@]} * ports_per_zone))
+  "$root/build/tests/reserve_ports" "$number" >"$run/ports" &
+  port_holder_id=$!
+  until [ "$(wc -l <"$run/ports")" -eq "$number" ]; do
+    kill -0 "$port_holder_id" 2>/dev/null || fail "no ports could be reserved"
+    sleep 0.02
+  done
+  mapfile -t reserved_ports <"$run/ports"
+}
+port() { echo "${reserved_ports[ports_per_zone * $1 + $2]}"; } # zone, offset
+relay_port() { port $((${#zones[@]} + $1)) "$2"; }
 
 # Set to a zone's index to lead all traffic between that zone and the others
 # through relays (see start_relays), so that it can be cut off.
 cut_zone=""
-relay_ports=700
 
 # Port under which a zone's processes reach another: viewer, zone, offset. The
 # operator's client (viewer none) reaches every zone.
 seen_port() {
-  local direct
-  direct=$(port "$2" "$3")
   if [ -n "$cut_zone" ] && [ "$1" != none ] && [ "$1" != "$2" ] &&
     { [ "$1" = "$cut_zone" ] || [ "$2" = "$cut_zone" ]; }; then
-    echo $((direct + relay_ports))
+    relay_port "$2" "$3"
   else
-    echo "$direct"
+    port "$2" "$3"
   fi
 }
 
@@ -37,7 +46,7 @@
   local index offset pairs=()
   for index in "${!zones[@]}"; do
     for offset in "$@"; do
-      pairs+=("$(($(port "$index" "$offset") + relay_ports)):$(port "$index" "$offset")")
+      pairs+=("$(relay_port "$index" "$offset"):$(port "$index" "$offset")")
     done
   done
   "$root/build/tests/tcp_relay" "${pairs[@]}" >>"$run/logs/relay.out" 2>&1 &
@@ -126,6 +135,7 @@
 
 kill_all() {
   local name
+  [ -z "${port_holder_id:-}" ] || kill -TERM "$port_holder_id" 2>/dev/null || true
   for name in "${!process_ids[@]}"; do
     kill -CONT "${process_ids[$name]}" 2>/dev/null || true
     kill -KILL "${process_ids[$name]}" 2>/dev/null || true
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -5,7 +5,6 @@
 #   --labs   the Labs' deployment instead of the Collective's
 #   --keep   leave the fleet running and print its addresses
 #   --no-build  use the build that is there
-# LOVAGEDALE_PORT sets the first port; by default it is drawn.
 set -euo pipefail
 root="$(cd "$(dirname "$0")/.." && pwd)"
 
@@ -47,10 +46,10 @@
 
 run="$(mktemp -d "${TMPDIR:-/tmp}/lovagedale.XXXXXX")"
 mkdir -p "$run/logs" "$run/data"
-base_port=${LOVAGEDALE_PORT:-$((20000 + RANDOM % 200 * 50))}
 # shellcheck source=scripts/fleet.sh
 . "$root/scripts/fleet.sh"
 trap kill_all EXIT
+reserve_ports
 
 versions='"draft@1","scholar@1","scholar@2"'
 quality=',"quality":[{"version":"draft@1","share":0.55},{"version":"scholar@1","share":0.9},{"version":"scholar@2","share":0.93}]'
@@ -211,7 +210,7 @@
     echo "entry ${zones[$index]}: $(entry_url "$index")"
   done
   echo "key: demo-key; operator client: $bin/lovagedalectl --config=$run/ctl.json"
-  echo "process ids: ${process_ids[*]}"
+  echo "process ids: ${process_ids[*]} $port_holder_id"
   exit 0
 fi
 
--- a/tests/processes/fleet_test.sh
+++ b/tests/processes/fleet_test.sh
@@ -1,9 +1,8 @@
 # Sourced by the tests of real processes: a fleet of three zones with two
-# engines and one service a zone, on ports from $1 on. Options, set before
-# sourcing: engines_per_zone, cut_zone_index, first_byte_ms, between_reads_ms.
+# engines and one service a zone. Options, set before sourcing:
+# engines_per_zone, cut_zone_index, first_byte_ms, between_reads_ms.
 set -euo pipefail
 root="$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)"
-base_port=$1
 zones=(akl-a akl-b akl-c)
 [ -z "${only_zone:-}" ] || zones=("$only_zone")
 run="$(mktemp -d "${TMPDIR:-/tmp}/lovagedale-test.XXXXXX")"
@@ -19,6 +18,7 @@
   if [ "$code" -eq 0 ]; then rm -rf "$run"; else echo "logs: $run/logs" >&2; fi
 }
 trap finish EXIT
+reserve_ports
 
 load() { "$bin/lovagedale-load" "$@"; }
 # A field of a JSON report: name, report.
@@ -36,12 +36,10 @@
 # With relayed_engines set, the engines of the zone that can be cut off are
 # reached through the relay by everyone.
 engine_port() { # zone index, number
-  local direct
-  direct=$(port "$1" $((30 + $2)))
   if [ "${relayed_engines:-}" = true ] && [ "$1" = "$cut_zone" ]; then
-    echo $((direct + relay_ports))
+    relay_port "$1" $((30 + $2))
   else
-    echo "$direct"
+    port "$1" $((30 + $2))
   fi
 }
 engine_name() { echo "engine-${zones[$1]}-$2"; }
--- /dev/null
+++ b/tests/support/reserve_ports.cpp
@@ -0,0 +1,38 @@
+// Reserves TCP ports on loopback for a fleet of test processes: binds the given
+// number of sockets to port 0, prints one port a line and holds them until it
+// is ended by a signal.
+//
+// The sockets have SO_REUSEADDR and never listen, so a process that sets
+// SO_REUSEADDR too can listen on a reserved port, again after a restart as
+// well, while the kernel gives the port to no outgoing connection and to no
+// other socket that binds port 0.
+
+#include <boost/asio.hpp>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+auto main(int argc, char** argv) -> int {
+  if (argc != 2) {
+    std::cerr << "usage: reserve_ports NUMBER\n";
+    return 2;
+  }
+  asio::io_context context(1);
+  std::vector<tcp::acceptor> held;
+  const auto number = std::stoul(argv[1]);
+  const tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
+  for (std::size_t i = 0; i < number; ++i) {
+    auto& acceptor = held.emplace_back(context, tcp::v4());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(any_port);
+    std::cout << acceptor.local_endpoint().port() << '\n';
+  }
+  std::cout.flush();
+  asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([](boost::system::error_code, int) {});
+  context.run();
+  return 0;
+}
