A ledger's bills are in journals on disk, not in memory; a lost disk gets its bills back

Reading the exchange showed a fault besides: a ledger that lost its disk read only what others had from entries, so its own former bills stayed on the others, and three disks lost one after the other, each repaired, lost them. Ruled out: an index merged at every write (lookups for repeats that hardly come). Now: two segmented journals, records merged when read, exchange by position with a checkpoint, a bounded memory of recent records, reports on a second thread in parts.

--- a/benchmark/capacity/capacity_main.cpp
+++ b/benchmark/capacity/capacity_main.cpp
@@ -205,6 +205,14 @@
 
 constexpr std::size_t kBillsPerBatch = 20;
 
+auto BillBatch(std::size_t first) -> bill_batch {
+  bill_batch batch;
+  for (std::size_t i = 0; i < kBillsPerBatch; ++i) {
+    batch.records.push_back(Bill(first + i));
+  }
+  return batch;
+}
+
 /// A ledger's work for `bills` bills, that come in batches.
 auto BillMicros(std::size_t bills) -> double {
   testing::temporary_folder folder;
@@ -212,11 +220,8 @@
   bill_store store(disk, folder.path(), 1);
   const auto before = CpuMicros();
   for (std::size_t i = 0; i < bills; i += kBillsPerBatch) {
-    bill_batch batch;
-    for (std::size_t j = 0; j < kBillsPerBatch; ++j) {
-      batch.records.push_back(Bill(i + j));
-    }
-    const auto request = Decode<ledger_request>(Encode(ledger_request(batch)));
+    const auto request =
+        Decode<ledger_request>(Encode(ledger_request(BillBatch(i))));
     store.Add(std::get<bill_batch>(request).records);
   }
   return CpuMicros() - before;
@@ -228,11 +233,23 @@
   ::malloc_trim(0);
   const auto before = HeapBytes();
   bill_store store(disk, folder.path(), 1);
+  for (std::size_t i = 0; i < bills; i += kBillsPerBatch) {
+    store.Add(BillBatch(i).records);
+  }
+  return HeapBytes() - before;
+}
+
+/// Processor time of one part of a report, a pass over all files.
+auto BillReportMicros(std::size_t bills) -> double {
+  testing::temporary_folder folder;
+  posix_disk disk;
+  bill_store store(disk, folder.path(), 1);
   std::vector<bill_record> batch;
   for (std::size_t i = 0; i < bills; ++i) batch.push_back(Bill(i));
   store.Add(batch);
-  batch = {};
-  return HeapBytes() - before;
+  const auto before = CpuMicros();
+  ReadBills(store.view(), {"", 0, 16});
+  return CpuMicros() - before;
 }
 
 auto BillWireBytes(std::size_t bills) -> double {
@@ -306,7 +323,7 @@
   Sweep("control.state_bytes", "B at 20,000 kept changes",
         {2'000, 6'000, 20'000}, 20'000, ControlStateBytes);
   Sweep("ledger.bill_heap_bytes", "B at one hour of 4,400/s",
-        {10'000, 50'000, 200'000}, 4'400.0 * 3'600, BillHeapBytes);
+        {40'000, 100'000, 200'000}, 4'400.0 * 3'600, BillHeapBytes);
   Sweep("ledger.claim_heap_bytes", "B at 6 h of 100/s",
         {10'000, 50'000, 200'000}, 100.0 * 6 * 3'600, ClaimHeapBytes);
   if (absl::GetFlag(FLAGS_sizes_only)) return 0;
@@ -314,6 +331,8 @@
         {60, 180, 360}, 360, LeaderMicrosPerSecond);
   Sweep("ledger.bill_us", "us for 1 s of 4,400/s", {2'000, 10'000, 40'000},
         4'400, BillMicros);
+  Sweep("ledger.bill_report_us", "us for a report over one hour of 4,400/s",
+        {20'000, 50'000, 200'000}, 4'400.0 * 3'600, BillReportMicros);
   Sweep("ledger.claim_us", "us for 1 s of 440/s", {2'000, 10'000, 40'000}, 440,
         ClaimMicros);
   return 0;
--- a/include/lovagedale/billing/bill_store-inl.h
+++ b/include/lovagedale/billing/bill_store-inl.h
@@ -1,56 +1,61 @@
 #pragma once
 
-#include <algorithm>
+#include <utility>
 
 #include "lovagedale/billing/bill_store.h"
 #include "lovagedale/common/codec.h"
-#include "lovagedale/common/log.h"
-#include "lovagedale/replication/batch_file.h"
+#include "lovagedale/replication/segment_files.h"
 
 namespace lovagedale {
 
+inline constexpr const char* kCheckpointFile = "bill-checkpoint";
+
 template <durable_disk Disk>
-basic_bill_store<Disk>::basic_bill_store(Disk& disk, const std::string& folder,
-                                         std::uint64_t store_id)
-    : disk_(disk), store_id_(store_id) {
-  const auto path = folder + "/bills";
-  const auto content = ReadWholeFile(path);
-  const auto scan = ScanBatches(path, content, [&](std::string_view bytes) {
-    for (const auto& record : Decode<std::vector<bill_record>>(bytes)) {
-      // After a restart everything is offered again; merging is idempotent.
-      Merge(record, bill_source::kEntry);
-    }
-  });
-  if (scan.HasTornTail()) {
-    log_line(log_level::kWarning, "bill_tail_truncated")
-        .With("file", path)
-        .With("dropped_bytes", scan.file_bytes - scan.valid_bytes);
-    disk_.Truncate(path, scan.valid_bytes);
-  }
-  fd_ = disk_.OpenAppend(path);
-  disk_.SyncFolder(folder);
+basic_bill_store<Disk>::basic_bill_store(Disk& disk, std::string folder,
+                                         std::uint64_t store_id,
+                                         bill_store_options options)
+    : disk_(disk),
+      folder_(std::move(folder)),
+      store_id_(store_id),
+      options_(options),
+      recovered_(ReadCheckpoint(folder_)),
+      records_(recovered_.records),
+      from_entries_(disk, folder_, "bills-entries", options.segment_bytes,
+                    recovered_.from_entries,
+                    [this](const auto& record) { CountRecovered(record); }),
+      from_stores_(disk, folder_, "bills-stores", options.segment_bytes,
+                   recovered_.from_stores,
+                   [this](const auto& record) { CountRecovered(record); }) {}
+
+template <durable_disk Disk>
+auto basic_bill_store<Disk>::ReadCheckpoint(const std::string& folder)
+    -> checkpoint {
+  const auto payload = ReadSingleBatch(folder + "/" + kCheckpointFile);
+  return payload ? Decode<checkpoint>(*payload) : checkpoint{};
 }
 
 template <durable_disk Disk>
-basic_bill_store<Disk>::~basic_bill_store() {
-  if (fd_ < 0) return;
-  try {
-    disk_.CloseFile(fd_);
-  } catch (const std::exception&) {
-    // Every record was synced before it was acknowledged.
-  }
+auto basic_bill_store<Disk>::CountRecovered(const bill_record& record) -> void {
+  ++records_;
+  Remember(record);
 }
 
 template <durable_disk Disk>
-auto basic_bill_store<Disk>::Merge(const bill_record& record,
-                                   bill_source source) -> bool {
-  const auto [place, is_new] = bills_.try_emplace(record.request_id, record);
-  if (!is_new) {
-    const auto& winner = MergeBills(place->second, record);
-    if (winner == place->second) return false;
-    place->second = winner;
+auto basic_bill_store<Disk>::Remember(const bill_record& record) -> bool {
+  auto known = recent_.find(record.request_id);
+  if (known == recent_.end()) {
+    known = less_recent_.find(record.request_id);
+    if (known == less_recent_.end()) {
+      if (recent_.size() >= options_.recent_records) {
+        less_recent_ = std::exchange(recent_, {});
+      }
+      recent_.emplace(record.request_id, record);
+      return true;
+    }
   }
-  if (source == bill_source::kEntry) order_.push_back(&place->second);
+  const auto& winner = MergeBills(known->second, record);
+  if (winner == known->second) return false;
+  known->second = winner;
   return true;
 }
 
@@ -59,30 +64,48 @@
                                  bill_source source) -> void {
   std::vector<bill_record> changed;
   for (const auto& record : records) {
-    if (Merge(record, source)) changed.push_back(record);
+    if (Remember(record)) changed.push_back(record);
   }
-  if (changed.empty()) return;
-  disk_.Write(fd_, EncodeBatch(Encode(changed)));
-  disk_.SyncFile(fd_);
+  auto& journal = source == bill_source::kEntry ? from_entries_ : from_stores_;
+  journal.Append(changed);
+  records_ += changed.size();
 }
 
 template <durable_disk Disk>
-auto basic_bill_store<Disk>::Since(bill_sequence from, std::size_t limit) const
-    -> bill_page {
-  bill_page page{store_id_, {}, from};
-  const auto end = std::min<bill_sequence>(order_.size(), from + limit);
-  for (auto i = from; i < end; ++i) {
-    page.records.push_back(*order_[i]);
+auto basic_bill_store<Disk>::Since(bill_source source, journal_position from,
+                                   std::size_t limit) const -> bill_page {
+  const auto& view =
+      (source == bill_source::kEntry ? from_entries_ : from_stores_).view();
+  auto page = ReadJournal(view, from, limit);
+  const bool is_last = page.next == view.end;
+  return {store_id_, std::move(page.records), page.next, is_last,
+          from_stores_.view().end};
+}
+
+template <durable_disk Disk>
+auto basic_bill_store<Disk>::AddPage(const bill_page& page, bill_source source,
+                                     exchange_progress& progress) -> bool {
+  if (page.store_id != progress.store_id) {
+    // The first contact, or the other store lost its disk: its journals are
+    // read from their beginning, as the page may be from somewhere else.
+    progress = {page.store_id, {}, {}, page.stores_end};
+    return true;
+  }
+  Add(page.records, bill_source::kOtherStore);
+  if (source == bill_source::kEntry) {
+    progress.from_entries = page.next;
+  } else {
+    progress.from_stores = page.next;
   }
-  page.next = std::max(from, end);
-  return page;
+  return !page.is_last;
 }
 
 template <durable_disk Disk>
-auto basic_bill_store<Disk>::Find(const std::string& request_id) const
-    -> const bill_record* {
-  const auto found = bills_.find(request_id);
-  return found == bills_.end() ? nullptr : &found->second;
+auto basic_bill_store<Disk>::SaveCheckpoint(
+    const exchange_progress_map& progress) -> void {
+  const checkpoint now{records_, from_entries_.view().end,
+                       from_stores_.view().end, progress};
+  ReplaceFile(disk_, folder_, kCheckpointFile, Encode(now));
 }
 
 }  // namespace lovagedale
--- a/include/lovagedale/ledger/messages.h
+++ b/include/lovagedale/ledger/messages.h
@@ -44,13 +44,14 @@
   }
 };
 
-/// Asks another ledger for its records from a position on; answered with
-/// exchange_response.
+/// Asks another ledger for its records of one source from a position on;
+/// answered with exchange_response.
 struct bills_since {
-  bill_sequence from = 0;
+  bill_source source = bill_source::kEntry;
+  journal_position from;
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(from);
+    archive(source, from);
   }
 };
 
--- a/include/lovagedale/ledger/service.h
+++ b/include/lovagedale/ledger/service.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,7 +20,8 @@
 namespace lovagedale {
 
 /// One ledger: a replica of the claims, and a bill store that exchanges its
-/// records with the other ledgers. Everything runs on one thread.
+/// records with the other ledgers. Everything runs on one thread, but for
+/// operators' reports of bills, which a second thread reads from the files.
 class ledger_service {
  public:
   ledger_service(boost::asio::io_context& context, replica_settings settings,
@@ -38,10 +40,8 @@
     std::vector<bill_record> records;
     rpc_reply reply;
   };
-  struct peer_cursor {
+  struct peer_state {
     std::unique_ptr<rpc_channel> channel;
-    std::uint64_t store_id = 0;
-    bill_sequence next = 0;
     bool leaving = false;
     monotonic_ms answered_at = -1;
   };
@@ -51,8 +51,17 @@
       -> void;
   auto QueueBills(bill_batch batch, const rpc_reply& reply) -> void;
   auto StoreQueuedBills() -> void;
-  auto ExchangeLoop(peer_cursor& peer, boost::asio::yield_context yield)
-      -> void;
+  auto ExchangeLoop(const std::string& name, peer_state& peer,
+                    boost::asio::yield_context yield) -> void;
+  /// Reads a page of the peer's records of one source and stores it. Returns
+  /// whether more can be read at once.
+  auto ExchangePage(const std::string& name, peer_state& peer,
+                    bill_source source, boost::asio::yield_context yield)
+      -> bool;
+  auto CheckpointLoop(boost::asio::yield_context yield) -> void;
+  auto SaveCheckpoint() -> void;
+  /// Whether all that the other ledgers had when this one was new is here.
+  auto HasAllBills() const -> bool;
   auto HousekeepingLoop(boost::asio::yield_context yield) -> void;
   auto HandleStatus(http_exchange& exchange) -> void;
   auto HandleBills(http_exchange& exchange) -> void;
@@ -64,12 +73,16 @@
   replica_node<claim_machine> node_;
   rpc_server server_;
   std::vector<waiting_bills> queued_;
-  std::map<std::string, peer_cursor> peers_;
+  std::map<std::string, peer_state> peers_;
+  exchange_progress_map progress_;
+  exchange_progress_map saved_progress_;
   std::map<std::string, monotonic_ms> entries_heard_;
   system_monotonic_clock clock_;
   bool store_scheduled_ = false;
   bool leaving_ = false;
   monotonic_ms leaving_since_ = 0;
+  /// Last, so that it is joined before what it uses is destroyed.
+  boost::asio::thread_pool reader_{1};
 };
 
 }  // namespace lovagedale
--- a/include/lovagedale/replication/batch_file.h
+++ b/include/lovagedale/replication/batch_file.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <fstream>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,4 +37,29 @@
 /// A file's content, empty if it does not exist. Throws storage_error.
 auto ReadWholeFile(const std::string& path) -> std::string;
 
+/// Payload of a file that is one batch (see ReplaceFile); empty if the file
+/// does not exist. Throws storage_error if it is damaged.
+auto ReadSingleBatch(const std::string& path) -> std::optional<std::string>;
+
+/// Reads a file's batches one after the other, without loading the file.
+class batch_reader {
+ public:
+  /// Starts at byte `offset`, where a batch begins; `end` is the byte up to
+  /// which the file is known to hold whole batches. Throws storage_error.
+  batch_reader(std::string path, std::uint64_t offset, std::uint64_t end);
+  /// The next payload, or nothing at `end`. Throws storage_error if the batch
+  /// is damaged.
+  auto Next() -> std::optional<std::string>;
+  /// Offset of the batch that Next returns.
+  auto offset() const -> std::uint64_t { return offset_; }
+
+ private:
+  [[noreturn]] auto FailDamaged() const -> void;
+
+  std::string path_;
+  std::ifstream in_;
+  std::uint64_t offset_;
+  std::uint64_t end_;
+};
+
 }  // namespace lovagedale
--- a/include/lovagedale/replication/log_store-inl.h
+++ b/include/lovagedale/replication/log_store-inl.h
@@ -2,10 +2,14 @@
 
 #include <optional>
 
+#include "lovagedale/common/codec.h"
 #include "lovagedale/replication/log_store.h"
+#include "lovagedale/replication/segment_files.h"
 
 namespace lovagedale {
 
+inline constexpr std::string_view kLogPrefix = "log";
+
 /// Content of one batch of the log.
 struct log_batch {
   std::optional<hard_state> hard;
@@ -25,11 +29,7 @@
 };
 
 auto OpenDataFolder(const std::string& folder) -> opened_folder;
-auto SegmentPath(const std::string& folder, std::uint64_t number)
-    -> std::string;
-auto ListSegments(const std::string& folder) -> std::vector<std::uint64_t>;
 auto EncodeLogBatch(const log_batch& batch) -> std::string;
-auto EncodeSnapshotFile(const log_snapshot& snapshot) -> std::string;
 
 template <durable_disk Disk>
 basic_log_store<Disk>::basic_log_store(Disk& disk, std::string folder)
@@ -54,7 +54,7 @@
 auto basic_log_store<Disk>::StartSegment() -> void {
   if (fd_ >= 0) disk_.CloseFile(fd_);
   ++segment_;
-  fd_ = disk_.OpenAppend(SegmentPath(folder_, segment_));
+  fd_ = disk_.OpenAppend(SegmentPath(folder_, kLogPrefix, segment_));
   disk_.SyncFolder(folder_);
 }
 
@@ -89,20 +89,15 @@
 template <durable_disk Disk>
 auto basic_log_store<Disk>::WriteSnapshotFile(const log_snapshot& snapshot)
     -> void {
-  const auto temporary = folder_ + "/snapshot.new";
-  disk_.Remove(temporary);
-  const int fd = disk_.OpenAppend(temporary);
-  disk_.Write(fd, EncodeSnapshotFile(snapshot));
-  disk_.SyncFile(fd);
-  disk_.CloseFile(fd);
-  disk_.Rename(temporary, folder_ + "/snapshot");
-  disk_.SyncFolder(folder_);
+  ReplaceFile(disk_, folder_, "snapshot", Encode(snapshot));
 }
 
 template <durable_disk Disk>
 auto basic_log_store<Disk>::RemoveOldSegments() -> void {
-  for (const auto number : ListSegments(folder_)) {
-    if (number < segment_) disk_.Remove(SegmentPath(folder_, number));
+  for (const auto number : ListSegments(folder_, kLogPrefix)) {
+    if (number < segment_) {
+      disk_.Remove(SegmentPath(folder_, kLogPrefix, number));
+    }
   }
   disk_.SyncFolder(folder_);
 }
--- /dev/null
+++ b/src/billing/bill_store.cpp
@@ -0,0 +1,45 @@
+#include "lovagedale/billing/bill_store.h"
+
+#include "lovagedale/common/hash.h"
+
+namespace lovagedale {
+namespace {
+
+constexpr std::size_t kReadRecords = 1'000;
+
+auto IsInPart(const bill_record& bill, const bill_query& query) -> bool {
+  return query.parts <= 1 ||
+         Hash64(bill.request_id) % query.parts == query.part;
+}
+
+auto MergeJournal(const journal_view& view, const bill_query& query,
+                  std::map<std::string, bill_record>& bills) -> void {
+  journal_position position;
+  while (position < view.end) {
+    const auto page = ReadJournal(view, position, kReadRecords);
+    position = page.next;
+    for (const auto& record : page.records) {
+      if (!IsInPart(record, query)) continue;
+      const auto [place, is_new] = bills.try_emplace(record.request_id, record);
+      if (!is_new) place->second = MergeBills(place->second, record);
+    }
+  }
+}
+
+}  // namespace
+
+auto ReadBills(const bill_store_view& view, const bill_query& query)
+    -> std::vector<bill_record> {
+  std::map<std::string, bill_record> bills;
+  MergeJournal(view.from_entries, query, bills);
+  MergeJournal(view.from_stores, query, bills);
+  std::vector<bill_record> wanted;
+  for (auto& [id, bill] : bills) {
+    if (query.customer.empty() || bill.customer == query.customer) {
+      wanted.push_back(std::move(bill));
+    }
+  }
+  return wanted;
+}
+
+}  // namespace lovagedale
--- a/src/ledger/service.cpp
+++ b/src/ledger/service.cpp
@@ -1,9 +1,13 @@
 #include "lovagedale/ledger/service.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/json.hpp>
+#include <charconv>
+#include <optional>
 
 #include "lovagedale/common/codec.h"
+#include "lovagedale/common/fiber_event.h"
 #include "lovagedale/common/spawn.h"
 #include "lovagedale/common/time.h"
 
@@ -20,9 +24,13 @@
 constexpr monotonic_ms kPresenceMs = 2'000;
 constexpr monotonic_ms kLeaveTogetherMs = 1'000;
 constexpr std::size_t kPageRecords = 2'000;
+constexpr std::chrono::milliseconds kCheckpointPeriod{2'000};
 /// Claims and their stored answers are kept this long.
 constexpr std::int64_t kClaimRetentionMs = 6LL * 60 * 60 * 1'000;
-constexpr std::size_t kShownBills = 10'000;
+/// Bills in one answer to an operator, about.
+constexpr std::uint64_t kReportBills = 50'000;
+constexpr std::uint32_t kMaxReportParts = 1'000'000;
+constexpr std::chrono::milliseconds kReportTimeout{60'000};
 
 auto WrapEnvelope(const replica_envelope& envelope) -> std::string {
   return Encode(ledger_request(envelope));
@@ -32,6 +40,42 @@
   return status == bill_status::kComplete ? "complete" : "partial";
 }
 
+auto ReportJson(const std::vector<bill_record>& bills, const bill_query& query)
+    -> std::string {
+  json::array rows;
+  for (const auto& bill : bills) {
+    rows.push_back({{"request_id", bill.request_id},
+                    {"customer", bill.customer},
+                    {"version", bill.version},
+                    {"input_tokens", bill.input_tokens},
+                    {"output_tokens", bill.output_tokens},
+                    {"cost_micros", bill.cost},
+                    {"attempts", bill.attempts},
+                    {"status", StatusName(bill.status)},
+                    {"entry", bill.entry},
+                    {"at_ms", bill.at_ms}});
+  }
+  return json::serialize(json::value{{"part", query.part},
+                                     {"parts", query.parts},
+                                     {"bills", std::move(rows)}});
+}
+
+auto ParseNumber(std::string_view text, std::uint32_t fallback)
+    -> std::optional<std::uint32_t> {
+  if (text.empty()) return fallback;
+  std::uint32_t value = 0;
+  const auto* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  if (result.ec != std::errc() || result.ptr != end) return std::nullopt;
+  return value;
+}
+
+/// Bills or the reason why they could not be read, from the reader's thread.
+struct report_result {
+  std::string json;
+  std::string failure;
+};
+
 }  // namespace
 
 ledger_service::ledger_service(asio::io_context& context,
@@ -49,22 +93,29 @@
   for (const auto& peer : settings_.replicas) {
     if (peer.name == settings_.name) continue;
     peers_[peer.name].channel = std::make_unique<rpc_channel>(context, peer);
+    const auto known = bills_.recovered_progress().find(peer.name);
+    progress_[peer.name] = known == bills_.recovered_progress().end()
+                               ? exchange_progress{}
+                               : known->second;
   }
 }
 
 auto ledger_service::Start() -> void {
   node_.Start();
   for (auto& [name, peer] : peers_) {
-    SpawnTask(context_, [this, &peer = peer](asio::yield_context yield) {
-      ExchangeLoop(peer, yield);
-    });
+    SpawnTask(context_,
+              [this, &name = name, &peer = peer](asio::yield_context yield) {
+                ExchangeLoop(name, peer, yield);
+              });
   }
+  SpawnTask(context_,
+            [this](asio::yield_context yield) { CheckpointLoop(yield); });
   SpawnTask(context_,
             [this](asio::yield_context yield) { HousekeepingLoop(yield); });
   log_line(log_level::kInfo, "ledger_started")
       .With("name", settings_.name)
       .With("zone", settings_.zone)
-      .With("bills", bills_.size())
+      .With("bill_records", bills_.records())
       .With("claims", claims_.size());
 }
 
@@ -72,6 +123,7 @@
   leaving_ = true;
   leaving_since_ = clock_.Now();
   node_.TransferLeadership();
+  SaveCheckpoint();
 }
 
 auto ledger_service::MayStop() const -> bool {
@@ -103,8 +155,8 @@
     QueueBills(std::move(*batch), reply);
   } else {
     const auto& since = std::get<bills_since>(request);
-    reply(Encode(
-        exchange_response{bills_.Since(since.from, kPageRecords), leaving_}));
+    reply(Encode(exchange_response{
+        bills_.Since(since.source, since.from, kPageRecords), leaving_}));
   }
 }
 
@@ -150,41 +202,56 @@
   for (const auto& item : queued) item.reply("");
 }
 
-auto ledger_service::ExchangeLoop(peer_cursor& peer, asio::yield_context yield)
-    -> void {
-  asio::steady_timer timer(context_);
-  boost::system::error_code ignored;
+auto ledger_service::ExchangeLoop(const std::string& name, peer_state& peer,
+                                  asio::yield_context yield) -> void {
   for (;;) {
-    bool is_behind = false;
-    try {
-      const auto response = Decode<exchange_response>(
-          peer.channel->Call(Encode(ledger_request(bills_since{peer.next})),
-                             kExchangeTimeout, yield));
-      const auto& page = response.page;
-      peer.leaving = response.leaving;
-      peer.answered_at = clock_.Now();
-      if (page.store_id != peer.store_id) {
-        peer.store_id = page.store_id;
-        is_behind = peer.next != 0;
-        peer.next = is_behind ? 0 : page.next;
-      } else {
-        peer.next = page.next;
-      }
-      bills_.Add(page.records, bill_source::kOtherStore);
-      is_behind = is_behind || page.records.size() == kPageRecords;
-    } catch (const rpc_error&) {
-      // The peer is down or cut off; its records come later.
-    } catch (const codec_error& error) {
-      log_line(log_level::kWarning, "exchange_refused")
-          .With("peer", peer.channel->address().name)
-          .With("reason", error.what());
+    bool is_behind = ExchangePage(name, peer, bill_source::kEntry, yield);
+    if (!progress_[name].IsRepaired()) {
+      is_behind |= ExchangePage(name, peer, bill_source::kOtherStore, yield);
     }
-    if (is_behind) continue;
-    timer.expires_after(kExchangePeriod);
-    timer.async_wait(yield[ignored]);
+    if (!is_behind) Pause(context_.get_executor(), kExchangePeriod, yield);
+  }
+}
+
+auto ledger_service::ExchangePage(const std::string& name, peer_state& peer,
+                                  bill_source source, asio::yield_context yield)
+    -> bool {
+  auto& progress = progress_[name];
+  try {
+    const auto response = Decode<exchange_response>(peer.channel->Call(
+        Encode(
+            ledger_request(bills_since{source, progress.PositionOf(source)})),
+        kExchangeTimeout, yield));
+    peer.leaving = response.leaving;
+    peer.answered_at = clock_.Now();
+    return bills_.AddPage(response.page, source, progress);
+  } catch (const rpc_error&) {
+    // The peer is down or cut off; its records come later.
+  } catch (const codec_error& error) {
+    log_line(log_level::kWarning, "exchange_refused")
+        .With("peer", name)
+        .With("reason", error.what());
+  }
+  return false;
+}
+
+auto ledger_service::CheckpointLoop(asio::yield_context yield) -> void {
+  for (;;) {
+    Pause(context_.get_executor(), kCheckpointPeriod, yield);
+    if (progress_ != saved_progress_) SaveCheckpoint();
   }
 }
 
+auto ledger_service::SaveCheckpoint() -> void {
+  bills_.SaveCheckpoint(progress_);
+  saved_progress_ = progress_;
+}
+
+auto ledger_service::HasAllBills() const -> bool {
+  return std::all_of(progress_.begin(), progress_.end(),
+                     [](const auto& item) { return item.second.IsRepaired(); });
+}
+
 auto ledger_service::HousekeepingLoop(asio::yield_context yield) -> void {
   asio::steady_timer timer(context_);
   boost::system::error_code ignored;
@@ -223,28 +290,47 @@
                                        {"has_lease", node_.HasLease()},
                                        {"members", std::move(members)},
                                        {"claims", claims_.size()},
-                                       {"bills", bills_.size()}}));
+                                       {"bill_records", bills_.records()},
+                                       {"has_all_bills", HasAllBills()}}));
 }
 
 auto ledger_service::HandleBills(http_exchange& exchange) -> void {
-  const auto customer = exchange.request().Query("customer");
-  json::array rows;
-  for (const auto& [id, bill] : bills_.bills()) {
-    if (!customer.empty() && bill.customer != customer) continue;
-    if (rows.size() >= kShownBills) break;
-    rows.push_back({{"request_id", id},
-                    {"customer", bill.customer},
-                    {"version", bill.version},
-                    {"input_tokens", bill.input_tokens},
-                    {"output_tokens", bill.output_tokens},
-                    {"cost_micros", bill.cost},
-                    {"attempts", bill.attempts},
-                    {"status", StatusName(bill.status)},
-                    {"entry", bill.entry},
-                    {"at_ms", bill.at_ms}});
+  const auto& request = exchange.request();
+  const auto fitting = static_cast<std::uint32_t>(std::min<std::uint64_t>(
+      bills_.records() / kReportBills + 1, kMaxReportParts));
+  const auto parts = ParseNumber(request.Query("parts"), fitting);
+  const auto part = ParseNumber(request.Query("part"), 0);
+  if (!parts || *parts == 0 || *parts > kMaxReportParts || !part ||
+      *part >= *parts) {
+    return exchange.RespondJson(
+        400,
+        R"({"error":{"type":"invalid_query","message":"parts: a number from 1 )"
+        R"(to 1000000; part: a number from 0 to parts - 1"}})");
   }
-  exchange.RespondJson(
-      200, json::serialize(json::value{{"bills", std::move(rows)}}));
+  const bill_query query{std::string(request.Query("customer")), *part, *parts};
+  auto result = std::make_shared<report_result>();
+  const fiber_event read(exchange.yield().get_executor());
+  asio::post(reader_, [this, query, view = bills_.view(), result, read] {
+    try {
+      result->json = ReportJson(ReadBills(view, query), query);
+    } catch (const std::exception& error) {
+      result->failure = error.what();
+    }
+    // The event belongs to the service's thread.
+    asio::post(context_, [read] { read.Set(); });
+  });
+  if (!read.Wait(kReportTimeout, exchange.yield())) {
+    return exchange.RespondJson(
+        503,
+        R"({"error":{"type":"timeout","message":"bills not read in 60 s"}})");
+  }
+  if (!result->failure.empty()) {
+    return exchange.RespondJson(
+        500,
+        json::serialize(json::value{
+            {"error", {{"type", "storage"}, {"message", result->failure}}}}));
+  }
+  exchange.RespondJson(200, result->json);
 }
 
 }  // namespace lovagedale
--- a/src/operator_client/operator_client.cpp
+++ b/src/operator_client/operator_client.cpp
@@ -12,12 +12,16 @@
 
 constexpr http_deadlines kDeadlines{milliseconds(500), milliseconds(6'000),
                                     milliseconds(6'000)};
+/// A ledger reads its files for a report.
+constexpr http_deadlines kReportDeadlines{
+    milliseconds(500), milliseconds(65'000), milliseconds(6'000)};
 constexpr milliseconds kRetryPause{100};
 constexpr unsigned kStatusMisdirected = 421;
 constexpr unsigned kStatusUnavailable = 503;
 
 auto TryCall(const process_address& address, const std::string& method,
-             const std::string& target, const std::string& body)
+             const std::string& target, const std::string& body,
+             const http_deadlines& deadlines = kDeadlines)
     -> std::optional<http_answer> {
   http_request request;
   request.method = method;
@@ -25,17 +29,19 @@
   request.body = body;
   if (!body.empty()) request.headers = {{"Content-Type", "application/json"}};
   try {
-    return BlockingHttpCall(address.host, address.port, request, kDeadlines);
+    return BlockingHttpCall(address.host, address.port, request, deadlines);
   } catch (const http_call_error&) {
     return std::nullopt;
   }
 }
 
 auto CallFirst(const std::vector<process_address>& list,
-               const std::string& target, const std::string& kind)
-    -> http_answer {
+               const std::string& target, const std::string& kind,
+               const http_deadlines& deadlines) -> http_answer {
   for (const auto& address : list) {
-    if (auto answer = TryCall(address, "GET", target, "")) return *answer;
+    if (auto answer = TryCall(address, "GET", target, "", deadlines)) {
+      return *answer;
+    }
   }
   throw fleet_unreachable("no " + kind + " answers");
 }
@@ -77,11 +83,11 @@
 }
 
 auto operator_client::CallAnyControl(const std::string& target) -> http_answer {
-  return CallFirst(settings_.control, target, "control replica");
+  return CallFirst(settings_.control, target, "control replica", kDeadlines);
 }
 
 auto operator_client::CallAnyLedger(const std::string& target) -> http_answer {
-  return CallFirst(settings_.ledgers, target, "ledger");
+  return CallFirst(settings_.ledgers, target, "ledger", kReportDeadlines);
 }
 
 auto operator_client::CallEntries(const std::string& target)
--- a/src/replication/batch_file.cpp
+++ b/src/replication/batch_file.cpp
@@ -4,7 +4,6 @@
 #include <cerrno>
 #include <cstdint>
 #include <cstring>
-#include <fstream>
 #include <iterator>
 
 #include "lovagedale/common/hash.h"
@@ -76,4 +75,49 @@
   return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
 }
 
+auto ReadSingleBatch(const std::string& path) -> std::optional<std::string> {
+  const auto content = ReadWholeFile(path);
+  if (content.empty()) return std::nullopt;
+  std::optional<std::string> payload;
+  const auto scan = ScanBatches(path, content, [&](std::string_view bytes) {
+    payload = std::string(bytes);
+  });
+  if (scan.batches != 1 || scan.HasTornTail()) {
+    throw storage_error(path + ": damaged (its checksum does not match)");
+  }
+  return payload;
+}
+
+batch_reader::batch_reader(std::string path, std::uint64_t offset,
+                           std::uint64_t end)
+    : path_(std::move(path)),
+      in_(path_, std::ios::binary),
+      offset_(offset),
+      end_(end) {
+  if (!in_) {
+    throw storage_error("cannot read " + path_ + ": " + std::strerror(errno));
+  }
+  in_.seekg(static_cast<std::streamoff>(offset));
+}
+
+auto batch_reader::Next() -> std::optional<std::string> {
+  if (offset_ >= end_) return std::nullopt;
+  std::string head(kBatchHeaderBytes, '\0');
+  if (!in_.read(head.data(), kBatchHeaderBytes)) FailDamaged();
+  const auto header = ReadHeader(head);
+  if (offset_ + kBatchHeaderBytes + header.length > end_) FailDamaged();
+  std::string payload(header.length, '\0');
+  if (!in_.read(payload.data(), static_cast<std::streamsize>(header.length)) ||
+      Hash64(payload) != header.checksum) {
+    FailDamaged();
+  }
+  offset_ += kBatchHeaderBytes + header.length;
+  return payload;
+}
+
+auto batch_reader::FailDamaged() const -> void {
+  throw storage_error(path_ + ": damaged batch at byte " +
+                      std::to_string(offset_));
+}
+
 }  // namespace lovagedale
--- a/src/replication/log_store.cpp
+++ b/src/replication/log_store.cpp
@@ -1,7 +1,6 @@
 #include "lovagedale/replication/log_store.h"
 
 #include <algorithm>
-#include <charconv>
 #include <filesystem>
 #include <random>
 
@@ -15,8 +14,6 @@
 
 namespace fs = std::filesystem;
 
-constexpr std::string_view kSegmentPrefix = "log-";
-constexpr int kSegmentDigits = 12;
 /// Incarnation of every replica that is created with the group.
 constexpr incarnation_id kFirstIncarnation = 1;
 
@@ -30,32 +27,6 @@
   }
 };
 
-auto WriteSynced(const std::string& folder, const std::string& name,
-                 const std::string& bytes) -> void {
-  posix_disk disk;
-  const auto temporary = folder + "/" + name + ".new";
-  disk.Remove(temporary);
-  const int fd = disk.OpenAppend(temporary);
-  disk.Write(fd, bytes);
-  disk.SyncFile(fd);
-  disk.CloseFile(fd);
-  disk.Rename(temporary, folder + "/" + name);
-  disk.SyncFolder(folder);
-}
-
-auto ReadSingleBatch(const std::string& path) -> std::optional<std::string> {
-  const auto content = ReadWholeFile(path);
-  if (content.empty()) return std::nullopt;
-  std::optional<std::string> payload;
-  const auto scan = ScanBatches(path, content, [&](std::string_view bytes) {
-    payload = std::string(bytes);
-  });
-  if (scan.batches != 1 || scan.HasTornTail()) {
-    throw storage_error(path + ": damaged (its checksum does not match)");
-  }
-  return payload;
-}
-
 auto CreateFolder(const std::string& folder) -> void {
   std::error_code error;
   fs::create_directories(folder, error);
@@ -74,11 +45,13 @@
 auto ReadIdentity(const std::string& folder) -> folder_identity {
   const auto payload = ReadSingleBatch(folder + "/identity");
   if (payload) return Decode<folder_identity>(*payload);
-  if (!ListSegments(folder).empty() || fs::exists(folder + "/snapshot")) {
+  if (!ListSegments(folder, kLogPrefix).empty() ||
+      fs::exists(folder + "/snapshot")) {
     throw storage_error(folder + ": has a log but no identity file");
   }
   const folder_identity identity{NewIncarnation()};
-  WriteSynced(folder, "identity", EncodeBatch(Encode(identity)));
+  posix_disk disk;
+  ReplaceFile(disk, folder, "identity", Encode(identity));
   return identity;
 }
 
@@ -123,37 +96,10 @@
 
 }  // namespace
 
-auto SegmentPath(const std::string& folder, std::uint64_t number)
-    -> std::string {
-  auto digits = std::to_string(number);
-  digits.insert(
-      0, kSegmentDigits - std::min<std::size_t>(kSegmentDigits, digits.size()),
-      '0');
-  return folder + "/" + std::string(kSegmentPrefix) + digits;
-}
-
-auto ListSegments(const std::string& folder) -> std::vector<std::uint64_t> {
-  std::vector<std::uint64_t> numbers;
-  for (const auto& file : fs::directory_iterator(folder)) {
-    const auto name = file.path().filename().string();
-    if (!name.starts_with(kSegmentPrefix)) continue;
-    std::uint64_t number = 0;
-    std::from_chars(name.data() + kSegmentPrefix.size(),
-                    name.data() + name.size(), number);
-    numbers.push_back(number);
-  }
-  std::sort(numbers.begin(), numbers.end());
-  return numbers;
-}
-
 auto EncodeLogBatch(const log_batch& batch) -> std::string {
   return EncodeBatch(Encode(batch));
 }
 
-auto EncodeSnapshotFile(const log_snapshot& snapshot) -> std::string {
-  return EncodeBatch(Encode(snapshot));
-}
-
 auto OpenDataFolder(const std::string& folder) -> opened_folder {
   CreateFolder(folder);
   opened_folder opened;
@@ -161,16 +107,16 @@
   if (const auto payload = ReadSingleBatch(folder + "/snapshot")) {
     opened.state.snapshot = Decode<log_snapshot>(*payload);
   }
-  const auto segments = ListSegments(folder);
+  const auto segments = ListSegments(folder, kLogPrefix);
   for (const auto number : segments) {
     // A start that stopped before its first write leaves an empty segment, so
     // the torn batch may be in one that has only empty successors.
     const bool is_last =
         std::all_of(segments.begin(), segments.end(), [&](std::uint64_t other) {
           return other <= number ||
-                 fs::file_size(SegmentPath(folder, other)) == 0;
+                 fs::file_size(SegmentPath(folder, kLogPrefix, other)) == 0;
         });
-    ReadSegment(SegmentPath(folder, number), is_last, opened.state);
+    ReadSegment(SegmentPath(folder, kLogPrefix, number), is_last, opened.state);
     opened.last_segment = number;
   }
   return opened;
@@ -187,9 +133,10 @@
     snapshot.members.members.push_back(
         {name, kFirstIncarnation, /*voter=*/true});
   }
-  WriteSynced(folder, "snapshot", EncodeSnapshotFile(snapshot));
-  WriteSynced(folder, "identity",
-              EncodeBatch(Encode(folder_identity{kFirstIncarnation})));
+  posix_disk disk;
+  ReplaceFile(disk, folder, "snapshot", Encode(snapshot));
+  ReplaceFile(disk, folder, "identity",
+              Encode(folder_identity{kFirstIncarnation}));
 }
 
 }  // namespace lovagedale
--- a/tools/lovagedalectl.cpp
+++ b/tools/lovagedalectl.cpp
@@ -335,8 +335,24 @@
 }
 
 auto RunBills(const arguments& /*args*/) -> int {
-  return PrintJson(MakeClient().CallAnyLedger("/v1/bills?customer=" +
-                                              absl::GetFlag(FLAGS_customer)));
+  // The ledger says into how many parts its bills are split.
+  const auto target = "/v1/bills?customer=" + absl::GetFlag(FLAGS_customer);
+  auto client = MakeClient();
+  auto answer = client.CallAnyLedger(target);
+  json::array bills;
+  for (std::int64_t part = 0;; ++part) {
+    if (answer.head.status != kStatusOk) return PrintJson(answer);
+    auto value = json::parse(answer.body);
+    const auto parts = value.at("parts").to_number<std::int64_t>();
+    for (auto& bill : value.at("bills").as_array()) {
+      bills.push_back(std::move(bill));
+    }
+    if (part + 1 == parts) break;
+    answer = client.CallAnyLedger(target + "&parts=" + std::to_string(parts) +
+                                  "&part=" + std::to_string(part + 1));
+  }
+  std::cout << json::value{{"bills", std::move(bills)}} << "\n";
+  return kExitOk;
 }
 
 auto RunExplain(const arguments& args) -> int {
