Bills are on two disks before the answer ends; handlers share one way to store them

Cause: a bill was on one ledger's disk until the next exchange, 500 ms later, so losing that disk lost it although its answer had been sent. A ledger that refuses at once is now left out for 100 ms, a silent one for 1 to 30 s; the exchange runs ten times a second; a ledger says has_all_bills only when it has read both journals. Claims' client and bills' client are two classes now.

--- a/include/lovagedale/billing/bill_store-inl.h
+++ b/include/lovagedale/billing/bill_store-inl.h
@@ -78,8 +78,8 @@
       (source == bill_source::kEntry ? from_entries_ : from_stores_).view();
   auto page = ReadJournal(view, from, limit);
   const bool is_last = page.next == view.end;
-  return {store_id_, std::move(page.records), page.next, is_last,
-          from_stores_.view().end};
+  return {store_id_, std::move(page.records),  page.next,
+          is_last,   from_entries_.view().end, from_stores_.view().end};
 }
 
 template <durable_disk Disk>
@@ -88,7 +88,7 @@
   if (page.store_id != progress.store_id) {
     // The first contact, or the other store lost its disk: its journals are
     // read from their beginning, as the page may be from somewhere else.
-    progress = {page.store_id, {}, {}, page.stores_end};
+    progress = {page.store_id, {}, {}, page.entries_end, page.stores_end};
     return true;
   }
   Add(page.records, bill_source::kOtherStore);
--- a/include/lovagedale/billing/bill_store.h
+++ b/include/lovagedale/billing/bill_store.h
@@ -24,12 +24,13 @@
   std::vector<bill_record> records;
   journal_position next;
   bool is_last = false;  ///< nothing follows yet
-  /// End of what the store has from other stores.
+  /// Ends of both journals.
+  journal_position entries_end;
   journal_position stores_end;
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(store_id, records, next, is_last, stores_end);
+    archive(store_id, records, next, is_last, entries_end, stores_end);
   }
 };
 
@@ -38,14 +39,19 @@
   std::uint64_t store_id = 0;
   journal_position from_entries;
   journal_position from_stores;
-  /// What the other one had from stores at the first contact ends here. A store
-  /// that lost its disk gets its own former records back by reading that. Only
-  /// that: two stores that repair themselves would feed each other for ever.
-  journal_position repair_end;
-
+  /// Where the other one's journals ended at the first contact. A store that
+  /// lost its disk gets its own former records back by reading what the other
+  /// one had from stores. Only up to here: two stores that repair themselves
+  /// would feed each other for ever.
+  journal_position repair_entries_end;
+  journal_position repair_stores_end;
+
+  auto HasReadStores() const -> bool {
+    return store_id != 0 && from_stores >= repair_stores_end;
+  }
   /// Whether all that the other store had at the first contact is here.
   auto IsRepaired() const -> bool {
-    return store_id != 0 && from_stores >= repair_end;
+    return HasReadStores() && from_entries >= repair_entries_end;
   }
   auto PositionOf(bill_source source) const -> journal_position {
     return source == bill_source::kEntry ? from_entries : from_stores;
@@ -53,7 +59,8 @@
   auto operator==(const exchange_progress&) const -> bool = default;
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(store_id, from_entries, from_stores, repair_end);
+    archive(store_id, from_entries, from_stores, repair_entries_end,
+            repair_stores_end);
   }
 };
 
--- a/include/lovagedale/entry/ledger_client.h
+++ b/include/lovagedale/entry/ledger_client.h
@@ -7,9 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "lovagedale/billing/bill.h"
 #include "lovagedale/claim/messages.h"
-#include "lovagedale/common/fiber_event.h"
 #include "lovagedale/rpc/channel.h"
 
 namespace lovagedale {
@@ -20,7 +18,11 @@
   using std::runtime_error::runtime_error;
 };
 
-/// One traffic thread's way to the ledgers.
+/// The addresses with those of `zone` first, otherwise in their order.
+auto OwnZoneFirst(std::vector<process_address> addresses,
+                  const std::string& zone) -> std::vector<process_address>;
+
+/// One traffic thread's way to the ledgers' claims.
 class ledger_client {
  public:
   /// Ledgers of `zone` are asked first.
@@ -35,30 +37,11 @@
   /// Carries a release out in the background, until it succeeds or
   /// `kReleaseLimit` has passed.
   auto ReleaseInBackground(const release_claim& command) -> void;
-  /// Waits until the bill lasts on a ledger's disk. Returns false if none
-  /// could store it within `timeout`; it is then stored when one can.
-  auto StoreBill(const bill_record& bill, std::chrono::milliseconds timeout,
-                 boost::asio::yield_context yield) -> bool;
-  /// Bills not stored yet.
-  auto PendingBills() const -> std::size_t;
 
  private:
-  struct bill_wait {
-    bill_record bill;
-    fiber_event stored;
-  };
-
-  auto FlushLoop(boost::asio::yield_context yield) -> void;
-  auto SendBatch(const std::vector<bill_wait>& batch,
-                 boost::asio::yield_context yield) -> bool;
-
   boost::asio::io_context& context_;
   std::vector<std::unique_ptr<rpc_channel>> ledgers_;
   std::size_t leader_ = 0;
-  std::size_t bill_target_ = 0;
-  std::vector<bill_wait> queued_;
-  std::size_t sending_ = 0;
-  bool flushing_ = false;
 };
 
 }  // namespace lovagedale
--- a/include/lovagedale/entry/metrics.h
+++ b/include/lovagedale/entry/metrics.h
@@ -21,7 +21,8 @@
   kServerCrashes,
   kStoppedBeforeDispatch,  ///< withdrawn, leaving or disallowed meanwhile
   kQuarantined,
-  kBillsDelayed,  ///< answers ended before their bill was durable
+  kBillsDelayed,    ///< answers ended before their bill was durable
+  kBillsOnOneDisk,  ///< no second ledger stored the bill in time
   kPartialAnswers,
   kRatings,
   kCount,
--- a/include/lovagedale/entry/traffic_context.h
+++ b/include/lovagedale/entry/traffic_context.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "lovagedale/admission/token_bucket.h"
+#include "lovagedale/entry/bill_writer.h"
 #include "lovagedale/entry/entry_state.h"
 #include "lovagedale/entry/ledger_client.h"
 #include "lovagedale/entry/upstream_pool.h"
@@ -24,6 +25,9 @@
   auto NextRandom() -> std::uint64_t { return random(); }
   /// A request id that no other request of the fleet has.
   auto NewRequestId() -> std::string;
+  /// Stores a request's bill, filling in who wrote it and when, before the end
+  /// of its answer is sent. Waits for a second at most.
+  auto StoreBill(bill_record bill, boost::asio::yield_context yield) -> void;
   /// The plan for a customer and task class, kept until evidence or
   /// configuration change.
   auto PlanFor(const std::string& customer_name, const std::string& task_class)
@@ -33,6 +37,7 @@
   boost::asio::io_context io{1};
   std::shared_ptr<thread_metrics> metrics;
   ledger_client ledgers;
+  bill_writer bills;
   upstream_pool upstreams;
   prefix_index prefixes;
   retry_budget retries;
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -192,7 +192,7 @@
 log_of "$request3"
 
 say "bills"
-sleep 1.2 # The ledgers exchange their records twice a second.
+sleep 1.2 # The ledgers exchange their records ten times a second.
 ctl bills >"$run/bills.json"
 cat "$run/bills.json"
 for id in "$request1" "$request2" "$request3"; do
--- /dev/null
+++ b/src/entry/bill_writer.cpp
@@ -0,0 +1,155 @@
+#include "lovagedale/entry/bill_writer.h"
+
+#include <algorithm>
+
+#include "lovagedale/common/codec.h"
+#include "lovagedale/common/spawn.h"
+#include "lovagedale/entry/ledger_client.h"
+#include "lovagedale/ledger/messages.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::size_t kCopies = 2;
+constexpr std::size_t kMaxBatchBills = 2'000;
+constexpr milliseconds kCallTimeout{1'500};
+/// Time that the second copy may take before the first one must do.
+constexpr milliseconds kSecondCopyWait{250};
+constexpr milliseconds kResendDelay{50};
+/// How long a ledger is left out that refused a call, or let one wait.
+constexpr milliseconds kRefusedDelay{100};
+constexpr milliseconds kMinSilentDelay{1'000};
+constexpr milliseconds kMaxSilentDelay{30'000};
+
+}  // namespace
+
+/// What becomes of one batch's copies. Shared by the fibers that send them.
+struct bill_writer::batch_copies {
+  explicit batch_copies(const asio::any_io_executor& executor)
+      : any_settled(executor), all_finished(executor) {}
+  std::string body;
+  std::size_t sent = 0;
+  std::size_t stored = 0;
+  std::size_t finished = 0;
+  fiber_event any_settled;  ///< one is stored, or all have failed
+  fiber_event all_finished;
+};
+
+bill_writer::bill_writer(asio::io_context& context,
+                         const std::vector<process_address>& ledgers,
+                         const std::string& zone)
+    : context_(context) {
+  for (const auto& address : OwnZoneFirst(ledgers, zone)) {
+    ledgers_.push_back({std::make_unique<rpc_channel>(context, address)});
+  }
+}
+
+auto bill_writer::Store(const bill_record& bill, milliseconds timeout,
+                        asio::yield_context yield) -> bill_durability {
+  const fiber_event stored(context_.get_executor());
+  const auto durability =
+      std::make_shared<bill_durability>(bill_durability::kPending);
+  queued_.push_back({bill, stored, durability});
+  if (!flushing_) {
+    flushing_ = true;
+    SpawnTask(context_,
+              [this](asio::yield_context flush) { FlushLoop(flush); });
+  }
+  stored.Wait(timeout, yield);
+  return *durability;
+}
+
+auto bill_writer::FlushLoop(asio::yield_context yield) -> void {
+  while (!queued_.empty()) {
+    const auto count = std::min(queued_.size(), kMaxBatchBills);
+    const auto split = queued_.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<bill_wait> batch(std::make_move_iterator(queued_.begin()),
+                                 std::make_move_iterator(split));
+    queued_.erase(queued_.begin(), split);
+    sending_ = batch.size();
+    auto durability = SendBatch(batch, yield);
+    while (durability == bill_durability::kPending) {
+      Pause(context_.get_executor(), kResendDelay, yield);
+      // Sent again after a lost answer: records merge by request id.
+      durability = SendBatch(batch, yield);
+    }
+    sending_ = 0;
+    for (const auto& item : batch) {
+      *item.durability = durability;
+      item.stored.Set();
+    }
+  }
+  flushing_ = false;
+}
+
+auto bill_writer::SendBatch(const std::vector<bill_wait>& batch,
+                            asio::yield_context yield) -> bill_durability {
+  bill_batch message;
+  for (const auto& item : batch) message.records.push_back(item.bill);
+  const auto copies = std::make_shared<batch_copies>(context_.get_executor());
+  copies->body = Encode(ledger_request(message));
+  const auto targets = ChooseLedgers();
+  copies->sent = targets.size();
+  for (auto* target : targets) {
+    SpawnTask(context_, [target, copies](asio::yield_context copy) {
+      SendCopy(*target, *copies, copy);
+    });
+  }
+  if (!copies->all_finished.Wait(kSecondCopyWait, yield)) {
+    copies->any_settled.Wait(kCallTimeout, yield);
+    for (auto* target : targets) LeaveOutSilent(*target);
+  }
+  if (copies->stored >= kCopies) return bill_durability::kTwoDisks;
+  return copies->stored > 0 ? bill_durability::kOneDisk
+                            : bill_durability::kPending;
+}
+
+auto bill_writer::ChooseLedgers() -> std::vector<ledger*> {
+  const auto now = steady_clock::now();
+  std::vector<ledger*> chosen;
+  for (auto& candidate : ledgers_) {
+    if (chosen.size() < kCopies && candidate.retry_at <= now) {
+      chosen.push_back(&candidate);
+    }
+  }
+  if (!chosen.empty()) return chosen;
+  const auto soonest = std::min_element(
+      ledgers_.begin(), ledgers_.end(),
+      [](const auto& a, const auto& b) { return a.retry_at < b.retry_at; });
+  return {&*soonest};
+}
+
+auto bill_writer::SendCopy(ledger& target, batch_copies& copies,
+                           asio::yield_context yield) -> void {
+  ++target.calls;
+  try {
+    target.channel->Call(copies.body, kCallTimeout, yield);
+    target.retry_delay = milliseconds(0);
+    target.retry_at = {};
+    ++copies.stored;
+  } catch (const rpc_error&) {
+    // A ledger that refuses at once costs no waiting, and may be back soon.
+    target.retry_at =
+        std::max(target.retry_at, steady_clock::now() + kRefusedDelay);
+  }
+  --target.calls;
+  ++copies.finished;
+  if (copies.stored > 0 || copies.finished == copies.sent) {
+    copies.any_settled.Set();
+  }
+  if (copies.finished == copies.sent) copies.all_finished.Set();
+}
+
+auto bill_writer::LeaveOutSilent(ledger& target) -> void {
+  // The call itself fails later: that counts once.
+  if (target.calls == 0 || target.retry_at > steady_clock::now()) return;
+  target.retry_delay =
+      std::clamp(2 * target.retry_delay, kMinSilentDelay, kMaxSilentDelay);
+  target.retry_at = steady_clock::now() + target.retry_delay;
+}
+
+}  // namespace lovagedale
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -14,7 +14,6 @@
 constexpr std::string_view kEndOfStream = "data: [DONE]\n\n";
 constexpr std::string_view kDefaultTaskClass = "general";
 constexpr std::size_t kMaxTaskClassBytes = 64;
-constexpr milliseconds kBillTimeout{1'000};
 /// Times that a request may choose again because its version went away.
 constexpr int kMaxChoices = 5;
 constexpr unsigned kFirstServerError = 500;
@@ -379,17 +378,8 @@
   bill.cost = run.cost;
   bill.attempts = run.attempts;
   bill.status = status;
-  bill.entry = context_.state.settings.name;
-  bill.at_ms = WallClockMs();
   run.billed = true;
-  const auto before = context_.clock.Now();
-  if (!context_.ledgers.StoreBill(bill, kBillTimeout, run.exchange.yield())) {
-    context_.metrics->Count(entry_counter::kBillsDelayed);
-    log_line(log_level::kWarning, "bill_delayed")
-        .With("request", bill.request_id);
-  }
-  context_.metrics->Observe(entry_latency::kBill,
-                            static_cast<double>(context_.clock.Now() - before));
+  context_.StoreBill(std::move(bill), run.exchange.yield());
 }
 
 auto chat_handler::KeyOf(const chat_run& run, const std::string& version,
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -46,7 +46,7 @@
 }
 
 auto traffic_thread::PublishUnfinished() -> void {
-  unfinished_ = server_.ActiveRequests() + context_.ledgers.PendingBills();
+  unfinished_ = server_.ActiveRequests() + context_.bills.Pending();
   timer_.expires_after(kUnfinishedPeriod);
   timer_.async_wait([this](boost::system::error_code error) {
     if (!error) PublishUnfinished();
--- a/src/entry/ledger_client.cpp
+++ b/src/entry/ledger_client.cpp
@@ -17,20 +17,22 @@
 constexpr milliseconds kCallTimeout{1'500};
 constexpr milliseconds kRetryDelay{20};
 constexpr milliseconds kReleaseLimit{60'000};
-constexpr milliseconds kBillRetryDelay{50};
-constexpr std::size_t kMaxBatchBills = 2'000;
 
 }  // namespace
 
+auto OwnZoneFirst(std::vector<process_address> addresses,
+                  const std::string& zone) -> std::vector<process_address> {
+  std::stable_partition(
+      addresses.begin(), addresses.end(),
+      [&](const process_address& address) { return address.zone == zone; });
+  return addresses;
+}
+
 ledger_client::ledger_client(asio::io_context& context,
                              const std::vector<process_address>& ledgers,
                              const std::string& zone)
     : context_(context) {
-  auto sorted = ledgers;
-  std::stable_partition(
-      sorted.begin(), sorted.end(),
-      [&](const process_address& ledger) { return ledger.zone == zone; });
-  for (const auto& ledger : sorted) {
+  for (const auto& ledger : OwnZoneFirst(ledgers, zone)) {
     ledgers_.push_back(std::make_unique<rpc_channel>(context, ledger));
   }
 }
@@ -78,56 +80,4 @@
   });
 }
 
-auto ledger_client::PendingBills() const -> std::size_t {
-  return queued_.size() + sending_;
-}
-
-auto ledger_client::StoreBill(const bill_record& bill, milliseconds timeout,
-                              asio::yield_context yield) -> bool {
-  const fiber_event stored(context_.get_executor());
-  queued_.push_back({bill, stored});
-  if (!flushing_) {
-    flushing_ = true;
-    SpawnTask(context_,
-              [this](asio::yield_context flush) { FlushLoop(flush); });
-  }
-  return stored.Wait(timeout, yield);
-}
-
-auto ledger_client::FlushLoop(asio::yield_context yield) -> void {
-  asio::steady_timer pause(context_);
-  boost::system::error_code ignored;
-  while (!queued_.empty()) {
-    const auto count = std::min(queued_.size(), kMaxBatchBills);
-    const auto split = queued_.begin() + static_cast<std::ptrdiff_t>(count);
-    std::vector<bill_wait> batch(std::make_move_iterator(queued_.begin()),
-                                 std::make_move_iterator(split));
-    queued_.erase(queued_.begin(), split);
-    sending_ = batch.size();
-    while (!SendBatch(batch, yield)) {
-      pause.expires_after(kBillRetryDelay);
-      pause.async_wait(yield[ignored]);
-    }
-    sending_ = 0;
-    for (const auto& item : batch) item.stored.Set();
-  }
-  flushing_ = false;
-}
-
-auto ledger_client::SendBatch(const std::vector<bill_wait>& batch,
-                              asio::yield_context yield) -> bool {
-  bill_batch message;
-  for (const auto& item : batch) message.records.push_back(item.bill);
-  const auto body = Encode(ledger_request(message));
-  auto& channel = *ledgers_[bill_target_ % ledgers_.size()];
-  try {
-    // Sent again after a lost answer: records merge by request id.
-    channel.Call(body, kCallTimeout, yield);
-    return true;
-  } catch (const rpc_error&) {
-    ++bill_target_;
-    return false;
-  }
-}
-
 }  // namespace lovagedale
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -22,8 +22,8 @@
     "requests",        "refused",        "retries",
     "resumed_streams", "escalations",    "connect_failures",
     "server_errors",   "server_crashes", "stopped_before_dispatch",
-    "quarantined",     "bills_delayed",  "partial_answers",
-    "ratings"};
+    "quarantined",     "bills_delayed",  "bills_on_one_disk",
+    "partial_answers", "ratings"};
 constexpr std::array<const char*, kLatencies> kLatencyNames = {
     "first_byte", "whole_answer", "bill"};
 
--- a/src/entry/service_handler.cpp
+++ b/src/entry/service_handler.cpp
@@ -16,7 +16,6 @@
 constexpr milliseconds kClaimTimeout{3'000};
 constexpr milliseconds kRunningWait{5'000};
 constexpr milliseconds kRunningPoll{50};
-constexpr milliseconds kBillTimeout{1'000};
 constexpr unsigned kFirstServerError = 500;
 /// Larger answers are not kept for resends.
 constexpr std::size_t kMaxStoredBytes = 64UL << 10U;
@@ -228,11 +227,7 @@
   bill.version = call.pool;
   bill.attempts = call.attempts;
   bill.status = bill_status::kComplete;
-  bill.entry = context_.state.settings.name;
-  bill.at_ms = WallClockMs();
-  if (!context_.ledgers.StoreBill(bill, kBillTimeout, call.exchange.yield())) {
-    context_.metrics->Count(entry_counter::kBillsDelayed);
-  }
+  context_.StoreBill(std::move(bill), call.exchange.yield());
 }
 
 }  // namespace lovagedale
--- a/src/entry/traffic_context.cpp
+++ b/src/entry/traffic_context.cpp
@@ -1,6 +1,7 @@
 #include "lovagedale/entry/traffic_context.h"
 
 #include "lovagedale/common/hash.h"
+#include "lovagedale/common/log.h"
 
 namespace lovagedale {
 namespace {
@@ -9,6 +10,7 @@
 /// Retries that may follow a sudden failure at once, per thread.
 constexpr double kRetryReserve = 20;
 constexpr std::size_t kMaxKeptPlans = 10'000;
+constexpr std::chrono::milliseconds kBillTimeout{1'000};
 
 }  // namespace
 
@@ -17,6 +19,7 @@
     : state(shared),
       metrics(std::make_shared<thread_metrics>()),
       ledgers(io, shared.settings.ledgers, shared.settings.zone),
+      bills(io, shared.settings.ledgers, shared.settings.zone),
       upstreams(io),
       prefixes(kPrefixEntries),
       retries(shared.settings.retry_share, kRetryReserve),
@@ -29,6 +32,23 @@
   return id_prefix_ + std::to_string(next_id_++);
 }
 
+auto traffic_context::StoreBill(bill_record bill,
+                                boost::asio::yield_context yield) -> void {
+  bill.entry = state.settings.name;
+  bill.at_ms = WallClockMs();
+  const auto before = clock.Now();
+  const auto durability = bills.Store(bill, kBillTimeout, yield);
+  if (durability == bill_durability::kPending) {
+    metrics->Count(entry_counter::kBillsDelayed);
+    log_line(log_level::kWarning, "bill_delayed")
+        .With("request", bill.request_id);
+  } else if (durability == bill_durability::kOneDisk) {
+    metrics->Count(entry_counter::kBillsOnOneDisk);
+  }
+  metrics->Observe(entry_latency::kBill,
+                   static_cast<double>(clock.Now() - before));
+}
+
 auto traffic_context::PlanFor(const std::string& customer_name,
                               const std::string& task_class)
     -> const named_plan& {
--- a/src/ledger/service.cpp
+++ b/src/ledger/service.cpp
@@ -17,7 +17,7 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-constexpr std::chrono::milliseconds kExchangePeriod{500};
+constexpr std::chrono::milliseconds kExchangePeriod{100};
 constexpr std::chrono::milliseconds kExchangeTimeout{2'000};
 constexpr std::chrono::milliseconds kHousekeepingPeriod{10'000};
 /// Entries and ledgers heard within this time count as running.
@@ -206,7 +206,7 @@
                                   asio::yield_context yield) -> void {
   for (;;) {
     bool is_behind = ExchangePage(name, peer, bill_source::kEntry, yield);
-    if (!progress_[name].IsRepaired()) {
+    if (!progress_[name].HasReadStores()) {
       is_behind |= ExchangePage(name, peer, bill_source::kOtherStore, yield);
     }
     if (!is_behind) Pause(context_.get_executor(), kExchangePeriod, yield);
--- a/tests/billing/bill_store_test.cpp
+++ b/tests/billing/bill_store_test.cpp
@@ -69,9 +69,12 @@
       return store_->AddPage(page, source, progress);
     };
     bool is_behind = read(bill_source::kEntry);
-    if (!progress.IsRepaired()) is_behind |= read(bill_source::kOtherStore);
+    if (!progress.HasReadStores()) is_behind |= read(bill_source::kOtherStore);
     return is_behind;
   }
+  auto IsRepairedFrom(const std::string& name) -> bool {
+    return progress_[name].IsRepaired();
+  }
   auto Bills() const -> std::vector<bill_record> {
     return ReadBills(store_->view(), {});
   }
@@ -222,6 +225,19 @@
   }));
 }
 
+TEST_CASE("a blank store is repaired once it has both journals of the other") {
+  restartable_store a(1);
+  restartable_store b(2);
+  for (int i = 0; i < 50; ++i) {
+    a.Add(Bill("r" + std::to_string(i), 1, bill_status::kComplete));
+  }
+  while (!b.IsRepairedFrom("a")) {
+    CHECK(b.Bills().size() < 50);
+    b.ExchangeWith("a", a, 10);
+  }
+  CHECK(b.Bills() == a.Bills());
+}
+
 TEST_CASE("a restarted store goes on where its checkpoint was") {
   restartable_store a(1);
   restartable_store b(2);
--- a/tests/processes/order_once.sh
+++ b/tests/processes/order_once.sh
@@ -10,11 +10,12 @@
   --records="$run/records" >"$run/orders.json" &
 load_id=$!
 
-# Kills in a fixed order, at moments that the load decides.
+# Kills in a fixed order, at moments that the load decides, until it ends.
 victims=(entry-akl-a ledger-akl-b entry-akl-b ledger-akl-a entry-akl-c
   ledger-akl-c service-akl-b)
-for victim in "${victims[@]}"; do
-  kill -0 "$load_id" 2>/dev/null || break
+kills=0
+while kill -0 "$load_id" 2>/dev/null; do
+  victim=${victims[kills++ % ${#victims[@]}]}
   if [[ $victim == service-* ]]; then
     # Its record would be lost with it, so it is frozen instead of killed.
     kill -STOP "${process_ids[$victim]}"
@@ -54,4 +55,4 @@
 ran=$(wc -l <"$run/ran")
 [ "$bills" -ge "$answered" ] || fail "$answered answered orders, $bills bills"
 [ "$bills" -le "$ran" ] || fail "$ran orders ran, $bills bills"
-echo "orders answered $answered, ran $ran, bills $bills"
+echo "orders answered $answered, ran $ran, bills $bills, kills and freezes $kills"
