An entry that is told to stop refuses new connections once the balancer has moved

Cause: a draining entry accepted connections until it had been without a request for 100 ms. Callers that do not follow its health check kept it busy: with a load longer than the test's 14 s an entry drained for 600 s (drain_limit) and then cut 8 requests, exit code 1. The test had not shown it, as its stops waited for its load to end. Ruled out: one request that hangs (the entry's log has new route lines until 22 ms before the cut). Now: after drain_delay the waiting connections are accepted, the listening sockets close, first requests have 300 ms, then the rest finishes. The load generator ends on SIGTERM, and rolling_restart keeps its load on until all stops are done.

--- a/include/lovagedale/http/server.h
+++ b/include/lovagedale/http/server.h
@@ -91,6 +91,7 @@
   auto BeginDrain() -> void;
   /// Closes the connections on which no request is under way.
   auto CloseIdle() -> void;
+  /// Accepts the connections that are waiting, then refuses new ones.
   auto StopAccepting() -> void;
   /// Requests that have been read and not yet answered whole.
   auto ActiveRequests() const -> std::size_t;
@@ -99,6 +100,7 @@
   struct shared_state;
 
   auto AcceptLoop(boost::asio::yield_context yield) -> void;
+  auto StartSession(boost::asio::ip::tcp::socket socket) -> void;
 
   boost::asio::ip::tcp::acceptor acceptor_;
   std::shared_ptr<shared_state> state_;
--- a/include/lovagedale/load/load_run.h
+++ b/include/lovagedale/load/load_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -65,7 +66,9 @@
   auto ToJson() const -> std::string;
 };
 
-/// Runs the load to its end and returns what came of it. Blocks.
-auto RunLoad(const load_options& options) -> load_report;
+/// Runs the load and returns what came of it. Ends early once `stop` is true:
+/// requests under way are finished, no further ones begin. Blocks.
+auto RunLoad(const load_options& options, const std::atomic<bool>& stop)
+    -> load_report;
 
 }  // namespace lovagedale
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -16,6 +16,8 @@
 
 constexpr milliseconds kUnfinishedPeriod{20};
 constexpr milliseconds kDrainPoll{50};
+/// Time for the first request of a connection that was just accepted.
+constexpr milliseconds kFirstRequestTime{300};
 /// Polls in a row without an unfinished request that end a drain.
 constexpr int kQuietPolls = 4;
 
@@ -125,7 +127,10 @@
 auto entry_process::Drain(asio::yield_context yield) -> void {
   for (const auto& thread : threads_) thread->BeginDrain();
   // The balancer still sends work until it has seen that this entry leaves.
+  // Callers that go on after that must not keep the entry from stopping.
   Pause(context_.get_executor(), state_.settings.drain_delay, yield);
+  for (const auto& thread : threads_) thread->StopAccepting();
+  Pause(context_.get_executor(), kFirstRequestTime, yield);
   for (const auto& thread : threads_) thread->CloseIdle();
   const auto deadline =
       std::chrono::steady_clock::now() + state_.settings.drain_limit;
@@ -133,9 +138,6 @@
   while (quiet_polls < kQuietPolls &&
          std::chrono::steady_clock::now() < deadline) {
     quiet_polls = Unfinished() == 0 ? quiet_polls + 1 : 0;
-    if (quiet_polls == kQuietPolls / 2) {
-      for (const auto& thread : threads_) thread->StopAccepting();
-    }
     Pause(context_.get_executor(), kDrainPoll, yield);
   }
   const auto cut = Unfinished();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -368,7 +368,10 @@
   SpawnTask(context, [this](asio::yield_context yield) { AcceptLoop(yield); });
 }
 
-http_server::~http_server() { StopAccepting(); }
+http_server::~http_server() {
+  beast::error_code ignored;
+  acceptor_.close(ignored);
+}
 
 auto http_server::port() const -> std::uint16_t {
   return acceptor_.local_endpoint().port();
@@ -385,8 +388,15 @@
 }
 
 auto http_server::StopAccepting() -> void {
-  beast::error_code ignored;
-  acceptor_.close(ignored);
+  // Closing the socket would reset connections that wait to be accepted.
+  beast::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (!error) StartSession(std::move(socket));
+  }
+  acceptor_.close(error);
 }
 
 auto http_server::AcceptLoop(asio::yield_context yield) -> void {
@@ -402,16 +412,19 @@
       pause.async_wait(yield[error]);
       continue;
     }
-    asio::spawn(
-        acceptor_.get_executor(),
-        [state = state_, socket = std::move(socket)](
-            asio::yield_context session_yield) mutable {
-          caller_session<shared_state> session(std::move(socket), state,
-                                               session_yield);
-          session.Run();
-        },
-        asio::detached);
+    StartSession(std::move(socket));
   }
 }
 
+auto http_server::StartSession(tcp::socket socket) -> void {
+  asio::spawn(
+      acceptor_.get_executor(),
+      [state = state_,
+       socket = std::move(socket)](asio::yield_context yield) mutable {
+        caller_session<shared_state> session(std::move(socket), state, yield);
+        session.Run();
+      },
+      asio::detached);
+}
+
 }  // namespace lovagedale
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -39,8 +39,13 @@
 class load_worker {
  public:
   load_worker(asio::io_context& context, const load_options& options,
-              std::atomic<std::uint64_t>& next, clock::time_point start)
-      : context_(context), options_(options), next_(next), start_(start) {}
+              std::atomic<std::uint64_t>& next, const std::atomic<bool>& stop,
+              clock::time_point start)
+      : context_(context),
+        options_(options),
+        next_(next),
+        stop_(stop),
+        start_(start) {}
 
   auto Run(asio::yield_context yield) -> void {
     for (;;) {
@@ -55,6 +60,7 @@
 
  private:
   auto IsOver(std::uint64_t number) const -> bool {
+    if (stop_) return true;
     if (options_.requests > 0) return number >= options_.requests;
     return MsSince(start_) >= options_.seconds * 1'000;
   }
@@ -229,6 +235,7 @@
   asio::io_context& context_;
   const load_options& options_;
   std::atomic<std::uint64_t>& next_;
+  const std::atomic<bool>& stop_;
   clock::time_point start_;
   std::unique_ptr<http_connection> connection_;
   std::uint16_t connected_to_ = 0;
@@ -277,7 +284,8 @@
       {"first_byte_p99_ms", Quantile(first_byte_ms, 0.99)}});
 }
 
-auto RunLoad(const load_options& options) -> load_report {
+auto RunLoad(const load_options& options, const std::atomic<bool>& stop)
+    -> load_report {
   std::atomic<std::uint64_t> next{0};
   const auto start = clock::now();
   const auto threads = std::max<std::size_t>(1, options.threads);
@@ -289,7 +297,7 @@
       std::vector<std::unique_ptr<load_worker>> workers;
       for (std::size_t i = t; i < options.concurrency; i += threads) {
         workers.push_back(
-            std::make_unique<load_worker>(context, options, next, start));
+            std::make_unique<load_worker>(context, options, next, stop, start));
         asio::spawn(
             context,
             [worker = workers.back().get()](asio::yield_context yield) {
--- a/tests/processes/rolling_restart.sh
+++ b/tests/processes/rolling_restart.sh
@@ -6,11 +6,12 @@
 start_fleet
 
 rounds=${rounds:-1}
-seconds=$((14 * rounds))
-load --targets="$(entry_ports)" --kind=stream --tokens=60 --concurrency=24 \
+# The load goes on until all stops are done.
+seconds=$((600 * rounds))
+"$bin/lovagedale-load" --targets="$(entry_ports)" --kind=stream --tokens=60 --concurrency=24 \
   --seconds="$seconds" --resends=20 >"$run/streams.json" &
 streams=$!
-load --targets="$(entry_ports)" --kind=order --id_prefix=order \
+"$bin/lovagedale-load" --targets="$(entry_ports)" --kind=order --id_prefix=order \
   --concurrency=4 --rate=60 --seconds="$seconds" --resends=20 \
   >"$run/orders.json" &
 orders=$!
@@ -40,6 +41,8 @@
 sleep 0.5
 for ((round = 0; round < rounds; ++round)); do restart_fleet; done
 echo "$stops processes stopped"
+kill -0 "$streams" "$orders" || fail "the load ended before the stops"
+kill -TERM "$streams" "$orders"
 wait "$streams" "$orders"
 for report in "$(cat "$run/streams.json")" "$(cat "$run/orders.json")"; do
   echo "$report"
--- a/tools/lovagedale_load.cpp
+++ b/tools/lovagedale_load.cpp
@@ -5,6 +5,7 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -78,6 +79,10 @@
   return options;
 }
 
+/// Set by SIGTERM.
+std::atomic<bool> stop_requested{false};
+static_assert(std::atomic<bool>::is_always_lock_free);
+
 auto WriteRecords(const load_report& report, const std::string& path) -> void {
   std::ofstream out(path);
   for (const auto& record : report.records) {
@@ -93,7 +98,8 @@
 auto main(int argc, char** argv) -> int {
   absl::SetProgramUsageMessage(
       "Sends chat requests or orders to entries on loopback and prints a "
-      "report as JSON.");
+      "report as JSON. SIGTERM ends the run early, after the requests under "
+      "way.");
   absl::FlagsUsageConfig usage;
   usage.version_string = [] {
     return std::string("lovagedale-load " LOVAGEDALE_VERSION "\n");
@@ -101,9 +107,10 @@
   absl::SetFlagsUsageConfig(usage);
   absl::ParseCommandLine(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, [](int) { stop_requested = true; });
   InitializeLogging("load", "", log_level::kError);
   try {
-    const auto report = RunLoad(ReadOptions());
+    const auto report = RunLoad(ReadOptions(), stop_requested);
     std::cout << report.ToJson() << "\n";
     const auto records = absl::GetFlag(FLAGS_records);
     if (!records.empty()) WriteRecords(report, records);
