Customers' rate limits are divided among the entries by demand

Cause: each entry took an equal share of the live entries, so a customer who calls one entry of three at 40 of 60 requests a second had 160 of 320 refused; and a new leader that had heard one entry gave it the whole limit. Now: the control leader divides each limit by reported demand (max-min fair, idle entries keep a quarter of an equal share); shares grow only by what others said they gave up. Ruled out by the property test while in work: renewing shares that were given up (105 of 100), leaving small excesses (102), a cut-off entry raising its share by itself (104, 100.5): the last is left out of the design.

--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "lovagedale/admission/limit_shares.h"
 #include "lovagedale/configuration/fleet_view.h"
 #include "lovagedale/quality/evidence.h"
 #include "lovagedale/replication/messages.h"
@@ -38,11 +39,13 @@
   evidence_table evidence;
   std::vector<crash_report> crashes;
   std::vector<std::uint64_t> cleared;  ///< suspects that finished elsewhere
+  std::vector<limit_demand> limits;    ///< what has changed, or all
+  bool limits_complete = false;        ///< `limits` names all limited customers
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(node, zone, incarnation, revision, leaving, evidence, crashes,
-            cleared);
+            cleared, limits, limits_complete);
   }
 };
 
@@ -57,12 +60,15 @@
   monotonic_ms permit_ms = 0;
   /// Fleet-wide sums; empty when not due.
   evidence_table evidence;
-  std::uint32_t live_entries = 0;  ///< for shares of fleet-wide limits
+  std::uint32_t live_entries = 0;        ///< for shares of the rating limit
+  std::uint32_t registered_entries = 0;  ///< for equal shares of rate limits
+  std::vector<limit_share> shares;       ///< of rate limits; what has changed
+  bool needs_limits = false;  ///< the next heartbeat must name all limits
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(is_leader, leader, revision, view, permit_ms, evidence,
-            live_entries);
+            live_entries, registered_entries, shares, needs_limits);
   }
 };
 
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -79,6 +79,8 @@
   auto TrackLeadership() -> void;
   auto JudgeRollouts() -> void;
   auto OrderEngines() -> void;
+  /// Divides the customers' rate limits among the entries.
+  auto AllocateLimits() -> void;
   auto OrderAuthority() const -> order_authority;
   auto JudgeVersion(const version_status& status) -> void;
   auto ProposeOwnChange(const std::string& change_id, change_action action,
@@ -102,6 +104,9 @@
   order_service orders_;
   monotonic_ms leading_since_ = 0;
   monotonic_ms ordered_at_ = 0;
+  /// While this replica leads.
+  std::optional<limit_allocator> limits_;
+  monotonic_ms allocated_at_ = 0;
   guard_options guard_;
   /// Requests of a version when its present stage began, by version.
   std::map<std::string, std::pair<std::uint32_t, std::uint64_t>> stage_start_;
--- a/include/lovagedale/entry/entry_state.h
+++ b/include/lovagedale/entry/entry_state.h
@@ -12,7 +12,7 @@
 #include <unordered_set>
 #include <vector>
 
-#include "lovagedale/admission/token_bucket.h"
+#include "lovagedale/admission/customer_limits.h"
 #include "lovagedale/control/messages.h"
 #include "lovagedale/entry/metrics.h"
 #include "lovagedale/entry/routing_table.h"
@@ -44,25 +44,6 @@
   std::unordered_set<std::uint64_t> fingerprints_;
 };
 
-/// Rate limits of the customers at this entry: its share of each limit.
-class customer_limits {
- public:
-  /// Time to wait in milliseconds, or 0 if the request may go on.
-  auto TryAdmit(const customer& item, std::uint32_t live_entries,
-                monotonic_ms now) -> monotonic_ms;
-  /// Counts a running request; false if too many run.
-  auto TryEnter(const customer& item) -> bool;
-  auto Leave(const std::string& customer_name) -> void;
-
- private:
-  struct limit_state {
-    token_bucket bucket;
-    std::int64_t running = 0;
-  };
-  std::mutex mutex_;
-  std::unordered_map<std::string, limit_state> limits_;
-};
-
 /// The latest routing decisions, for `lovagedalectl explain`.
 class decision_log {
  public:
@@ -93,7 +74,8 @@
 class entry_state {
  public:
   explicit entry_state(entry_settings entry_settings_value)
-      : settings(std::move(entry_settings_value)) {}
+      : settings(std::move(entry_settings_value)),
+        limits(settings.entries.size()) {}
 
   const entry_settings settings;
   std::atomic<std::shared_ptr<const routing_table>> table;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,7 +15,8 @@
 ports_per_zone=64
 reserve_ports() {
   local number=$((2 * ${#zones[@]} * ports_per_zone))
-  "$root/build/tests/reserve_ports" "$number" >"$run/ports" &
+  : >"$run/ports"
+  "$root/build/tests/reserve_ports" "$number" >>"$run/ports" &
   port_holder_id=$!
   until [ "$(wc -l <"$run/ports")" -eq "$number" ]; do
     kill -0 "$port_holder_id" 2>/dev/null || fail "no ports could be reserved"
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -16,9 +16,10 @@
 /// Entries heard within this time share the fleet-wide limits.
 constexpr monotonic_ms kLiveEntryMs = 5'000;
 /// Part of an entry's budget for control that the fleet's evidence may take.
-constexpr std::int64_t kEvidenceBytesPerSecond = 1'200;
+constexpr std::int64_t kEvidenceBytesPerSecond = 800;
 constexpr monotonic_ms kEvidenceGapMs = 900;
 constexpr monotonic_ms kOrderPeriodMs = 500;
+constexpr monotonic_ms kAllocationPeriodMs = 1'000;
 constexpr std::int64_t kQuarantineMs = 60LL * 60 * 1'000;
 
 auto WrapEnvelope(const replica_envelope& envelope) -> std::string {
@@ -89,8 +90,11 @@
     if (held.heartbeat.leaving) {
       RemoveNode(held.heartbeat.node, [](propose_status) {});
       tracker_->Forget(held.heartbeat.node);
+      limits_->Forget(held.heartbeat.node);
     } else {
       RegisterIfNew(held.heartbeat);
+      limits_->Report(held.heartbeat.node, held.heartbeat.limits,
+                      held.heartbeat.limits_complete, now);
       tracker_->Heartbeat(held.heartbeat.node, held.heartbeat.incarnation,
                           held.heartbeat.revision, now);
     }
@@ -178,6 +182,11 @@
   }
   if (response.is_leader) {
     AddEvidence(held.heartbeat.node, response);
+    response.registered_entries =
+        static_cast<std::uint32_t>(machine_.nodes().size());
+    response.needs_limits = !limits_->IsComplete(held.heartbeat.node);
+    response.shares =
+        limits_->SharesFor(held.heartbeat.node, kSharesPerHeartbeat);
     for (const auto& [name, node] : machine_.nodes()) {
       if (SilentFor(name) < kLiveEntryMs) ++response.live_entries;
     }
@@ -230,6 +239,20 @@
   if (!tracker_) return;
   JudgeRollouts();
   OrderEngines();
+  AllocateLimits();
+}
+
+auto control_service::AllocateLimits() -> void {
+  const auto now = clock_.Now();
+  if (!node_.IsCurrent() || now - allocated_at_ < kAllocationPeriodMs) return;
+  allocated_at_ = now;
+  std::map<std::string, double> rates;
+  for (const auto& item : ParsedCatalog()->customers) {
+    if (item.rate_per_s > 0) rates[item.name] = item.rate_per_s;
+  }
+  std::vector<std::string> registered;
+  for (const auto& [name, node] : machine_.nodes()) registered.push_back(name);
+  limits_->Allocate(rates, registered, now);
 }
 
 auto control_service::OrderAuthority() const -> order_authority {
@@ -257,9 +280,11 @@
   if (leads && !tracker_) {
     leading_since_ = clock_.Now();
     tracker_.emplace(leading_since_);
+    limits_.emplace(leading_since_);
   }
   if (!leads && tracker_) {
     tracker_.reset();
+    limits_.reset();
     stage_start_.clear();
   }
 }
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -67,8 +67,8 @@
 }
 
 auto caller_api::Admit(const customer& item) -> void {
-  const auto wait_ms = context_.state.limits.TryAdmit(
-      item, context_.state.live_entries, context_.clock.Now());
+  const auto wait_ms =
+      context_.state.limits.TryAdmit(item, context_.clock.Now());
   if (wait_ms > 0) {
     throw request_refused(
         429, "rate_limited",
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -29,7 +29,7 @@
 constexpr milliseconds kPresencePeriod{1'000};
 constexpr milliseconds kEvidencePeriod{200};
 /// Part of this entry's budget for control that its evidence may take.
-constexpr std::int64_t kEvidenceBytesPerSecond = 500;
+constexpr std::int64_t kEvidenceBytesPerSecond = 400;
 constexpr monotonic_ms kEvidenceGapMs = 900;
 constexpr milliseconds kLoadPeriod{1'000};
 /// Servers of other zones are polled this many times less often.
@@ -125,6 +125,20 @@
   return heartbeat;
 }
 
+auto control_link::AddLimits(entry_heartbeat& heartbeat) -> void {
+  heartbeat.limits_complete = leader_needs_limits_;
+  heartbeat.limits = state_.limits.Demands(
+      state_.table.load()->config().customers, heartbeat.limits_complete,
+      kSharesPerHeartbeat, clock_.Now());
+}
+
+auto control_link::AdoptLimits(const heartbeat_response& response,
+                               monotonic_ms sent_at) -> void {
+  leader_needs_limits_ = response.needs_limits;
+  state_.limits.SetEntries(response.registered_entries);
+  state_.limits.SetShares(response.shares, sent_at);
+}
+
 auto control_link::HeartbeatLoop(rpc_channel& channel,
                                  asio::yield_context yield) -> void {
   const auto& name = channel.address().name;
@@ -132,15 +146,22 @@
     const auto sent_at = clock_.Now();
     bool is_leader = false;
     try {
-      const auto heartbeat = MakeHeartbeat(leader_ == name);
+      auto heartbeat = MakeHeartbeat(leader_ == name);
+      if (leader_ == name) AddLimits(heartbeat);
+      const bool reports_limits = leader_ == name;
       const auto response = Decode<heartbeat_response>(channel.Call(
           Encode(control_request(heartbeat)), kHeartbeatTimeout, yield));
       is_leader = response.is_leader;
-      if (is_leader) leader_ = name;
+      if (is_leader && leader_ != name) {
+        leader_ = name;
+        leader_needs_limits_ = true;
+      }
       HandleResponse(response, sent_at);
+      if (is_leader && reports_limits) AdoptLimits(response, sent_at);
     } catch (const std::exception& error) {
       if (leader_ == name) {
         leader_.clear();
+        leader_needs_limits_ = true;
         // A new leader knows nothing yet, and what the lost heartbeat carried
         // must be sent again.
         unreported_ = own_evidence_;
--- a/src/entry/entry_state.cpp
+++ b/src/entry/entry_state.cpp
@@ -37,39 +37,6 @@
   return fingerprints_.erase(fingerprint) > 0;
 }
 
-auto customer_limits::TryAdmit(const customer& item, std::uint32_t live_entries,
-                               monotonic_ms now) -> monotonic_ms {
-  if (item.rate_per_s <= 0) return 0;
-  const auto share = 1.0 / std::max<std::uint32_t>(live_entries, 1);
-  const auto rate = item.rate_per_s * share;
-  const auto burst = std::max(1.0, item.burst * share);
-  const std::lock_guard lock(mutex_);
-  auto& state =
-      limits_.try_emplace(item.name, limit_state{{rate, burst, now}, 0})
-          .first->second;
-  state.bucket.SetLimit(rate, burst, now);
-  if (state.bucket.TryTake(now)) return 0;
-  return state.bucket.WaitMs(now);
-}
-
-auto customer_limits::TryEnter(const customer& item) -> bool {
-  if (item.max_concurrent == 0) return true;
-  const std::lock_guard lock(mutex_);
-  auto& state =
-      limits_.try_emplace(item.name, limit_state{{0, 0, 0}, 0}).first->second;
-  if (state.running >= item.max_concurrent) return false;
-  ++state.running;
-  return true;
-}
-
-auto customer_limits::Leave(const std::string& customer_name) -> void {
-  const std::lock_guard lock(mutex_);
-  const auto found = limits_.find(customer_name);
-  if (found != limits_.end() && found->second.running > 0) {
-    --found->second.running;
-  }
-}
-
 auto entry_state::MayRun(const routing_table& routes, version_id version,
                          monotonic_ms now) const -> bool {
   if (!routes.MayRun(version, HasPermit(now))) return false;
