A customer's first request finds a full burst

Cause: the bucket was created empty when the entry reported its demand before the customer's first request, so the first request of a customer with a low rate was refused for the time of one token (429). Ruled out: the share itself (equal at the start).

--- a/include/lovagedale/admission/customer_limits.h
+++ b/include/lovagedale/admission/customer_limits.h
@@ -42,7 +42,7 @@
 
  private:
   struct limit_state {
-    token_bucket bucket{0, 0, 0};
+    std::optional<token_bucket> bucket;  ///< from the first request on
     std::int64_t running = 0;
     double limit_per_s = 0;
     std::optional<double> share;  ///< as the leader said
--- a/src/admission/customer_limits.cpp
+++ b/src/admission/customer_limits.cpp
@@ -24,19 +24,17 @@
     -> monotonic_ms {
   if (item.rate_per_s <= 0) return 0;
   const std::lock_guard lock(mutex_);
-  const auto [place, is_new] = limits_.try_emplace(item.name);
-  auto& state = place->second;
+  auto& state = limits_[item.name];
   ++state.asked;
   state.limit_per_s = item.rate_per_s;
   const auto rate = ShareOf(state, now);
   const auto burst = std::max(1.0, item.burst * rate / item.rate_per_s);
-  if (is_new) {
-    state.counted_at = now;
-    state.bucket = {rate, burst, now};
+  if (!state.bucket) {
+    state.bucket.emplace(rate, burst, now);
   } else {
-    state.bucket.SetLimit(rate, burst, now);
+    state.bucket->SetLimit(rate, burst, now);
   }
-  return state.bucket.TryTake(now) ? 0 : state.bucket.WaitMs(now);
+  return state.bucket->TryTake(now) ? 0 : state.bucket->WaitMs(now);
 }
 
 auto customer_limits::TryEnter(const customer& item) -> bool {
--- a/tests/admission/limits_test.cpp
+++ b/tests/admission/limits_test.cpp
@@ -56,6 +56,21 @@
   CHECK(limits.TryAdmit(item, 0) > 0);
 }
 
+TEST_CASE("a customer's first request finds a full burst") {
+  customer_limits limits(4);
+  customer item;
+  item.name = "carts";
+  item.rate_per_s = 0.1;
+  item.burst = 8;
+  item.max_concurrent = 2;
+  // The customer is known before it calls.
+  limits.Demands({item}, /*all=*/true, 1, 0);
+  REQUIRE(limits.TryEnter(item));
+  CHECK(limits.TryAdmit(item, 0) == 0);
+  CHECK(limits.TryAdmit(item, 0) == 0);
+  CHECK(limits.TryAdmit(item, 0) > 0);
+}
+
 TEST_CASE("a customer's requests at once are bounded and given back") {
   customer_limits limits(1);
   customer item;
