--- a/include/lovagedale/billing/bill_journal-inl.h
+++ b/include/lovagedale/billing/bill_journal-inl.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <algorithm>
-#include <filesystem>
 
 #include "lovagedale/billing/bill_journal.h"
 #include "lovagedale/common/codec.h"
--- a/include/lovagedale/billing/bill_journal.h
+++ b/include/lovagedale/billing/bill_journal.h
@@ -60,8 +60,8 @@
   basic_bill_journal(const basic_bill_journal&) = delete;
   auto operator=(const basic_bill_journal&) -> basic_bill_journal& = delete;
 
-  /// Appends the records with one sync. When it
-  /// returns, they last. Throws storage_error.
+  /// Appends the records with one sync. When it returns, they last. Throws
+  /// storage_error.
   auto Append(const std::vector<bill_record>& records) -> void;
   auto view() const -> const journal_view& { return view_; }
 
--- a/include/lovagedale/entry/ledger_client.h
+++ b/include/lovagedale/entry/ledger_client.h
@@ -18,10 +18,6 @@
   using std::runtime_error::runtime_error;
 };
 
-/// The addresses with those of `zone` first, otherwise in their order.
-auto OwnZoneFirst(std::vector<process_address> addresses,
-                  const std::string& zone) -> std::vector<process_address>;
-
 /// One traffic thread's way to the ledgers' claims.
 class ledger_client {
  public:
--- a/include/lovagedale/rpc/channel.h
+++ b/include/lovagedale/rpc/channel.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "lovagedale/rpc/errors.h"
 
@@ -27,6 +28,10 @@
   auto operator==(const process_address&) const -> bool = default;
 };
 
+/// The addresses with those of `zone` first, otherwise in their order.
+auto OwnZoneFirst(std::vector<process_address> addresses,
+                  const std::string& zone) -> std::vector<process_address>;
+
 /// Client end of a framed connection, with many calls under way at once. It
 /// connects when first used and again after a failure. One thread only.
 class rpc_channel {
--- a/src/entry/bill_writer.cpp
+++ b/src/entry/bill_writer.cpp
@@ -4,7 +4,6 @@
 
 #include "lovagedale/common/codec.h"
 #include "lovagedale/common/spawn.h"
-#include "lovagedale/entry/ledger_client.h"
 #include "lovagedale/ledger/messages.h"
 
 namespace lovagedale {
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -146,9 +146,9 @@
     const auto sent_at = clock_.Now();
     bool is_leader = false;
     try {
-      auto heartbeat = MakeHeartbeat(leader_ == name);
-      if (leader_ == name) AddLimits(heartbeat);
-      const bool reports_limits = leader_ == name;
+      const bool is_for_leader = leader_ == name;
+      auto heartbeat = MakeHeartbeat(is_for_leader);
+      if (is_for_leader) AddLimits(heartbeat);
       const auto response = Decode<heartbeat_response>(channel.Call(
           Encode(control_request(heartbeat)), kHeartbeatTimeout, yield));
       is_leader = response.is_leader;
@@ -157,7 +157,7 @@
         leader_needs_limits_ = true;
       }
       HandleResponse(response, sent_at);
-      if (is_leader && reports_limits) AdoptLimits(response, sent_at);
+      if (is_leader && is_for_leader) AdoptLimits(response, sent_at);
     } catch (const std::exception& error) {
       if (leader_ == name) {
         leader_.clear();
--- a/src/entry/ledger_client.cpp
+++ b/src/entry/ledger_client.cpp
@@ -20,14 +20,6 @@
 
 }  // namespace
 
-auto OwnZoneFirst(std::vector<process_address> addresses,
-                  const std::string& zone) -> std::vector<process_address> {
-  std::stable_partition(
-      addresses.begin(), addresses.end(),
-      [&](const process_address& address) { return address.zone == zone; });
-  return addresses;
-}
-
 ledger_client::ledger_client(asio::io_context& context,
                              const std::vector<process_address>& ledgers,
                              const std::string& zone)
--- a/src/rpc/channel.cpp
+++ b/src/rpc/channel.cpp
@@ -1,5 +1,6 @@
 #include "lovagedale/rpc/channel.h"
 
+#include <algorithm>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -24,6 +25,14 @@
 
 }  // namespace
 
+auto OwnZoneFirst(std::vector<process_address> addresses,
+                  const std::string& zone) -> std::vector<process_address> {
+  std::stable_partition(
+      addresses.begin(), addresses.end(),
+      [&](const process_address& address) { return address.zone == zone; });
+  return addresses;
+}
+
 rpc_channel::rpc_channel(asio::io_context& context, process_address address)
     : context_(context), address_(std::move(address)) {}
 
--- a/tests/processes/engine_orders.sh
+++ b/tests/processes/engine_orders.sh
@@ -20,9 +20,7 @@
         "$(port "$index" $((30 + number)))" ",\"slots\":64,\"max_loaded\":2,\"load_ms\":700,\"checks_fencing\":$([ "$number" -lt 2 ] && echo true || echo false),\"loaded\":[${loaded_lists[$number]}]"
       start "$(engine_name "$index" "$number")" lovagedale-standin
     done
-    write_standin_settings "service-${zones[$index]}" service \
-      "$(port "$index" 50)" ',"slots":64,"first_token_ms":5'
-    start "service-${zones[$index]}" lovagedale-standin
+    start_service "$index"
   done
 }
 write_replica_settings control 10 11
--- a/tests/processes/fleet_test.sh
+++ b/tests/processes/fleet_test.sh
@@ -75,6 +75,12 @@
 JSON
 }
 
+start_service() { # zone index
+  write_standin_settings "service-${zones[$1]}" service \
+    "$(port "$1" 50)" ',"slots":64,"first_token_ms":5'
+  start "service-${zones[$1]}" lovagedale-standin
+}
+
 start_standins() { # extra JSON of the engines
   local index number
   for index in "${!zones[@]}"; do
@@ -83,9 +89,7 @@
         "$(port "$index" $((30 + number)))" ",\"slots\":${engine_slots:-64},\"first_token_ms\":${first_token_ms:-5},\"token_ms\":${token_ms:-5}"
       start "$(engine_name "$index" "$number")" lovagedale-standin
     done
-    write_standin_settings "service-${zones[$index]}" service \
-      "$(port "$index" 50)" ',"slots":64,"first_token_ms":5'
-    start "service-${zones[$index]}" lovagedale-standin
+    start_service "$index"
   done
 }
 
