--- a/include/lovagedale/common/settings_fields.h
+++ b/include/lovagedale/common/settings_fields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,20 @@
 /// A port from 0 to 65535; 0 lets the kernel choose a free one.
 auto ReadPort(object_reader& reader, std::string_view key) -> std::uint16_t;
 
+/// An IP number and a port, written as IP:PORT.
+struct ip_endpoint {
+  std::string host;
+  std::uint16_t port = 0;
+
+  auto operator==(const ip_endpoint&) const -> bool = default;
+};
+
+/// Nothing if `text` is not IP:PORT with a port of 1 to 65535.
+auto ParseEndpoint(std::string_view text) -> std::optional<ip_endpoint>;
+
+/// A required string of the form IP:PORT.
+auto ReadEndpoint(object_reader& reader, std::string_view key) -> ip_endpoint;
+
 /// A list of our processes: name, zone, host and port of each.
 auto ReadProcesses(object_reader& reader, std::string_view key)
     -> std::vector<process_address>;
--- a/include/lovagedale/common/time.h
+++ b/include/lovagedale/common/time.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 #include <concepts>
 #include <cstdint>
@@ -16,13 +18,15 @@
   { clock.Now() } -> std::same_as<monotonic_ms>;
 };
 
-/// The machine's monotonic clock. Steps of the wall clock do not affect it.
+/// The machine's monotonic clock. Steps of the wall clock do not affect it. It
+/// counts the time in which the machine is suspended, unlike steady_clock: a
+/// leader that wakes up must not believe in a lease that has ended meanwhile.
 class system_monotonic_clock {
  public:
   auto Now() const -> monotonic_ms {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::steady_clock::now().time_since_epoch())
-        .count();
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return monotonic_ms{time.tv_sec} * 1'000 + time.tv_nsec / 1'000'000;
   }
 };
 
--- a/include/lovagedale/configuration/changes.h
+++ b/include/lovagedale/configuration/changes.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "lovagedale/configuration/fleet_view.h"
+#include "lovagedale/route/route_config.h"
 
 namespace lovagedale {
 
@@ -88,10 +89,45 @@
   }
 };
 
+/// Replaces the routes if `config` has a higher version than the present one;
+/// otherwise succeeds and changes nothing.
+struct set_routes {
+  route_config config;
+  std::string source;  ///< the operator's document, kept for reading back
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(config, source);
+  }
+};
+
+/// Starts to move a service's traffic to servers of another version.
+struct begin_service_rollout {
+  std::string service;
+  std::string target;
+  std::int64_t duration_ms = 0;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(service, target, duration_ms);
+  }
+};
+
+/// Moves a service's roll-out to another phase.
+struct move_service_rollout {
+  std::string service;
+  std::string target;
+  service_rollout_phase phase = service_rollout_phase::kCanary;
+  std::string reason;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(service, target, phase, reason);
+  }
+};
+
 using change_action =
     std::variant<set_configuration, start_rollout, advance_rollout,
                  pause_rollout, withdraw_version, restore_version,
-                 set_quarantine, lift_quarantine>;
+                 set_quarantine, lift_quarantine, set_routes,
+                 begin_service_rollout, move_service_rollout>;
 
 /// `expected_revision` of a change that the system itself makes.
 inline constexpr config_revision kAnyRevision = ~config_revision{0};
--- a/include/lovagedale/configuration/control_machine.h
+++ b/include/lovagedale/configuration/control_machine.h
@@ -52,6 +52,8 @@
   }
   /// Oldest first.
   auto history() const -> const std::deque<change_record>& { return history_; }
+  /// The operator's document of the present routes; empty before the first.
+  auto route_source() const -> const std::string& { return route_source_; }
   auto FindRecord(const std::string& change_id) const -> const change_record*;
   /// The change that made a revision, if it is still kept.
   auto RecordOfRevision(config_revision revision) const -> const change_record*;
@@ -61,11 +63,17 @@
   auto Check(const change& item) const -> std::optional<std::string>;
   auto Perform(const change_action& action, std::int64_t at_ms) -> void;
   auto ReplaceDocument(const std::string& document) -> void;
+  auto ReplaceRoutes(const set_routes& action) -> void;
+  auto CheckRolloutStart(const begin_service_rollout& action) const
+      -> std::optional<std::string>;
+  auto StartServiceRollout(const begin_service_rollout& action) -> void;
+  auto MoveServiceRollout(const move_service_rollout& action) -> void;
   auto IsPermitGated(const change_action& action) const -> bool;
   auto Remember(change_record record) -> void;
   auto MutableStatus(const std::string& version) -> version_status&;
 
   fleet_view view_;
+  std::string route_source_;
   std::map<std::string, register_node> nodes_;
   std::deque<change_record> history_;
   std::uint64_t forgotten_ = 0;  // Records dropped from the front of history_.
--- a/include/lovagedale/configuration/fleet_view.h
+++ b/include/lovagedale/configuration/fleet_view.h
@@ -4,6 +4,9 @@
 #include <string>
 #include <vector>
 
+#include "lovagedale/rollout/service_rollout.h"
+#include "lovagedale/route/route_config.h"
+
 namespace lovagedale {
 
 /// Number of an accepted change of the fleet's configuration; grows by one
@@ -55,12 +58,16 @@
   std::string document;  ///< JSON, see ParseCatalog
   std::vector<version_status> versions;
   std::vector<quarantine> quarantines;
+  route_config routes;
+  std::vector<service_rollout> service_rollouts;  ///< the last one per service
 
   auto operator==(const fleet_view&) const -> bool = default;
   auto StatusOf(const std::string& version) const -> const version_status*;
+  auto RolloutOf(const std::string& service) const -> const service_rollout*;
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(revision, document, versions, quarantines);
+    archive(revision, document, versions, quarantines, routes,
+            service_rollouts);
   }
 };
 
--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -7,8 +7,10 @@
 
 #include "lovagedale/admission/limit_shares.h"
 #include "lovagedale/configuration/fleet_view.h"
+#include "lovagedale/discovery/server_list.h"
 #include "lovagedale/quality/evidence.h"
 #include "lovagedale/replication/messages.h"
+#include "lovagedale/rollout/service_rollout.h"
 
 namespace lovagedale {
 
@@ -41,11 +43,14 @@
   std::vector<std::uint64_t> cleared;  ///< suspects that finished elsewhere
   std::vector<limit_demand> limits;    ///< what has changed, or all
   bool limits_complete = false;        ///< `limits` names all limited customers
+  std::uint64_t servers_number = 0;    ///< of the server list it follows
+  /// Cumulative; of services under roll-out only.
+  version_answers_table answers;
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(node, zone, incarnation, revision, leaving, evidence, crashes,
-            cleared, limits, limits_complete);
+            cleared, limits, limits_complete, servers_number, answers);
   }
 };
 
@@ -64,14 +69,40 @@
   std::uint32_t registered_entries = 0;  ///< for equal shares of rate limits
   std::vector<limit_share> shares;       ///< of rate limits; what has changed
   bool needs_limits = false;  ///< the next heartbeat must name all limits
+  /// From the leader, if the sender follows an older list.
+  std::optional<server_list> servers;
+  std::vector<std::string> replicas;  ///< names of control's members
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(is_leader, leader, revision, view, permit_ms, evidence,
-            live_entries, registered_entries, shares, needs_limits);
+            live_entries, registered_entries, shares, needs_limits, servers,
+            replicas);
   }
 };
 
-using control_request = std::variant<replica_envelope, entry_heartbeat>;
+/// A control replica asks to become a member; sent until a leader is heard.
+struct join_request {
+  std::string name;
+  incarnation_id incarnation = 0;
+
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(name, incarnation);
+  }
+};
+
+/// Answer to a join_request of a replica that does not lead.
+struct join_response {
+  std::string leader;  ///< name of the leader, if known
+
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(leader);
+  }
+};
+
+using control_request =
+    std::variant<replica_envelope, entry_heartbeat, join_request>;
 
 }  // namespace lovagedale
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -13,6 +13,7 @@
 #include "lovagedale/configuration/in_force.h"
 #include "lovagedale/control/messages.h"
 #include "lovagedale/control/settings.h"
+#include "lovagedale/discovery/server_feed.h"
 #include "lovagedale/engine/order_service.h"
 #include "lovagedale/engine/planner.h"
 #include "lovagedale/health/crash_attribution.h"
@@ -34,8 +35,10 @@
 /// and the roll-out guard. Everything runs on one thread.
 class control_service {
  public:
+  /// `source` lists the platform's servers; may be empty if there are none to
+  /// discover.
   control_service(boost::asio::io_context& context, replica_settings settings,
-                  log_store& store);
+                  log_store& store, server_source source = {});
 
   auto Start() -> void;
   /// Hands leadership over.
@@ -55,6 +58,7 @@
   /// How far a revision has spread; meaningful on the leader only.
   auto ForceStatusOf(config_revision revision) const -> force_status;
   auto SilentFor(const std::string& node) const -> monotonic_ms;
+  auto IsLeader() const -> bool { return tracker_.has_value(); }
   auto evidence() const -> const evidence_table& { return evidence_.Total(); }
 
  private:
@@ -78,6 +82,13 @@
   auto Tick() -> void;
   auto TrackLeadership() -> void;
   auto JudgeRollouts() -> void;
+  auto JudgeServiceRollouts() -> void;
+  /// Notes when this replica first saw each service's running roll-out.
+  auto TrackServiceRollouts() -> void;
+  /// Asks to be a member of the group until a leader is heard.
+  auto JoinLoop(boost::asio::yield_context yield) -> void;
+  auto AskToJoin(const std::string& name, boost::asio::yield_context yield)
+      -> void;
   auto OrderEngines() -> void;
   /// Divides the customers' rate limits among the entries.
   auto AllocateLimits() -> void;
@@ -102,12 +113,18 @@
   crash_attribution crashes_;
   demand_tracker demand_;
   order_service orders_;
+  server_feed servers_;
+  version_answers_total answers_;
+  /// By service: the target, and when its roll-out was first seen here.
+  std::map<std::string, std::pair<std::string, monotonic_ms>> rollouts_since_;
+  std::map<std::string, std::unique_ptr<rpc_channel>> join_channels_;  // By name.
   monotonic_ms leading_since_ = 0;
   monotonic_ms ordered_at_ = 0;
   /// While this replica leads.
   std::optional<limit_allocator> limits_;
   monotonic_ms allocated_at_ = 0;
   guard_options guard_;
+  service_rollout_limits service_limits_;
   /// Requests of a version when its present stage began, by version.
   std::map<std::string, std::pair<std::uint32_t, std::uint64_t>> stage_start_;
   std::shared_ptr<const catalog> parsed_;
--- a/include/lovagedale/http/client.h
+++ b/include/lovagedale/http/client.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -43,26 +44,39 @@
 struct http_response_head {
   unsigned status = 0;
   std::string content_type;
-  header_list headers;
+  header_list headers;  ///< without those that concern one connection only
+  /// How long the server keeps the connection when idle, if it says so.
+  std::optional<std::chrono::seconds> keep_alive;
 
   auto Header(std::string_view name) const -> std::string_view;
 };
 
+/// Time without an acknowledgement after which a connection fails.
+inline constexpr std::chrono::milliseconds kDeadServerTime{10'000};
+
 /// A connection to one server that carries one request at a time. After any
 /// error it must be dropped: a late answer could be taken for the next one's.
 class http_connection {
  public:
+  /// The connection fails when its peer has not acknowledged what was sent
+  /// for `dead_after`.
   http_connection(boost::asio::io_context& context, std::string host,
-                  std::uint16_t port);
+                  std::uint16_t port,
+                  std::chrono::milliseconds dead_after = kDeadServerTime);
   ~http_connection();
   http_connection(const http_connection&) = delete;
   auto operator=(const http_connection&) -> http_connection& = delete;
 
   auto Connect(const http_deadlines& deadlines,
                boost::asio::yield_context yield) -> void;
-  /// Sends the request and reads the head of the answer.
+  /// Sends the request and reads the head of the answer, which may come while
+  /// the body is still being written. A Host header of the request is kept.
   auto Send(const http_request& request, const http_deadlines& deadlines,
             boost::asio::yield_context yield) -> http_response_head;
+  /// Reads the head of one more answer on this connection, after one that was
+  /// not asked for.
+  auto ReadHead(const http_deadlines& deadlines,
+                boost::asio::yield_context yield) -> http_response_head;
   /// Next part of the answer's body; empty at its end. The view is valid until
   /// the next call.
   auto ReadSome(const http_deadlines& deadlines,
@@ -78,6 +92,9 @@
 
  private:
   struct impl;
+
+  auto ReadNextHead(boost::asio::yield_context yield) -> http_response_head;
+
   std::unique_ptr<impl> impl_;
 };
 
--- a/include/lovagedale/http/server.h
+++ b/include/lovagedale/http/server.h
@@ -56,6 +56,7 @@
   virtual ~http_exchange() = default;
   virtual auto request() const -> const http_request& = 0;
   virtual auto yield() -> boost::asio::yield_context& = 0;
+  /// Adds the framing and, unless it is empty, the content type.
   virtual auto Respond(unsigned status, std::string_view content_type,
                        std::string_view body, const header_list& headers)
       -> void = 0;
@@ -64,6 +65,12 @@
   virtual auto Write(std::string_view bytes) -> void = 0;
   virtual auto EndStream() -> void = 0;
   virtual auto HasStarted() const -> bool = 0;
+  /// Calls `on_gone` once, on this thread, if the caller closes its connection
+  /// before the answer is complete. The latest call counts.
+  virtual auto OnCallerGone(std::function<void()> on_gone) -> void = 0;
+  /// The connection is closed after this answer, or at once if the answer is
+  /// not complete: what was sent of it must not look whole.
+  virtual auto CloseAfterwards() -> void = 0;
 
   auto RespondJson(unsigned status, std::string_view body,
                    const header_list& headers = {}) -> void {
@@ -89,6 +96,8 @@
   /// From now on each answer closes its connection; new connections are still
   /// accepted.
   auto BeginDrain() -> void;
+  /// For requests and connections from now on.
+  auto SetLimits(const http_limits& limits) -> void;
   /// Closes the connections on which no request is under way.
   auto CloseIdle() -> void;
   /// Accepts the connections that are waiting, then refuses new ones.
--- /dev/null
+++ b/include/lovagedale/relay/connection_pool.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "lovagedale/common/time.h"
+#include "lovagedale/discovery/server_list.h"
+#include "lovagedale/http/client.h"
+
+namespace lovagedale {
+
+/// A connection out of the pool.
+struct pooled_connection {
+  std::unique_ptr<http_connection> connection;
+  bool is_fresh = true;  ///< it has carried no request yet
+};
+
+/// Idle connections to discovered servers, by server id: an address may be
+/// another server's tomorrow.
+class connection_pool {
+ public:
+  connection_pool(boost::asio::io_context& context,
+                  std::chrono::milliseconds dead_after)
+      : context_(context), dead_after_(dead_after) {}
+
+  /// An idle connection that was used within `max_idle` and still looks alive,
+  /// or a new one, not yet connected.
+  auto Acquire(const listed_server& server, monotonic_ms max_idle_ms)
+      -> pooled_connection;
+  /// Keeps the connection if it may carry another request. `keep_alive` is the
+  /// server's own limit, if it told one.
+  auto Release(const std::string& server_id,
+               std::unique_ptr<http_connection> connection,
+               std::optional<std::chrono::seconds> keep_alive) -> void;
+  auto Drop(const std::string& server_id) -> void { idle_.erase(server_id); }
+  /// Closes connections that have passed their time.
+  auto DropExpired() -> void;
+
+ private:
+  struct idle_connection {
+    std::unique_ptr<http_connection> connection;
+    monotonic_ms since = 0;
+    monotonic_ms until = 0;
+  };
+
+  boost::asio::io_context& context_;
+  std::chrono::milliseconds dead_after_;
+  system_monotonic_clock clock_;
+  std::unordered_map<std::string, std::deque<idle_connection>> idle_;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/relay/relay-inl.h
@@ -0,0 +1,520 @@
+#pragma once
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+
+#include "lovagedale/common/fiber_event.h"
+#include "lovagedale/common/hash.h"
+#include "lovagedale/common/log.h"
+#include "lovagedale/relay/relay.h"
+
+namespace lovagedale {
+
+/// A connection to a server of a neighbouring zone takes milliseconds.
+inline constexpr std::chrono::milliseconds kServerConnectTime{400};
+/// Below this a server could not finish anything.
+inline constexpr monotonic_ms kLeastUsefulMs = 5;
+/// Part of the remaining time that the first answer may take while another
+/// server could still be asked.
+inline constexpr double kFirstTryPart = 0.6;
+/// A stream whose events pause for this multiple of the route's longest pause,
+/// and at least this long, goes on elsewhere.
+inline constexpr monotonic_ms kStalledPauses = 2;
+inline constexpr monotonic_ms kLeastStallMs = 1'500;
+/// Idle connections older than this may be closing: a request that may run
+/// once only gets a younger or a new one.
+inline constexpr monotonic_ms kOnceIdleMs = 800;
+inline constexpr monotonic_ms kRepeatableIdleMs = 60'000;
+/// Servers that may refuse a request, or not be reached, before it is given up.
+inline constexpr std::uint32_t kMaxSends = 6;
+/// Wait for a server to appear when none is known.
+inline constexpr std::chrono::milliseconds kServerPoll{40};
+inline constexpr monotonic_ms kServerWaitMs = 400;
+/// Answers to other requests that are passed over on one connection.
+inline constexpr int kMaxForeignAnswers = 3;
+/// Shared parts with fewer tokens than this are read faster than they are
+/// missed: a prompt goes to the least busy server instead.
+inline constexpr std::uint32_t kAffinityTokens = 100;
+/// One of so many calls that went well is logged.
+inline constexpr std::uint64_t kLogEvery = 16;
+
+template <call_protocol Protocol>
+auto relay<Protocol>::Handle(http_exchange& exchange) -> void {
+  ++state_.active;
+  relayed_call<Protocol> call(state_, protocol_, exchange);
+  try {
+    call.Run();
+  } catch (...) {
+    --state_.active;
+    throw;
+  }
+  --state_.active;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::Run() -> void {
+  if (!Admit()) return;
+  exchange_.OnCallerGone([this] {
+    gone_ = true;
+    if (connection_) connection_->Close();
+  });
+  Attempts();
+  if (gone_) {
+    exchange_.CloseAfterwards();
+    LogOutcome("caller_gone", 0, "");
+  }
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::Admit() -> bool {
+  const auto& request = exchange_.request();
+  deadline_ms_ = started_ms_;
+  try {
+    call_ = protocol_.ReadCall(request);
+  } catch (const call_malformed& error) {
+    Refuse(refusal::kMalformed, error.what());
+    return false;
+  }
+  if (!view_ || view_->routes.version() == 0) {
+    Refuse(refusal::kNoConfiguration, "");
+    return false;
+  }
+  match_ = view_->routes.Match(request.Header("Host"), request.Path(), call_.key);
+  if (match_.verdict == route_verdict::kNoRoute) {
+    Refuse(refusal::kNoRoute, "");
+    return false;
+  }
+  if (match_.verdict == route_verdict::kUnknownKey) {
+    Refuse(refusal::kUnknownKey, "");
+    return false;
+  }
+  const auto& item = *match_.matched;
+  const auto limit =
+      std::min(item.timeout_ms, call_.time_limit_ms.value_or(item.timeout_ms));
+  deadline_ms_ = started_ms_ + limit;
+  session_hash_ = Hash64(call_.session.empty() ? call_.id : call_.session);
+  service_ = ChooseService(item, MixBits(Hash64(call_.id)));
+  state_.retries.CountRequest(started_ms_);
+  return true;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::MayRepeat() const -> bool {
+  const auto& item = *match_.matched;
+  return item.kind == route_kind::kRepeatable ||
+         (item.kind == route_kind::kStream && item.resumable);
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::PickServer() -> server_handle {
+  const auto now = clock_.Now();
+  const auto* rollout = view_->RolloutOf(service_);
+  const auto collect = [&](bool any_version, bool tried_too) {
+    std::vector<server_handle> servers;
+    for (const auto& server : state_.servers.Servers(service_)) {
+      const auto& listed = server->listed;
+      if (listed.leaving || server->gone) continue;
+      if (!any_version &&
+          !MayUseVersion(rollout, listed.version, session_hash_)) {
+        continue;
+      }
+      if (!tried_too && std::find(tried_.begin(), tried_.end(), listed.id) !=
+                            tried_.end()) {
+        continue;
+      }
+      servers.push_back(server);
+    }
+    return servers;
+  };
+  auto servers = collect(false, false);
+  if (servers.empty()) servers = collect(false, true);
+  // A version under roll-out may not have started; one that was taken back
+  // gets nothing whatever happens.
+  const bool is_open = rollout == nullptr ||
+                       rollout->phase == service_rollout_phase::kCanary;
+  if (servers.empty() && is_open) {
+    servers = collect(true, true);
+    std::erase_if(servers, [&](const auto& server) {
+      return rollout != nullptr && server->listed.version == rollout->target;
+    });
+  }
+  std::vector<server_candidate> facts;
+  for (const auto& server : servers) {
+    facts.push_back({server->id_hash, server->in_flight,
+                     server->listed.capacity, server->health.failure_share(),
+                     server->listed.zone == state_.settings.zone,
+                     server->health.IsHeldOut(now)});
+  }
+  choice_input input;
+  input.random = state_.random();
+  if (match_.matched->prompts && call_.parts.size() > 1) {
+    std::uint32_t shared = 0;
+    for (std::size_t i = 0; i + 1 < call_.parts.size(); ++i) {
+      shared += call_.parts[i].tokens;
+    }
+    if (shared >= kAffinityTokens) {
+      input.affinity = MixBits(call_.parts[call_.parts.size() - 2].id);
+    }
+  }
+  const auto chosen = ChooseServer(facts, input);
+  return chosen ? servers[*chosen] : nullptr;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::Attempts() -> void {
+  const auto waits_until = clock_.Now() + kServerWaitMs;
+  while (!gone_) {
+    if (LeftMs() < kLeastUsefulMs) break;
+    const auto server = PickServer();
+    if (!server) {
+      if (sends_ > 0 || clock_.Now() >= waits_until) break;
+      Pause(state_.context.get_executor(), kServerPoll, exchange_.yield());
+      // The list or the routes may have changed meanwhile.
+      if (state_.view) view_ = state_.view;
+      match_ = view_->routes.Match(exchange_.request().Header("Host"),
+                                   exchange_.request().Path(), call_.key);
+      if (match_.verdict != route_verdict::kAllowed) break;
+      continue;
+    }
+    const auto result = Attempt(server);
+    LogAttempt(server, result, attempt_reason_);
+    if (result == attempt_result::kAnswered || gone_) return;
+    if (!AllowsAnotherRun(result)) break;
+  }
+  if (!gone_) Finish();
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::AllowsAnotherRun(attempt_result result) -> bool {
+  const auto& item = *match_.matched;
+  if (sends_ >= kMaxSends) return false;
+  const bool was_run = result != attempt_result::kNotRun;
+  if (was_run && result != attempt_result::kNextModel && !MayRepeat()) {
+    return false;
+  }
+  if (runs_ >= item.max_attempts) return false;
+  return state_.retries.TryRetry(clock_.Now());
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::Deadlines(bool for_stream_body) const
+    -> http_deadlines {
+  const auto& item = *match_.matched;
+  const auto left = std::max<monotonic_ms>(1, LeftMs());
+  const bool is_last = runs_ >= item.max_attempts || !MayRepeat();
+  http_deadlines deadlines;
+  deadlines.connect = std::min(kServerConnectTime,
+                               std::chrono::milliseconds(left));
+  const auto first =
+      is_last ? left
+              : std::max<monotonic_ms>(
+                    1, static_cast<monotonic_ms>(static_cast<double>(left) *
+                                                 kFirstTryPart));
+  deadlines.first_byte = std::chrono::milliseconds(first);
+  auto between = left;
+  if (for_stream_body && !is_last) {
+    between = std::min(
+        left, std::max(kLeastStallMs, item.pause_ms * kStalledPauses));
+  }
+  deadlines.between_reads = std::chrono::milliseconds(between);
+  return deadlines;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::SendTo(const server_handle& server)
+    -> http_response_head {
+  const bool is_once = !MayRepeat();
+  auto pooled = state_.pool.Acquire(server->listed,
+                                    is_once ? kOnceIdleMs : kRepeatableIdleMs);
+  connection_ = std::move(pooled.connection);
+  auto deadlines = Deadlines(/*for_stream_body=*/false);
+  if (pooled.is_fresh) connection_->Connect(deadlines, exchange_.yield());
+  if (gone_) {
+    throw http_call_error(http_call_error::stage::kNotSent, "caller is gone");
+  }
+  call_dispatch dispatch;
+  dispatch.server = &server->listed;
+  if (match_.customer != nullptr) dispatch.customer = match_.customer->name;
+  dispatch.left_ms = std::max<monotonic_ms>(1, LeftMs());
+  const auto& models = match_.matched->models;
+  if (!models.empty()) dispatch.model = models[tier_];
+  dispatch.priority = match_.Priority();
+  dispatch.after_event = events_.last_event();
+  if (!dispatch.after_event) dispatch.after_event = call_.after_event;
+  const auto request =
+      protocol_.ServerRequest(exchange_.request(), call_, dispatch);
+  ++runs_;
+  was_sent_ = true;
+  sent_ms_ = clock_.Now();
+  return ReadOwnHead(connection_->Send(request, deadlines, exchange_.yield()));
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::ReadOwnHead(http_response_head head)
+    -> http_response_head {
+  for (int i = 0;; ++i) {
+    const auto facts = protocol_.ReadAnswer(head);
+    if (facts.request_id.empty() || facts.request_id == call_.id) return head;
+    log_line(log_level::kWarning, "foreign_answer")
+        .With("request", call_.id)
+        .With("answer_to", facts.request_id);
+    if (i == kMaxForeignAnswers) {
+      throw http_call_error(http_call_error::stage::kSent,
+                            "answers to other requests only");
+    }
+    const auto deadlines = Deadlines(/*for_stream_body=*/false);
+    connection_->ReadAll(deadlines, exchange_.yield());
+    head = connection_->ReadHead(deadlines, exchange_.yield());
+  }
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::Attempt(const server_handle& server)
+    -> attempt_result {
+  auto result = attempt_result::kMaybeRun;
+  attempt_reason_.clear();
+  was_sent_ = false;
+  tried_.push_back(server->listed.id);
+  ++sends_;
+  ++server->in_flight;
+  std::optional<http_call_error> failure;
+  bool is_caller_lost = false;
+  try {
+    const auto head = SendTo(server);
+    const auto facts = protocol_.ReadAnswer(head);
+    if (facts.not_run || facts.other_server) {
+      --runs_;
+      attempt_reason_ = "refused with " + std::to_string(head.status);
+      result = attempt_result::kNotRun;
+      if (facts.other_server) server->gone = true;
+      connection_->ReadAll(Deadlines(false), exchange_.yield());
+    } else if (IsTooUncertain(facts)) {
+      result = attempt_result::kNextModel;
+      connection_->Close();
+    } else {
+      may_have_run_ = true;
+      result = IsStreamAnswer(head) ? RelayStream(server, head)
+                                    : RelayWhole(server, head, facts);
+    }
+    if (result != attempt_result::kNextModel) {
+      state_.pool.Release(server->listed.id, std::move(connection_),
+                          head.keep_alive);
+    }
+  } catch (const http_call_error& error) {
+    failure = error;
+  } catch (const caller_gone&) {
+    is_caller_lost = true;
+  }
+  --server->in_flight;
+  connection_.reset();
+  const auto now = clock_.Now();
+  if (is_caller_lost) {
+    gone_ = true;
+    return attempt_result::kAnswered;
+  }
+  if (!failure) {
+    if (result == attempt_result::kNotRun) {
+      server->health.Failed(now);
+    } else if (result != attempt_result::kFailed) {
+      server->health.Succeeded(now);
+    }
+    return result;
+  }
+  if (gone_) return attempt_result::kAnswered;
+  attempt_reason_ = failure->what();
+  if (failure->at() == http_call_error::stage::kNotSent) {
+    // Nothing reached the server, so it was no run.
+    if (was_sent_) --runs_;
+    server->health.Unreachable(now);
+    state_.pool.Drop(server->listed.id);
+    return attempt_result::kNotRun;
+  }
+  may_have_run_ = true;
+  server->health.Failed(now);
+  state_.pool.Drop(server->listed.id);
+  CountAnswer(server, /*failed=*/true);
+  return attempt_result::kMaybeRun;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::IsTooUncertain(const answer_facts& facts) -> bool {
+  const auto& item = *match_.matched;
+  if (tier_ + 1 >= item.models.size() || !facts.confidence ||
+      exchange_.HasStarted()) {
+    return false;
+  }
+  auto& threshold = state_.tiers[{item.name, item.models[tier_]}];
+  threshold.Add(*facts.confidence);
+  if (*facts.confidence >= threshold.Threshold()) return false;
+  if (runs_ >= item.max_attempts) return false;
+  tier_ = item.models.size() - 1;
+  return true;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::IsStreamAnswer(
+    const http_response_head& head) const -> bool {
+  return match_.matched->kind == route_kind::kStream && head.status == 200;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::RelayWhole(const server_handle& server,
+                                        const http_response_head& head,
+                                        const answer_facts& /*facts*/)
+    -> attempt_result {
+  auto body = connection_->ReadAll(Deadlines(false), exchange_.yield());
+  const bool is_failure = head.status >= 500;
+  CountAnswer(server, is_failure);
+  if (is_failure || exchange_.HasStarted()) {
+    attempt_reason_ = "answered " + std::to_string(head.status);
+    server->health.Failed(clock_.Now());
+    failure_ = kept_failure{head, std::move(body)};
+    return attempt_result::kFailed;
+  }
+  exchange_.Respond(head.status, head.content_type, body, head.headers);
+  LogOutcome("answered", head.status, "");
+  return attempt_result::kAnswered;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::RelayStream(const server_handle& server,
+                                         const http_response_head& head)
+    -> attempt_result {
+  events_.Restart();
+  bool is_counted = false;
+  for (;;) {
+    const auto bytes =
+        connection_->ReadSome(Deadlines(/*for_stream_body=*/true),
+                              exchange_.yield());
+    if (bytes.empty()) break;
+    const auto events = events_.Feed(bytes);
+    if (events.empty()) continue;
+    if (!is_counted) CountAnswer(server, /*failed=*/false);
+    is_counted = true;
+    if (!exchange_.HasStarted()) {
+      exchange_.StartStream(head.status, head.content_type, head.headers);
+    }
+    exchange_.Write(events);
+  }
+  if (events_.HasPartialEvent()) {
+    throw http_call_error(http_call_error::stage::kAnswerBroken,
+                          "stream ended in the middle of an event");
+  }
+  if (!exchange_.HasStarted()) {
+    exchange_.StartStream(head.status, head.content_type, head.headers);
+  }
+  exchange_.EndStream();
+  LogOutcome("streamed", head.status, "");
+  return attempt_result::kAnswered;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::CountAnswer(const server_handle& server,
+                                         bool failed) -> void {
+  if (view_->RolloutOf(service_) == nullptr) return;
+  auto& counts = state_.answers[{service_, server->listed.version,
+                                 match_.matched->name}];
+  ++counts.requests;
+  if (failed) {
+    ++counts.failures;
+  } else {
+    counts.latency_ms += static_cast<std::uint64_t>(clock_.Now() - sent_ms_);
+  }
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::Finish() -> void {
+  if (exchange_.HasStarted()) {
+    // Part of a stream is with the caller, and it cannot go on.
+    exchange_.CloseAfterwards();
+    LogOutcome("stream_cut", 0, attempt_reason_);
+    return;
+  }
+  if (failure_) {
+    RelayKeptFailure();
+    return;
+  }
+  const bool is_late = LeftMs() < kLeastUsefulMs;
+  if (may_have_run_) {
+    Refuse(is_late ? refusal::kTimeout : refusal::kBadGateway, attempt_reason_);
+  } else if (is_late) {
+    Refuse(refusal::kExpired, attempt_reason_);
+  } else {
+    Refuse(sends_ == 0 ? refusal::kNoServer : refusal::kServersRefuse,
+           attempt_reason_);
+  }
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::RelayKeptFailure() -> void {
+  exchange_.Respond(failure_->head.status, failure_->head.content_type,
+                    failure_->body, failure_->head.headers);
+  LogOutcome("server_failure", failure_->head.status, attempt_reason_);
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::Refuse(refusal why, const std::string& detail)
+    -> void {
+  const auto answer = AnswerFor(why);
+  header_list headers;
+  if (!call_.id.empty()) headers = protocol_.OwnAnswerHeaders(call_);
+  if (answer.retry_after_s) {
+    // Spread, so that callers refused together do not return together.
+    const auto spread = 0.5 + UnitInterval(state_.random());
+    const auto hundredths =
+        static_cast<int>(*answer.retry_after_s * spread * 100);
+    headers.emplace_back("Retry-After",
+                         "0." + std::string(hundredths < 10 ? "0" : "") +
+                             std::to_string(std::min(hundredths, 99)));
+  }
+  exchange_.Respond(answer.status, "application/json",
+                    std::string(R"({"error":{"type":")") + answer.reason +
+                        R"("}})",
+                    headers);
+  LogOutcome(answer.reason, answer.status, detail);
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::LogAttempt(const server_handle& server,
+                                        attempt_result result,
+                                        const std::string& reason) -> void {
+  static constexpr const char* kNames[] = {"answered", "not_run", "maybe_run",
+                                           "failed", "next_model"};
+  const auto* name = kNames[static_cast<std::size_t>(result)];
+  ++state_.attempts[name];
+  if (result == attempt_result::kAnswered ||
+      result == attempt_result::kNextModel) {
+    return;
+  }
+  log_line(log_level::kInfo, "attempt_failed")
+      .With("request", call_.id)
+      .With("route", match_.matched->name)
+      .With("server", server->listed.id)
+      .With("version", server->listed.version)
+      .With("list", state_.servers.number())
+      .With("result", name)
+      .With("after_ms", clock_.Now() - started_ms_)
+      .With("reason", reason);
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::LogOutcome(const char* outcome, unsigned status,
+                                        const std::string& detail) -> void {
+  const std::string route =
+      match_.matched == nullptr ? "" : match_.matched->name;
+  ++state_.counts[{route, outcome}];
+  const bool is_good = status >= 200 && status < 300;
+  if (is_good && Hash64(call_.id) % kLogEvery != 0) return;
+  log_line(log_level::kInfo, "call_ended")
+      .With("request", call_.id)
+      .With("route", route)
+      .With("outcome", outcome)
+      .With("status", status)
+      .With("sends", sends_)
+      .With("took_ms", clock_.Now() - started_ms_)
+      .With("limit_ms", deadline_ms_ - started_ms_)
+      .With("revision", view_ ? view_->revision : 0)
+      .With("detail", detail);
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/relay/relay.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lovagedale/http/server.h"
+#include "lovagedale/relay/call.h"
+#include "lovagedale/relay/event_splitter.h"
+#include "lovagedale/relay/relay_state.h"
+
+namespace lovagedale {
+
+/// How one attempt at a server ended.
+enum class attempt_result {
+  kAnswered,   ///< the caller has the whole answer, or all that it will get
+  kNotRun,     ///< the server did not run the request, and never will
+  kMaybeRun,   ///< it may have run; no usable answer
+  kFailed,     ///< the server answered with a failure, which is kept
+  kNextModel,  ///< the answer was dropped in favour of a larger model's
+};
+
+/// Why this process ends a request without a server's answer.
+enum class refusal {
+  kNoConfiguration,
+  kMalformed,
+  kNoRoute,
+  kUnknownKey,
+  kNoServer,       ///< no server of the service is known
+  kServersRefuse,  ///< every server that was asked refused to run it
+  kExpired,        ///< the time limit passed before it was sent
+  kBadGateway,     ///< it may have run; the answer is lost
+  kTimeout,        ///< it may have run; the time limit passed
+};
+
+struct refusal_answer {
+  unsigned status = 500;
+  const char* reason = "";
+  /// For refused requests that have not run: when to come back.
+  std::optional<double> retry_after_s;
+};
+auto AnswerFor(refusal why) -> refusal_answer;
+
+/// Passes callers' requests on to discovered servers, by route, and their
+/// answers back, byte for byte. Requests that may run more than once are sent
+/// again after a failure; streams go on at another server.
+template <call_protocol Protocol>
+class relay {
+ public:
+  relay(relay_state& state, Protocol protocol)
+      : state_(state), protocol_(std::move(protocol)) {}
+
+  auto Handle(http_exchange& exchange) -> void;
+
+ private:
+  relay_state& state_;
+  Protocol protocol_;
+};
+
+/// One caller's request. Lives on its fiber.
+template <call_protocol Protocol>
+class relayed_call {
+ public:
+  relayed_call(relay_state& state, const Protocol& protocol,
+               http_exchange& exchange)
+      : state_(state),
+        protocol_(protocol),
+        exchange_(exchange),
+        view_(state.view),
+        started_ms_(clock_.Now()) {}
+
+  auto Run() -> void;
+
+ private:
+  struct kept_failure {
+    http_response_head head;
+    std::string body;
+  };
+
+  /// Finds route, customer and service; false if the request was refused.
+  auto Admit() -> bool;
+  auto Attempts() -> void;
+  auto Attempt(const server_handle& server) -> attempt_result;
+  /// Connects and sends; throws http_call_error.
+  auto SendTo(const server_handle& server) -> http_response_head;
+  /// Reads past answers to other requests. Throws http_call_error.
+  auto ReadOwnHead(http_response_head head) -> http_response_head;
+  auto RelayWhole(const server_handle& server, const http_response_head& head,
+                  const answer_facts& facts) -> attempt_result;
+  auto RelayStream(const server_handle& server, const http_response_head& head)
+      -> attempt_result;
+  auto IsTooUncertain(const answer_facts& facts) -> bool;
+  auto PickServer() -> server_handle;
+  auto MayRepeat() const -> bool;
+  auto IsStreamAnswer(const http_response_head& head) const -> bool;
+  auto AllowsAnotherRun(attempt_result result) -> bool;
+  auto Finish() -> void;
+  auto Refuse(refusal why, const std::string& detail) -> void;
+  auto RelayKeptFailure() -> void;
+  auto LeftMs() const -> monotonic_ms { return deadline_ms_ - clock_.Now(); }
+  auto Deadlines(bool for_stream_body) const -> http_deadlines;
+  auto CountAnswer(const server_handle& server, bool failed) -> void;
+  auto LogAttempt(const server_handle& server, attempt_result result,
+                  const std::string& reason) -> void;
+  auto LogOutcome(const char* outcome, unsigned status,
+                  const std::string& detail) -> void;
+
+  relay_state& state_;
+  const Protocol& protocol_;
+  http_exchange& exchange_;
+  system_monotonic_clock clock_;
+  std::shared_ptr<const routing_view> view_;
+  monotonic_ms started_ms_;
+  monotonic_ms deadline_ms_ = 0;
+  call_request call_;
+  route_match match_;
+  std::string service_;
+  std::uint64_t session_hash_ = 0;
+  std::size_t tier_ = 0;
+  std::uint32_t runs_ = 0;   ///< attempts that a server may have run
+  std::uint32_t sends_ = 0;  ///< servers that were asked or tried to reach
+  bool was_sent_ = false;    ///< the present attempt has begun to send
+  std::vector<std::string> tried_;
+  bool may_have_run_ = false;
+  bool gone_ = false;
+  std::unique_ptr<http_connection> connection_;
+  monotonic_ms sent_ms_ = 0;
+  std::optional<kept_failure> failure_;
+  event_splitter events_;
+  std::string attempt_reason_;
+};
+
+}  // namespace lovagedale
+
+#include "lovagedale/relay/relay-inl.h"
--- /dev/null
+++ b/include/lovagedale/relay/relay_state.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "lovagedale/configuration/fleet_view.h"
+#include "lovagedale/relay/connection_pool.h"
+#include "lovagedale/relay/retry_budget.h"
+#include "lovagedale/relay/server_table.h"
+#include "lovagedale/relay/tier_choice.h"
+#include "lovagedale/rollout/service_rollout.h"
+#include "lovagedale/route/route_table.h"
+
+namespace lovagedale {
+
+struct relay_settings {
+  std::string zone;
+  /// Requests to a second server, as a share of all, over a window.
+  double retry_ratio = 0.5;
+  monotonic_ms retry_window_ms = 10'000;
+  double retry_floor = 3;
+
+  auto operator==(const relay_settings&) const -> bool = default;
+};
+
+/// The routes and roll-outs that an entry follows, at one revision.
+struct routing_view {
+  explicit routing_view(const fleet_view& view)
+      : revision(view.revision),
+        routes(view.routes),
+        rollouts(view.service_rollouts) {}
+  auto RolloutOf(const std::string& service) const -> const service_rollout* {
+    for (const auto& rollout : rollouts) {
+      if (rollout.service == service) return &rollout;
+    }
+    return nullptr;
+  }
+
+  config_revision revision;
+  route_table routes;
+  std::vector<service_rollout> rollouts;
+};
+
+/// How many calls ended in which way, by route.
+struct call_counts_key {
+  std::string route;
+  std::string outcome;
+
+  auto operator<=>(const call_counts_key&) const = default;
+};
+
+/// What all calls of one entry share. One thread only.
+class relay_state {
+ public:
+  relay_state(boost::asio::io_context& context, relay_settings settings)
+      : context(context),
+        settings(std::move(settings)),
+        pool(context, kDeadServerAfter),
+        retries(this->settings.retry_ratio, this->settings.retry_window_ms,
+                this->settings.retry_floor),
+        random(std::random_device{}()) {}
+  relay_state(const relay_state&) = delete;
+  auto operator=(const relay_state&) -> relay_state& = delete;
+
+  boost::asio::io_context& context;
+  const relay_settings settings;
+  std::shared_ptr<const routing_view> view;  ///< empty: not known yet
+  server_table servers;
+  connection_pool pool;
+  retry_budget retries;
+  tier_thresholds tiers;
+  std::mt19937_64 random;
+  /// Cumulative; by services that have a roll-out.
+  version_answers_table answers;
+  std::map<call_counts_key, std::uint64_t> counts;
+  std::map<std::string, std::uint64_t> attempts;  ///< by outcome
+  std::size_t active = 0;  ///< calls under way
+
+ private:
+  /// A server that has vanished acknowledges nothing; packet loss is made good
+  /// within a few hundred milliseconds.
+  static constexpr std::chrono::milliseconds kDeadServerAfter{1'500};
+};
+
+}  // namespace lovagedale
--- a/include/lovagedale/replication/messages.h
+++ b/include/lovagedale/replication/messages.h
@@ -40,6 +40,7 @@
   auto Majority() const -> std::size_t { return VoterCount() / 2 + 1; }
   /// This set with the member of the same name replaced, or added.
   auto With(const replica_member& member) const -> member_set;
+  auto Without(const std::string& name) const -> member_set;
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(members);
--- a/include/lovagedale/replication/replica_core.h
+++ b/include/lovagedale/replication/replica_core.h
@@ -25,6 +25,12 @@
   std::size_t max_append_bytes = 1UL << 20U;
   /// Entries kept behind a snapshot for replicas that lag a little.
   std::size_t kept_entries = 1'000;
+  /// Learners get a vote while fewer voters than this are heard; 0: always.
+  std::size_t target_voters = 0;
+  /// A voter that is silent for this long may be replaced by a learner.
+  monotonic_ms replace_silent_ms = 2'500;
+  /// A learner that is silent for this long is dropped.
+  monotonic_ms drop_learner_ms = 10'000;
 
   auto operator==(const replication_options&) const -> bool = default;
 };
@@ -67,6 +73,10 @@
   /// Appends a command; returns its index, or nothing if not the leader.
   auto Propose(std::string command, monotonic_ms now)
       -> std::optional<log_index>;
+  /// Leader: adds a replica, or a new incarnation of one, as a learner. Does
+  /// nothing on other replicas, or while another change of members runs.
+  auto AddLearner(const std::string& name, incarnation_id incarnation,
+                  monotonic_ms now) -> void;
   /// Leader: gives up the lease for good and asks the most advanced voter to
   /// take over. Used when the process is about to stop.
   auto TransferLeadership(monotonic_ms now) -> void;
@@ -134,6 +144,10 @@
   auto CommitTo(log_index index) -> void;
   auto ReconcileMember(const replica_envelope& from) -> void;
   auto PromoteLearners() -> void;
+  auto HeardVoters() const -> std::size_t;
+  auto SilentFor(const std::string& member) const -> monotonic_ms;
+  auto DropSilentMembers() -> void;
+  auto MayChangeMembers() const -> bool;
   auto ProposeMembers(const member_set& members) -> void;
   auto AppendAsLeader(entry_kind kind, std::string payload) -> log_index;
   auto AppendEntry(const log_entry& entry) -> void;
--- a/include/lovagedale/replication/replica_node-inl.h
+++ b/include/lovagedale/replication/replica_node-inl.h
@@ -31,11 +31,13 @@
     boost::asio::io_context& context, std::string name,
     const std::vector<process_address>& peers, replication_options options,
     log_store& store, Machine& machine,
-    std::function<std::string(const replica_envelope&)> wrap)
+    std::function<std::string(const replica_envelope&)> wrap,
+    resolve_member resolve)
     : context_(context),
       store_(store),
       machine_(machine),
       wrap_(std::move(wrap)),
+      resolve_(std::move(resolve)),
       core_(name, store.recovered(), options,
             HashFields(name) ^ store.recovered().incarnation, clock_.Now()),
       timer_(context),
@@ -92,6 +94,26 @@
   ScheduleFlush();
 }
 
+template <replicated_machine Machine>
+auto replica_node<Machine>::AddLearner(const std::string& name,
+                                       incarnation_id incarnation) -> void {
+  core_.AddLearner(name, incarnation, clock_.Now());
+  ScheduleFlush();
+}
+
+template <replicated_machine Machine>
+auto replica_node<Machine>::ChannelTo(const std::string& member)
+    -> rpc_channel* {
+  const auto known = peers_.find(member);
+  if (known != peers_.end()) return known->second.get();
+  if (!resolve_) return nullptr;
+  const auto address = resolve_(member);
+  if (!address) return nullptr;
+  return peers_
+      .emplace(member, std::make_unique<rpc_channel>(context_, *address))
+      .first->second.get();
+}
+
 template <replicated_machine Machine>
 auto replica_node<Machine>::TransferLeadership() -> void {
   core_.TransferLeadership(clock_.Now());
@@ -129,8 +151,7 @@
     log_line(log_level::kInfo, "snapshot_installed").With("index", applied_);
   }
   for (const auto& envelope : output.messages) {
-    const auto peer = peers_.find(envelope.to);
-    if (peer != peers_.end()) peer->second->SendOneWay(wrap_(envelope));
+    if (auto* peer = ChannelTo(envelope.to)) peer->SendOneWay(wrap_(envelope));
   }
   ApplyCommitted(output.committed);
   if (core_.role() != replica_role::kLeader) FailLostProposals();
--- a/include/lovagedale/replication/replica_node.h
+++ b/include/lovagedale/replication/replica_node.h
@@ -39,6 +39,10 @@
 
 using propose_callback = std::function<void(const propose_result&)>;
 
+/// Address of a member that was added later; nothing if its name tells none.
+using resolve_member =
+    std::function<std::optional<process_address>(const std::string& name)>;
+
 /// Runs a replica_core: its timer, its disk and its peers. One thread, the
 /// control thread; a failed disk write throws out of the event loop.
 template <replicated_machine Machine>
@@ -49,7 +53,8 @@
   replica_node(boost::asio::io_context& context, std::string name,
                const std::vector<process_address>& peers,
                replication_options options, log_store& store, Machine& machine,
-               std::function<std::string(const replica_envelope&)> wrap);
+               std::function<std::string(const replica_envelope&)> wrap,
+               resolve_member resolve = {});
 
   auto Start() -> void;
   auto Stop() -> void;
@@ -57,6 +62,8 @@
   /// Replicates a command; `done` is called once, on this thread. Commands
   /// proposed while an earlier sync runs share the next one.
   auto Propose(std::string command, propose_callback done) -> void;
+  /// On the leader: adds a replica that is no member yet, as a learner.
+  auto AddLearner(const std::string& name, incarnation_id incarnation) -> void;
   /// Gives up leadership before a planned stop.
   auto TransferLeadership() -> void;
 
@@ -75,6 +82,7 @@
   };
 
   auto ScheduleTick() -> void;
+  auto ChannelTo(const std::string& member) -> rpc_channel*;
   auto ScheduleFlush() -> void;
   auto Flush() -> void;
   auto ApplyCommitted(const std::vector<log_entry>& entries) -> void;
@@ -85,6 +93,7 @@
   log_store& store_;
   Machine& machine_;
   std::function<std::string(const replica_envelope&)> wrap_;
+  resolve_member resolve_;
   system_monotonic_clock clock_;
   replica_core core_;
   std::map<std::string, std::unique_ptr<rpc_channel>> peers_;
--- /dev/null
+++ b/include/lovagedale/rollout/service_rollout.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lovagedale/common/time.h"
+
+namespace lovagedale {
+
+/// How far the traffic of a service has moved to servers of another version.
+enum class service_rollout_phase : std::uint8_t {
+  kCanary,     ///< a small share of the sessions
+  kMost,       ///< all sessions; the former servers are kept ready
+  kCompleted,  ///< the former servers are no longer needed
+  kReverted,   ///< the new version gets no work any more
+};
+
+auto PhaseName(service_rollout_phase phase) -> const char*;
+
+/// A roll-out of a service's software, whose new version appears as servers
+/// beside those of the former one.
+struct service_rollout {
+  std::string service;
+  std::string target;  ///< the new version
+  service_rollout_phase phase = service_rollout_phase::kCanary;
+  std::int64_t duration_ms = 0;  ///< time until it must be decided
+  std::string reason;            ///< of the latest phase
+
+  auto operator==(const service_rollout&) const -> bool = default;
+  auto IsRunning() const -> bool {
+    return phase == service_rollout_phase::kCanary ||
+           phase == service_rollout_phase::kMost;
+  }
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(service, target, phase, duration_ms, reason);
+  }
+};
+
+/// Whether a session's requests may go to servers of `version`. `session_hash`
+/// identifies the session, so that it stays where it is while the share does.
+auto MayUseVersion(const service_rollout* rollout, const std::string& version,
+                   std::uint64_t session_hash) -> bool;
+
+/// What servers of one version answered on one route.
+struct version_answers {
+  std::uint64_t requests = 0;
+  std::uint64_t failures = 0;    ///< failed or broken answers
+  std::uint64_t latency_ms = 0;  ///< sum over the answers that did not fail
+
+  auto operator==(const version_answers&) const -> bool = default;
+  auto operator+=(const version_answers& other) -> version_answers& {
+    requests += other.requests;
+    failures += other.failures;
+    latency_ms += other.latency_ms;
+    return *this;
+  }
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(requests, failures, latency_ms);
+  }
+};
+
+struct version_answers_key {
+  std::string service;
+  std::string version;
+  std::string route;
+
+  auto operator<=>(const version_answers_key&) const = default;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(service, version, route);
+  }
+};
+
+using version_answers_table = std::map<version_answers_key, version_answers>;
+
+struct service_rollout_limits {
+  /// Failures beyond the former version's share before it is taken back.
+  std::uint64_t min_failures = 5;
+  /// Share of failed answers, above the former version's, that is too much.
+  double excess_failures = 0.15;
+  /// Answers needed to compare latencies.
+  std::uint64_t min_latency_answers = 12;
+  /// Mean latency, as a multiple of the former version's, that is too much.
+  double excess_latency = 3.0;
+  /// Parts of the duration after which all sessions move, and after which the
+  /// roll-out is complete.
+  double most_after = 0.55;
+  double complete_after = 0.8;
+  /// Answers of the new version without which no session follows.
+  std::uint64_t min_answers = 10;
+
+  auto operator==(const service_rollout_limits&) const -> bool = default;
+};
+
+/// The next phase of a running roll-out, with the reason; nothing if it stays.
+/// `answers` are those since it began, of all entries.
+struct service_rollout_decision {
+  service_rollout_phase phase;
+  std::string reason;
+};
+auto JudgeServiceRollout(const service_rollout& rollout,
+                         const version_answers_table& answers,
+                         monotonic_ms elapsed_ms,
+                         const service_rollout_limits& limits)
+    -> std::optional<service_rollout_decision>;
+
+/// Sums of the latest counters of each entry process.
+class version_answers_total {
+ public:
+  /// `table` is cumulative for that process.
+  auto Report(const std::string& entry, std::uint64_t incarnation,
+              const version_answers_table& table) -> void;
+  auto Total() const -> version_answers_table;
+
+ private:
+  std::map<std::pair<std::string, std::uint64_t>, version_answers_table>
+      by_entry_;
+};
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/route_entry/route_entry-inl.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <csignal>
+
+#include "lovagedale/common/fiber_event.h"
+#include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
+#include "lovagedale/route_entry/route_entry.h"
+
+namespace lovagedale {
+
+inline constexpr std::chrono::milliseconds kDrainPoll{50};
+inline constexpr std::chrono::milliseconds kCleanUpPeriod{1'000};
+/// Time for the last answers to leave after the last call has ended.
+inline constexpr std::chrono::milliseconds kLastBytes{100};
+
+template <call_protocol Protocol>
+route_entry<Protocol>::route_entry(boost::asio::io_context& context,
+                                   route_entry_settings settings,
+                                   Protocol protocol, std::string ready_path,
+                                   server_source source)
+    : context_(context),
+      settings_(std::move(settings)),
+      ready_path_(std::move(ready_path)),
+      state_(context, settings_.relay),
+      relay_(state_, std::move(protocol)),
+      link_(context, settings_, state_, std::move(source),
+            [this] { ApplyLimits(); }),
+      callers_(context, settings_.callers.host, settings_.callers.port,
+               /*share_port=*/false, http_limits{},
+               [this](http_exchange& exchange) { relay_.Handle(exchange); }),
+      ready_(context, settings_.ready.host, settings_.ready.port,
+             /*share_port=*/false, http_limits{},
+             [this](http_exchange& exchange) { HandleReady(exchange); }),
+      metrics_(context, settings_.ready.host, settings_.metrics_port,
+               /*share_port=*/false, http_limits{},
+               [this](http_exchange& exchange) { HandleMetrics(exchange); }),
+      signals_(context, SIGTERM, SIGINT, SIGHUP),
+      clean_up_(context) {}
+
+template <call_protocol Protocol>
+auto route_entry<Protocol>::Run() -> int {
+  WaitForSignal();
+  link_.Start();
+  CleanUp();
+  log_line(log_level::kInfo, "route_entry_started")
+      .With("name", settings_.name)
+      .With("zone", settings_.zone)
+      .With("seeds", settings_.seeds.size());
+  context_.run();
+  log_line(log_level::kInfo, "stopped").With("exit_code", exit_code_);
+  return exit_code_;
+}
+
+template <call_protocol Protocol>
+auto route_entry<Protocol>::CleanUp() -> void {
+  clean_up_.expires_after(kCleanUpPeriod);
+  clean_up_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    state_.pool.DropExpired();
+    CleanUp();
+  });
+}
+
+template <call_protocol Protocol>
+auto route_entry<Protocol>::ApplyLimits() -> void {
+  const auto& limits = state_.view->routes.config().limits;
+  http_limits applied;
+  applied.max_header_bytes = limits.header_bytes;
+  applied.max_body_bytes = limits.body_bytes;
+  applied.header_timeout = std::chrono::milliseconds(limits.header_timeout_ms);
+  applied.idle_timeout = std::chrono::milliseconds(limits.idle_timeout_ms);
+  callers_.SetLimits(applied);
+}
+
+template <call_protocol Protocol>
+auto route_entry<Protocol>::WaitForSignal() -> void {
+  signals_.async_wait([this](boost::system::error_code error, int signal) {
+    if (error) return;
+    if (signal == SIGHUP) {
+      log_line(log_level::kInfo, "reload_requested").With("signal", signal);
+    } else if (draining_) {
+      log_line(log_level::kWarning, "stopped_at_once")
+          .With("signal", signal)
+          .With("calls_cut", state_.active);
+      exit_code_ = 1;
+      context_.stop();
+      return;
+    } else {
+      draining_ = true;
+      log_line(log_level::kInfo, "draining")
+          .With("signal", signal)
+          .With("calls", state_.active);
+      SpawnTask(context_,
+                [this](boost::asio::yield_context yield) { Drain(yield); });
+    }
+    WaitForSignal();
+  });
+}
+
+template <call_protocol Protocol>
+auto route_entry<Protocol>::Drain(boost::asio::yield_context yield) -> void {
+  const auto executor = context_.get_executor();
+  system_monotonic_clock clock;
+  const auto deadline = clock.Now() + settings_.drain_limit.count();
+  // The balancer sends new connections until it has seen that this entry
+  // leaves; callers keep those that they have until an answer closes them.
+  Pause(executor, settings_.drain_delay, yield);
+  callers_.BeginDrain();
+  callers_.CloseIdle();
+  int quiet_polls = 0;
+  constexpr int kQuietPolls = 4;
+  while (quiet_polls < kQuietPolls && clock.Now() < deadline) {
+    quiet_polls = callers_.ActiveRequests() == 0 ? quiet_polls + 1 : 0;
+    Pause(executor, kDrainPoll, yield);
+  }
+  link_.Leave(yield);
+  Pause(executor, kLastBytes, yield);
+  log_line(log_level::kInfo, "drained").With("calls_cut", state_.active);
+  context_.stop();
+}
+
+template <call_protocol Protocol>
+auto route_entry<Protocol>::HandleReady(http_exchange& exchange) -> void {
+  if (exchange.request().Path() != ready_path_) {
+    exchange.RespondJson(404, R"({"error":{"type":"not_found"}})");
+    return;
+  }
+  const bool is_ready = !draining_ && state_.view &&
+                        state_.view->routes.version() != 0 &&
+                        !state_.servers.All().empty();
+  exchange.RespondJson(is_ready ? 200 : 503,
+                       is_ready ? R"({"ready":true})" : R"({"ready":false})");
+}
+
+template <call_protocol Protocol>
+auto route_entry<Protocol>::HandleMetrics(http_exchange& exchange) -> void {
+  exchange.Respond(200, "text/plain; version=0.0.4", FormatRelayMetrics(state_),
+                   {});
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/route_entry/route_entry.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+
+#include "lovagedale/http/server.h"
+#include "lovagedale/relay/relay.h"
+#include "lovagedale/route_entry/fleet_link.h"
+#include "lovagedale/route_entry/settings.h"
+
+namespace lovagedale {
+
+/// Text of an entry's counters, in the Prometheus format.
+auto FormatRelayMetrics(const relay_state& state) -> std::string;
+
+/// An entry that relays by routes. Everything runs on one thread: the entry
+/// hosts that it is made for have one core or less.
+template <call_protocol Protocol>
+class route_entry {
+ public:
+  route_entry(boost::asio::io_context& context, route_entry_settings settings,
+              Protocol protocol, std::string ready_path, server_source source);
+
+  /// Runs until a signal has come and the calls have ended; the exit code.
+  auto Run() -> int;
+
+ private:
+  auto WaitForSignal() -> void;
+  auto Drain(boost::asio::yield_context yield) -> void;
+  auto HandleReady(http_exchange& exchange) -> void;
+  auto HandleMetrics(http_exchange& exchange) -> void;
+  auto ApplyLimits() -> void;
+  auto CleanUp() -> void;
+
+  boost::asio::io_context& context_;
+  const route_entry_settings settings_;
+  const std::string ready_path_;
+  relay_state state_;
+  relay<Protocol> relay_;
+  fleet_link link_;
+  http_server callers_;
+  http_server ready_;
+  http_server metrics_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer clean_up_;
+  bool draining_ = false;
+  int exit_code_ = 0;
+};
+
+}  // namespace lovagedale
+
+#include "lovagedale/route_entry/route_entry-inl.h"
--- a/src/configuration/control_machine.cpp
+++ b/src/configuration/control_machine.cpp
@@ -75,6 +75,14 @@
   return found == versions.end() ? nullptr : &*found;
 }
 
+auto fleet_view::RolloutOf(const std::string& service) const
+    -> const service_rollout* {
+  const auto found = std::find_if(
+      service_rollouts.begin(), service_rollouts.end(),
+      [&](const auto& rollout) { return rollout.service == service; });
+  return found == service_rollouts.end() ? nullptr : &*found;
+}
+
 auto DescribeAction(const change_action& action) -> std::string {
   return std::visit(
       overloaded{
@@ -101,6 +109,16 @@
           },
           [](const lift_quarantine& a) {
             return "lift_quarantine " + ToHex(a.fingerprint);
+          },
+          [](const set_routes& a) {
+            return "set_routes " + std::to_string(a.config.version);
+          },
+          [](const begin_service_rollout& a) {
+            return "begin_service_rollout " + a.service + " " + a.target;
+          },
+          [](const move_service_rollout& a) {
+            return "move_service_rollout " + a.service + " " + a.target +
+                   " to " + PhaseName(a.phase);
           }},
       action);
 }
@@ -199,7 +217,18 @@
             return "quarantines: the limit is " +
                    std::to_string(kMaxQuarantines);
           },
-          [](const lift_quarantine&) -> problem { return std::nullopt; }},
+          [](const lift_quarantine&) -> problem { return std::nullopt; },
+          [](const set_routes& a) { return FindConfigProblem(a.config); },
+          [&](const begin_service_rollout& a) { return CheckRolloutStart(a); },
+          [&](const move_service_rollout& a) -> problem {
+            const auto* known = view_.RolloutOf(a.service);
+            if (known != nullptr && known->target == a.target &&
+                known->IsRunning()) {
+              return std::nullopt;
+            }
+            return "service: \"" + a.service + "\" has no running roll-out to \"" +
+                   a.target + "\"";
+          }},
       item.action);
 }
 
@@ -298,10 +327,58 @@
             std::erase_if(view_.quarantines, [&](const auto& item) {
               return item.fingerprint == a.fingerprint;
             });
-          }},
+          },
+          [&](const set_routes& a) { ReplaceRoutes(a); },
+          [&](const begin_service_rollout& a) { StartServiceRollout(a); },
+          [&](const move_service_rollout& a) { MoveServiceRollout(a); }},
       action);
 }
 
+auto control_machine::ReplaceRoutes(const set_routes& action) -> void {
+  if (!route_source_.empty() &&
+      action.config.version <= view_.routes.version) {
+    return;
+  }
+  view_.routes = action.config;
+  route_source_ = action.source;
+}
+
+auto control_machine::CheckRolloutStart(
+    const begin_service_rollout& action) const -> std::optional<std::string> {
+  const auto is_known = std::any_of(
+      view_.routes.services.begin(), view_.routes.services.end(),
+      [&](const auto& service) { return service.name == action.service; });
+  if (!is_known) {
+    return "service: got \"" + action.service +
+           "\"; allowed: a service of the routes";
+  }
+  if (action.target.empty()) return "target: missing; allowed: a version";
+  return std::nullopt;
+}
+
+auto control_machine::StartServiceRollout(const begin_service_rollout& action)
+    -> void {
+  const service_rollout started{action.service, action.target,
+                                service_rollout_phase::kCanary,
+                                action.duration_ms, ""};
+  for (auto& known : view_.service_rollouts) {
+    if (known.service != action.service) continue;
+    // The same order again, under another change id.
+    if (known.target != action.target) known = started;
+    return;
+  }
+  view_.service_rollouts.push_back(started);
+}
+
+auto control_machine::MoveServiceRollout(const move_service_rollout& action)
+    -> void {
+  for (auto& known : view_.service_rollouts) {
+    if (known.service != action.service) continue;
+    known.phase = action.phase;
+    known.reason = action.reason;
+  }
+}
+
 auto control_machine::Remember(change_record record) -> void {
   by_id_[record.change_id] = forgotten_ + history_.size();
   history_.push_back(std::move(record));
@@ -335,7 +412,7 @@
   for (const auto& [name, node] : nodes_) nodes.push_back(node);
   std::ostringstream out;
   cereal::PortableBinaryOutputArchive archive(out);
-  archive(view_, nodes, records, forgotten_);
+  archive(view_, route_source_, nodes, records, forgotten_);
   return std::move(out).str();
 }
 
@@ -347,7 +424,7 @@
   cereal::PortableBinaryInputArchive archive(in);
   std::vector<change_record> records;
   std::vector<register_node> nodes;
-  archive(view_, nodes, records, forgotten_);
+  archive(view_, route_source_, nodes, records, forgotten_);
   for (auto& node : nodes) nodes_[node.name] = node;
   for (auto& record : records) {
     by_id_[record.change_id] = forgotten_ + history_.size();
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 
 #include "lovagedale/common/codec.h"
+#include "lovagedale/common/fiber_event.h"
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
 #include "lovagedale/operator_api/operator_api.h"
 
 namespace lovagedale {
@@ -20,6 +22,9 @@
 constexpr monotonic_ms kEvidenceGapMs = 900;
 constexpr monotonic_ms kOrderPeriodMs = 500;
 constexpr monotonic_ms kAllocationPeriodMs = 1'000;
+/// Between two requests to become a member, and the time limit of one.
+constexpr std::chrono::milliseconds kJoinPeriod{300};
+constexpr std::chrono::milliseconds kJoinTimeout{500};
 constexpr std::int64_t kQuarantineMs = 60LL * 60 * 1'000;
 
 auto WrapEnvelope(const replica_envelope& envelope) -> std::string {
@@ -29,21 +34,35 @@
 }  // namespace
 
 control_service::control_service(boost::asio::io_context& context,
-                                 replica_settings settings, log_store& store)
+                                 replica_settings settings, log_store& store,
+                                 server_source source)
     : context_(context),
       settings_(std::move(settings)),
       node_(context, settings_.name, settings_.replicas, settings_.replication,
-            store, machine_, WrapEnvelope),
+            store, machine_, WrapEnvelope,
+            [this](const std::string& name) {
+              return AddressOfReplica(name, settings_.rpc_port);
+            }),
       server_(context, settings_.host, settings_.rpc_port,
               [this](std::string body, rpc_reply reply) {
                 HandleRpc(body, std::move(reply));
               }),
       timer_(context),
-      orders_(context, [this] { return OrderAuthority(); }) {}
+      orders_(context, [this] { return OrderAuthority(); }),
+      servers_(
+          context, std::move(source),
+          [this] { return node_.HasLease() ? node_.core().term() : 0; },
+          [this] { AnswerHeld(/*all=*/true); }) {}
 
 auto control_service::Start() -> void {
   node_.Start();
   ScheduleTick();
+  servers_.Start();
+  if (!settings_.seeds.empty()) {
+    SpawnTask(context_, [this](boost::asio::yield_context yield) {
+      JoinLoop(yield);
+    });
+  }
   log_line(log_level::kInfo, "control_started")
       .With("name", settings_.name)
       .With("zone", settings_.zone)
@@ -55,6 +74,7 @@
 auto control_service::BeginStop() -> void {
   if (stopped_) return;
   stopped_ = true;
+  servers_.Stop();
   node_.TransferLeadership();
   AnswerHeld(/*all=*/true);
   timer_.cancel();
@@ -71,6 +91,11 @@
     node_.Receive(*envelope);
     return;
   }
+  if (const auto* join = std::get_if<join_request>(&request)) {
+    node_.AddLearner(join->name, join->incarnation);
+    reply(Encode(join_response{node_.core().leader()}));
+    return;
+  }
   HandleHeartbeat(std::get<entry_heartbeat>(std::move(request)),
                   std::move(reply));
 }
@@ -87,6 +112,8 @@
   held_heartbeat held{std::move(heartbeat), std::move(reply),
                       now + kHoldHeartbeatMs};
   if (tracker_) {
+    answers_.Report(held.heartbeat.node, held.heartbeat.incarnation,
+                    held.heartbeat.answers);
     if (held.heartbeat.leaving) {
       RemoveNode(held.heartbeat.node, [](propose_status) {});
       tracker_->Forget(held.heartbeat.node);
@@ -101,7 +128,8 @@
     HandleCrashes(held.heartbeat);
   }
   const bool has_news =
-      held.heartbeat.revision != machine_.view().revision || !tracker_;
+      held.heartbeat.revision != machine_.view().revision || !tracker_ ||
+      held.heartbeat.servers_number != servers_.list().number;
   if (has_news || urgent || stopped_) {
     Answer(held);
     return;
@@ -173,6 +201,13 @@
   if (held.heartbeat.revision < response.revision) {
     response.view = machine_.view();
   }
+  for (const auto& member : node_.core().members().members) {
+    response.replicas.push_back(member.name);
+  }
+  if (response.is_leader && servers_.list().number != 0 &&
+      servers_.list().number != held.heartbeat.servers_number) {
+    response.servers = servers_.list();
+  }
   const bool is_registered = machine_.nodes().contains(held.heartbeat.node);
   // Only a leader whose lease holds knows that no newer revision exists.
   if (response.is_leader && node_.IsCurrent() && is_registered) {
@@ -236,8 +271,10 @@
   const bool has_new_revision = answered_revision_ != machine_.view().revision;
   answered_revision_ = machine_.view().revision;
   AnswerHeld(/*all=*/has_new_revision || !tracker_);
+  TrackServiceRollouts();
   if (!tracker_) return;
   JudgeRollouts();
+  JudgeServiceRollouts();
   OrderEngines();
   AllocateLimits();
 }
@@ -375,6 +412,73 @@
   }
 }
 
+auto control_service::TrackServiceRollouts() -> void {
+  for (const auto& rollout : machine_.view().service_rollouts) {
+    auto& [target, since] = rollouts_since_[rollout.service];
+    if (target == rollout.target) continue;
+    target = rollout.target;
+    since = clock_.Now();
+  }
+}
+
+auto control_service::JudgeServiceRollouts() -> void {
+  if (!node_.IsCurrent()) return;
+  // Copied: a decision may change the list.
+  const auto rollouts = machine_.view().service_rollouts;
+  for (const auto& rollout : rollouts) {
+    if (!rollout.IsRunning()) continue;
+    const auto elapsed =
+        clock_.Now() - rollouts_since_[rollout.service].second;
+    const auto decision = JudgeServiceRollout(rollout, answers_.Total(),
+                                              elapsed, service_limits_);
+    if (!decision) continue;
+    ProposeOwnChange(
+        "service_rollout/" + rollout.service + "/" + rollout.target + "/" +
+            PhaseName(decision->phase),
+        move_service_rollout{rollout.service, rollout.target, decision->phase,
+                             decision->reason},
+        decision->reason);
+  }
+}
+
+auto control_service::JoinLoop(boost::asio::yield_context yield) -> void {
+  while (!stopped_) {
+    Pause(context_.get_executor(), kJoinPeriod, yield);
+    // A member that the group knows is contacted by its leader.
+    if (stopped_ || !node_.core().leader().empty()) continue;
+    for (const auto& seed : settings_.seeds) {
+      if (seed != settings_.name) AskToJoin(seed, yield);
+      if (stopped_ || !node_.core().leader().empty()) break;
+    }
+  }
+}
+
+auto control_service::AskToJoin(const std::string& name,
+                                boost::asio::yield_context yield) -> void {
+  const auto address = AddressOfReplica(name, settings_.rpc_port);
+  if (!address) return;
+  auto& channel = join_channels_[name];
+  if (!channel) channel = std::make_unique<rpc_channel>(context_, *address);
+  const join_request request{settings_.name, node_.core().incarnation()};
+  try {
+    const auto response = Decode<join_response>(
+        channel->Call(Encode(control_request(request)), kJoinTimeout, yield));
+    const bool is_led_elsewhere = !response.leader.empty() &&
+                                  response.leader != name &&
+                                  response.leader != settings_.name;
+    if (!is_led_elsewhere) return;
+    const auto leader = AddressOfReplica(response.leader, settings_.rpc_port);
+    if (!leader) return;
+    auto& to_leader = join_channels_[response.leader];
+    if (!to_leader) to_leader = std::make_unique<rpc_channel>(context_, *leader);
+    to_leader->Call(Encode(control_request(request)), kJoinTimeout, yield);
+  } catch (const std::exception& error) {
+    log_line(log_level::kDebug, "join_not_answered")
+        .With("replica", name)
+        .With("reason", error.what());
+  }
+}
+
 auto control_service::JudgeVersion(const version_status& status) -> void {
   const auto parsed = ParsedCatalog();
   const auto& config = *parsed;
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::int64_t kMaxMs = 60'000;
+constexpr std::int64_t kMaxVoters = 9;
+constexpr std::int64_t kMaxKeptEntries = 1'000'000;
 
 auto ReadReplication(object_reader& reader) -> replication_options {
   replication_options options;
@@ -29,11 +31,23 @@
     reader.AddError("election_max_ms", std::to_string(options.election_max_ms),
                     "more than election_min_ms");
   }
+  options.target_voters = static_cast<std::size_t>(
+      reader.Integer("target_voters", 0, kMaxVoters, 0));
+  options.kept_entries = static_cast<std::size_t>(reader.Integer(
+      "kept_entries", 0, kMaxKeptEntries,
+      static_cast<std::int64_t>(options.kept_entries)));
   return options;
 }
 
 }  // namespace
 
+auto AddressOfReplica(const std::string& name, std::uint16_t rpc_port)
+    -> std::optional<process_address> {
+  const auto endpoint = ParseEndpoint(name);
+  if (!endpoint) return std::nullopt;
+  return process_address{name, endpoint->host, rpc_port, ""};
+}
+
 auto ParseReplicaSettings(std::string_view text) -> replica_settings {
   replica_settings settings;
   ReadSettings(text, [&](object_reader& root) {
@@ -44,11 +58,22 @@
     settings.http_port = ReadPort(root, "http_port");
     settings.data_folder = root.RequiredString("data_folder");
     settings.replicas = ReadProcesses(root, "replicas");
+    settings.seeds = root.StringList("seeds");
+    settings.bootstrap = root.Bool("bootstrap", false);
     ReadLogSettings(root, settings.log_file, settings.log_level);
     root.Object("replication", [&](object_reader& reader) {
       settings.replication = ReadReplication(reader);
     });
-    bool is_listed = false;
+    if (!settings.seeds.empty() && settings.http_port == 0) {
+      const auto own = ParseEndpoint(settings.name);
+      if (own) {
+        settings.http_port = own->port;
+      } else {
+        root.AddError("name", "\"" + settings.name + "\"",
+                      "IP:HTTP_PORT where seeds are given");
+      }
+    }
+    bool is_listed = !settings.seeds.empty();
     for (const auto& replica : settings.replicas) {
       is_listed = is_listed || replica.name == settings.name;
     }
--- /dev/null
+++ b/src/discovery/server_feed.cpp
@@ -0,0 +1,80 @@
+#include "lovagedale/discovery/server_feed.h"
+
+#include <algorithm>
+
+#include "lovagedale/common/fiber_event.h"
+#include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Between two readings: a fraction of the seconds within which a leaving
+/// server must get no more work, and few calls a second for the whole fleet.
+constexpr std::chrono::milliseconds kReadPeriod{400};
+/// While another process reads the list.
+constexpr std::chrono::milliseconds kIdlePeriod{50};
+/// Bits of a list's number below the term.
+constexpr unsigned kTermShift = 32;
+
+}  // namespace
+
+server_feed::server_feed(asio::io_context& context, server_source source,
+                         std::function<std::uint64_t()> term,
+                         std::function<void()> on_change)
+    : context_(context),
+      source_(std::move(source)),
+      term_(std::move(term)),
+      on_change_(std::move(on_change)) {}
+
+auto server_feed::Start() -> void {
+  if (!source_) return;
+  SpawnTask(context_, [this](asio::yield_context yield) { ReadLoop(yield); });
+}
+
+auto server_feed::ReadLoop(asio::yield_context yield) -> void {
+  while (!stopped_) {
+    const auto term = term_();
+    if (term != 0) ReadOnce(term, yield);
+    Pause(context_.get_executor(), term == 0 ? kIdlePeriod : kReadPeriod,
+          yield);
+  }
+}
+
+auto server_feed::ReadOnce(std::uint64_t term, asio::yield_context yield)
+    -> void {
+  std::string failure;
+  std::vector<listed_server> servers;
+  try {
+    servers = source_(yield);
+  } catch (const std::exception& error) {
+    failure = error.what();
+  }
+  if (stopped_ || term_() != term) return;
+  if (!failure.empty()) {
+    if (!is_failing_) {
+      log_line(log_level::kWarning, "server_list_lost").With("reason", failure);
+    }
+    is_failing_ = true;
+    return;
+  }
+  if (is_failing_) log_line(log_level::kInfo, "server_list_regained");
+  is_failing_ = false;
+  const bool is_first = list_term_ != term;
+  if (!is_first && servers == list_.servers) return;
+  const auto number = is_first ? (term << kTermShift) + 1 : list_.number + 1;
+  list_ = {number, std::move(servers)};
+  list_term_ = term;
+  const auto leaving =
+      std::count_if(list_.servers.begin(), list_.servers.end(),
+                    [](const auto& server) { return server.leaving; });
+  log_line(log_level::kInfo, "server_list_read")
+      .With("number", list_.number)
+      .With("servers", list_.servers.size())
+      .With("leaving", leaving);
+  on_change_();
+}
+
+}  // namespace lovagedale
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <optional>
 
 #include "lovagedale/rpc/connection.h"
@@ -16,7 +17,6 @@
 using tcp = asio::ip::tcp;
 using stage = http_call_error::stage;
 
-constexpr int kDeadServerMs = 10'000;
 constexpr std::size_t kReadBytes = 16UL << 10U;
 constexpr std::uint64_t kMaxAnswerBytes = 64ULL << 20U;
 constexpr std::size_t kMaxBufferBytes = 64UL << 10U;
@@ -31,6 +31,54 @@
          beast::iequals(name, "Proxy-Authorization");
 }
 
+/// A request on its way; it outlives the connection if it must.
+struct pending_write {
+  std::string bytes;
+  std::size_t written = 0;
+  bool done = false;
+  beast::error_code error;
+};
+
+auto SerializeRequest(const http_request& request,
+                      const std::string& default_host) -> std::string {
+  std::string text;
+  text.reserve(1024 + request.body.size());
+  text += request.method;
+  text += ' ';
+  text += request.target;
+  text += " HTTP/1.1\r\n";
+  if (request.Header("Host").empty()) text += "Host: " + default_host + "\r\n";
+  for (const auto& [name, value] : request.headers) {
+    if (IsHopByHop(name)) continue;
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+  }
+  const bool has_body = !request.body.empty() ||
+                        (request.method != "GET" && request.method != "HEAD");
+  if (has_body) {
+    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  text += "\r\n";
+  text += request.body;
+  return text;
+}
+
+/// The value of `timeout` in a Keep-Alive header.
+auto KeepAliveTime(std::string_view value)
+    -> std::optional<std::chrono::seconds> {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto place = value.find(kTimeout);
+  if (place == std::string_view::npos) return std::nullopt;
+  int seconds = 0;
+  const auto digits = value.substr(place + kTimeout.size());
+  const auto result =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (result.ec != std::errc{}) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
 }  // namespace
 
 auto http_response_head::Header(std::string_view name) const
@@ -42,12 +90,19 @@
 }
 
 struct http_connection::impl {
-  impl(asio::io_context& context, std::string to_host, std::uint16_t to_port)
-      : stream(context), host(std::move(to_host)), port(to_port) {}
+  impl(asio::io_context& context, std::string to_host, std::uint16_t to_port,
+       std::chrono::milliseconds dead_time)
+      : stream(context),
+        host(std::move(to_host)),
+        port(to_port),
+        dead_after(dead_time) {}
 
   beast::tcp_stream stream;
   std::string host;
   std::uint16_t port;
+  std::chrono::milliseconds dead_after;
+  std::shared_ptr<pending_write> write;
+  bool is_head = false;
   beast::flat_buffer buffer{kMaxBufferBytes};
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::array<char, kReadBytes> read_buffer{};
@@ -55,8 +110,10 @@
 };
 
 http_connection::http_connection(asio::io_context& context, std::string host,
-                                 std::uint16_t port)
-    : impl_(std::make_unique<impl>(context, std::move(host), port)) {}
+                                 std::uint16_t port,
+                                 std::chrono::milliseconds dead_after)
+    : impl_(std::make_unique<impl>(context, std::move(host), port,
+                                   dead_after)) {}
 
 http_connection::~http_connection() = default;
 
@@ -75,46 +132,58 @@
                                                std::to_string(impl_->port) +
                                                ": " + error.message());
   }
-  ConfigureSocket(impl_->stream.socket(), kDeadServerMs);
+  ConfigureSocket(impl_->stream.socket(),
+                  static_cast<int>(impl_->dead_after.count()));
 }
 
 auto http_connection::Send(const http_request& request,
                            const http_deadlines& deadlines,
                            asio::yield_context yield) -> http_response_head {
-  http::request<http::span_body<const char>> message;
-  message.version(11);
-  message.method_string(request.method);
-  message.target(request.target);
-  for (const auto& [name, value] : request.headers) {
-    if (!IsHopByHop(name)) message.insert(name, value);
-  }
-  message.set(http::field::host,
-              impl_->host + ":" + std::to_string(impl_->port));
-  message.body() = {request.body.data(), request.body.size()};
-  message.prepare_payload();
+  const auto write = std::make_shared<pending_write>();
+  write->bytes = SerializeRequest(
+      request, impl_->host + ":" + std::to_string(impl_->port));
+  impl_->write = write;
+  impl_->stream.expires_after(deadlines.first_byte);
+  // Not waited for: a server may answer before it has read the whole body.
+  asio::async_write(impl_->stream.socket(), asio::buffer(write->bytes),
+                    [write](beast::error_code failure, std::size_t bytes) {
+                      write->done = true;
+                      write->error = failure;
+                      write->written = bytes;
+                    });
+  impl_->is_head = request.method == "HEAD";
+  return ReadNextHead(yield);
+}
 
-  beast::error_code error;
+auto http_connection::ReadHead(const http_deadlines& deadlines,
+                               asio::yield_context yield)
+    -> http_response_head {
   impl_->stream.expires_after(deadlines.first_byte);
-  const auto written = http::async_write(impl_->stream, message, yield[error]);
-  if (error) {
-    impl_->failed = true;
-    throw http_call_error(written == 0 ? stage::kNotSent : stage::kSent,
-                          "write failed: " + error.message());
-  }
+  return ReadNextHead(yield);
+}
+
+auto http_connection::ReadNextHead(asio::yield_context yield)
+    -> http_response_head {
+  const auto write = impl_->write;
+  beast::error_code error;
   impl_->parser.emplace();
   impl_->parser->body_limit(kMaxAnswerBytes);
-  if (request.method == "HEAD") impl_->parser->skip(true);
+  if (impl_->is_head) impl_->parser->skip(true);
   http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
                           yield[error]);
   if (error) {
     impl_->failed = true;
-    throw http_call_error(stage::kSent, "no answer: " + error.message(),
+    const bool is_unsent =
+        write->done && write->error && write->written == 0;
+    throw http_call_error(is_unsent ? stage::kNotSent : stage::kSent,
+                          "no answer: " + error.message(),
                           error == beast::error::timeout);
   }
   const auto& head = impl_->parser->get();
   http_response_head result;
   result.status = head.result_int();
   result.content_type = std::string(head[http::field::content_type]);
+  result.keep_alive = KeepAliveTime(head[http::field::keep_alive]);
   for (const auto& field : head) {
     const auto name = field.name_string();
     if (!IsHopByHop(name) && field.name() != http::field::content_type) {
@@ -158,7 +227,8 @@
 }
 
 auto http_connection::IsReusable() const -> bool {
-  return !impl_->failed && impl_->parser && impl_->parser->is_done() &&
+  return !impl_->failed && impl_->write && impl_->write->done &&
+         !impl_->write->error && impl_->parser && impl_->parser->is_done() &&
          impl_->parser->keep_alive() && impl_->buffer.size() == 0;
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -63,24 +63,80 @@
 
 namespace {
 
+/// Sees a caller close its connection while its request is under way.
+class caller_watch {
+ public:
+  explicit caller_watch(caller_stream& stream)
+      : state_(std::make_shared<state>(stream)) {}
+  caller_watch(const caller_watch&) = delete;
+  auto operator=(const caller_watch&) -> caller_watch& = delete;
+  ~caller_watch() {
+    state_->stream = nullptr;
+    state_->on_gone = nullptr;
+  }
+
+  auto Watch(std::function<void()> on_gone) -> void {
+    state_->on_gone = std::move(on_gone);
+    if (!state_->waiting) Wait(state_);
+  }
+  auto Forget() -> void { state_->on_gone = nullptr; }
+
+ private:
+  struct state {
+    explicit state(caller_stream& of) : stream(&of) {}
+    caller_stream* stream;
+    std::function<void()> on_gone;
+    bool waiting = false;
+  };
+
+  static auto Wait(const std::shared_ptr<state>& shared) -> void {
+    shared->waiting = true;
+    shared->stream->socket().async_wait(
+        tcp::socket::wait_read, [shared](beast::error_code error) {
+          shared->waiting = false;
+          if (error || shared->stream == nullptr || !shared->on_gone) return;
+          char byte = 0;
+          const auto got =
+              ::recv(shared->stream->socket().native_handle(), &byte, 1,
+                     MSG_PEEK | MSG_DONTWAIT);
+          const bool is_open =
+              got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
+          if (is_open) return;
+          // Moved out first: the callback may end the exchange.
+          const auto on_gone = std::move(shared->on_gone);
+          shared->on_gone = nullptr;
+          on_gone();
+        });
+  }
+
+  std::shared_ptr<state> state_;
+};
+
 /// Answers one request on a caller's connection.
 class beast_exchange : public http_exchange {
  public:
   beast_exchange(caller_stream& stream, asio::yield_context& yield,
                  const http_limits& limits, http_request request,
-                 bool keep_alive)
+                 bool keep_alive, caller_watch& watch)
       : stream_(stream),
         yield_(yield),
         limits_(limits),
         request_(std::move(request)),
-        keep_alive_(keep_alive) {}
+        keep_alive_(keep_alive),
+        watch_(watch) {}
+  ~beast_exchange() override { watch_.Forget(); }
+  beast_exchange(const beast_exchange&) = delete;
+  auto operator=(const beast_exchange&) -> beast_exchange& = delete;
 
   auto request() const -> const http_request& override { return request_; }
   auto yield() -> asio::yield_context& override { return yield_; }
   auto HasStarted() const -> bool override { return started_; }
   auto IsComplete() const -> bool { return complete_; }
   auto KeepAlive() const -> bool { return keep_alive_ && complete_; }
-  auto CloseAfterwards() -> void { keep_alive_ = false; }
+  auto CloseAfterwards() -> void override { keep_alive_ = false; }
+  auto OnCallerGone(std::function<void()> on_gone) -> void override {
+    watch_.Watch(std::move(on_gone));
+  }
 
   auto Respond(unsigned status, std::string_view content_type,
                std::string_view body, const header_list& headers)
@@ -141,8 +197,10 @@
       -> void {
     response.version(11);
     response.result(status);
-    response.set(http::field::content_type, content_type);
-    for (const auto& [name, value] : headers) response.set(name, value);
+    if (!content_type.empty()) {
+      response.set(http::field::content_type, content_type);
+    }
+    for (const auto& [name, value] : headers) response.insert(name, value);
     response.keep_alive(keep_alive_);
   }
 
@@ -157,10 +215,22 @@
   const http_limits& limits_;
   http_request request_;
   bool keep_alive_;
+  caller_watch& watch_;
   bool started_ = false;
   bool complete_ = false;
 };
 
+/// Whether a request names its length twice or in two ways. Servers behind us
+/// could take another end of the request than we do.
+template <typename Fields>
+auto HasUnclearLength(const Fields& fields) -> bool {
+  const auto lengths = fields.count(http::field::content_length);
+  const auto codings = fields.count(http::field::transfer_encoding);
+  if (lengths + codings > 1) return true;
+  return codings == 1 &&
+         !beast::iequals(fields[http::field::transfer_encoding], "chunked");
+}
+
 auto RefusalStatus(const beast::error_code& error) -> unsigned {
   if (error == http::error::body_limit || error == http::error::header_limit ||
       error == http::error::buffer_overflow) {
@@ -269,6 +339,9 @@
       http::async_read_header(stream_, buffer_, parser, yield_[error]);
       if (deadline.HasPassed()) error = beast::error::timeout;
     }
+    if (!error && HasUnclearLength(parser.get())) {
+      error = http::error::bad_transfer_encoding;
+    }
     if (error || parser.is_done()) return;
     AnswerExpectation(parser, error);
     if (error) return;
@@ -310,7 +383,8 @@
     log_line(log_level::kInfo, "request_refused")
         .With("status", status)
         .With("reason", error.message());
-    beast_exchange exchange(stream_, yield_, state_->limits, {}, false);
+    beast_exchange exchange(stream_, yield_, state_->limits, {}, false,
+                            watch_);
     try {
       exchange.RespondJson(status, RefusalBody(status, state_->limits),
                            {{"Lovagedale-Ran", "no"}});
@@ -321,7 +395,7 @@
 
   auto Answer(http_request request, bool keep_alive) -> bool {
     beast_exchange exchange(stream_, yield_, state_->limits, std::move(request),
-                            keep_alive && !state_->draining);
+                            keep_alive && !state_->draining, watch_);
     ++state_->active;
     bool failed = false;
     try {
@@ -353,6 +427,7 @@
   caller_stream stream_;
   std::shared_ptr<State> state_;
   asio::yield_context yield_;
+  caller_watch watch_{stream_};
   beast::flat_buffer buffer_{kMaxReadBufferBytes};
 };
 
@@ -381,6 +456,10 @@
   return state_->active;
 }
 
+auto http_server::SetLimits(const http_limits& limits) -> void {
+  state_->limits = limits;
+}
+
 auto http_server::BeginDrain() -> void { state_->draining = true; }
 
 auto http_server::CloseIdle() -> void {
--- a/src/process/replica_main.cpp
+++ b/src/process/replica_main.cpp
@@ -2,6 +2,9 @@
 
 #include <absl/flags/flag.h>
 
+#include <algorithm>
+#include <filesystem>
+
 #include "lovagedale/common/settings_fields.h"
 #include "lovagedale/process/process.h"
 
@@ -20,6 +23,19 @@
   InitializeDataFolder(settings.data_folder, names);
 }
 
+/// Whether this replica is one of those that form a new group by themselves:
+/// a seed at the group's first start, with nothing in its folder yet.
+auto IsFounder(const replica_settings& settings) -> bool {
+  const bool is_seed =
+      std::find(settings.seeds.begin(), settings.seeds.end(), settings.name) !=
+      settings.seeds.end();
+  std::error_code error;
+  const bool is_blank =
+      !std::filesystem::exists(settings.data_folder, error) ||
+      std::filesystem::is_empty(settings.data_folder, error);
+  return settings.bootstrap && is_seed && is_blank && !error;
+}
+
 auto Run(const replica_settings& settings, const run_replica& run) -> int {
   if (absl::GetFlag(FLAGS_initialize)) {
     InitializeGroupMember(settings);
@@ -28,6 +44,9 @@
   InitializeLogging(settings.name, settings.log_file,
                     ParseLogLevel(settings.log_level));
   boost::asio::io_context context(1);
+  if (IsFounder(settings)) {
+    InitializeDataFolder(settings.data_folder, settings.seeds);
+  }
   posix_disk disk;
   log_store store(disk, settings.data_folder);
   return run(context, settings, disk, store);
@@ -36,15 +55,15 @@
 }  // namespace
 
 auto RunReplicaProgram(int argc, char** argv, const std::string& name,
-                       const std::string& description, const run_replica& run)
-    -> int {
+                       const std::string& description, const run_replica& run,
+                       const extract_settings& extract) -> int {
+  const auto parse = [&extract](const std::string& text) {
+    return ParseReplicaSettings(extract ? extract(text) : text);
+  };
   return RunProcess(
       argc, argv,
-      {name, description,
-       [](const std::string& text) { ParseReplicaSettings(text); },
-       [&run](const std::string& text) {
-         return Run(ParseReplicaSettings(text), run);
-       }});
+      {name, description, [&parse](const std::string& text) { parse(text); },
+       [&](const std::string& text) { return Run(parse(text), run); }});
 }
 
 }  // namespace lovagedale
--- /dev/null
+++ b/src/relay/relay.cpp
@@ -0,0 +1,37 @@
+#include "lovagedale/relay/relay.h"
+
+namespace lovagedale {
+namespace {
+
+/// When a caller may come back: after a configuration or a list has had time
+/// to arrive, or after servers have worked off some of their queue.
+constexpr double kSoonSeconds = 0.3;
+constexpr double kBusySeconds = 0.5;
+
+}  // namespace
+
+auto AnswerFor(refusal why) -> refusal_answer {
+  switch (why) {
+    case refusal::kNoConfiguration:
+      return {503, "no_configuration", kSoonSeconds};
+    case refusal::kMalformed:
+      return {400, "malformed", std::nullopt};
+    case refusal::kNoRoute:
+      return {404, "no_route", std::nullopt};
+    case refusal::kUnknownKey:
+      return {401, "unknown_key", std::nullopt};
+    case refusal::kNoServer:
+      return {503, "no_server", kSoonSeconds};
+    case refusal::kServersRefuse:
+      return {503, "servers_refuse", kBusySeconds};
+    case refusal::kExpired:
+      return {503, "expired", kBusySeconds};
+    case refusal::kBadGateway:
+      return {502, "answer_lost", std::nullopt};
+    case refusal::kTimeout:
+      return {504, "timeout", std::nullopt};
+  }
+  return {500, "internal", std::nullopt};
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/relay/server_table.cpp
@@ -0,0 +1,44 @@
+#include "lovagedale/relay/server_table.h"
+
+#include "lovagedale/common/hash.h"
+
+namespace lovagedale {
+namespace {
+
+/// Another start of a server under its old id is another server.
+auto IsSameServer(const listed_server& a, const listed_server& b) -> bool {
+  return a.id == b.id && a.born_ms == b.born_ms && a.host == b.host &&
+         a.port == b.port && a.service == b.service;
+}
+
+}  // namespace
+
+auto server_table::Update(const server_list& list) -> void {
+  number_ = list.number;
+  std::unordered_map<std::string, server_handle> next;
+  by_service_.clear();
+  for (const auto& listed : list.servers) {
+    const auto known = by_id_.find(listed.id);
+    server_handle record;
+    if (known != by_id_.end() && IsSameServer(known->second->listed, listed)) {
+      record = known->second;
+      record->listed = listed;
+    } else {
+      record = std::make_shared<server_record>();
+      record->listed = listed;
+      record->id_hash = Hash64(listed.id);
+    }
+    by_service_[listed.service].push_back(record);
+    next.insert_or_assign(listed.id, std::move(record));
+  }
+  by_id_ = std::move(next);
+}
+
+auto server_table::Servers(const std::string& service) const
+    -> const std::vector<server_handle>& {
+  static const std::vector<server_handle> kNone;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? kNone : found->second;
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/relay/tier_choice.cpp
@@ -0,0 +1,39 @@
+#include "lovagedale/relay/tier_choice.h"
+
+#include <algorithm>
+
+namespace lovagedale {
+
+auto confidence_threshold::Add(double confidence) -> void {
+  const auto clamped = std::clamp(confidence, 0.0, 1.0);
+  const auto bin = std::min(
+      kBins - 1, static_cast<std::size_t>(clamped * static_cast<double>(kBins)));
+  ++counts_[bin];
+  ++total_;
+  if (total_ >= kMinAnswers && total_ % kRecomputeEvery == 0) Recompute();
+}
+
+auto confidence_threshold::Recompute() -> void {
+  double sum_all = 0;
+  for (std::size_t i = 0; i < kBins; ++i) {
+    sum_all += static_cast<double>(i) * static_cast<double>(counts_[i]);
+  }
+  const auto total = static_cast<double>(total_);
+  double below = 0;
+  double sum_below = 0;
+  double best = -1;
+  for (std::size_t i = 0; i + 1 < kBins; ++i) {
+    below += static_cast<double>(counts_[i]);
+    sum_below += static_cast<double>(i) * static_cast<double>(counts_[i]);
+    const auto above = total - below;
+    if (below == 0 || above == 0) continue;
+    const auto distance = sum_below / below - (sum_all - sum_below) / above;
+    const auto between = below * above * distance * distance;
+    if (between > best) {
+      best = between;
+      threshold_ = static_cast<double>(i + 1) / static_cast<double>(kBins);
+    }
+  }
+}
+
+}  // namespace lovagedale
--- a/src/replication/members.cpp
+++ b/src/replication/members.cpp
@@ -24,6 +24,13 @@
                     [](const auto& member) { return member.voter; }));
 }
 
+auto member_set::Without(const std::string& name) const -> member_set {
+  auto copy = *this;
+  std::erase_if(copy.members,
+                [&](const auto& member) { return member.name == name; });
+  return copy;
+}
+
 auto member_set::With(const replica_member& member) const -> member_set {
   auto copy = *this;
   for (auto& existing : copy.members) {
--- a/src/replication/replica_core.cpp
+++ b/src/replication/replica_core.cpp
@@ -74,11 +74,16 @@
       BecomeFollower(hard_.term, "", now);
       return;
     }
+    DropSilentMembers();
     if (now >= heartbeat_at_) SendAppends(/*heartbeat=*/true, now);
     return;
   }
-  if (now >= election_at_ && IsVoter()) {
+  if (now < election_at_) return;
+  if (IsVoter()) {
     StartElection(/*pre_vote=*/true, /*transfer=*/false, now);
+  } else {
+    // Its leader is lost, or has dropped it.
+    leader_.clear();
   }
 }
 
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -133,22 +133,70 @@
   }
 }
 
+auto replica_core::MayChangeMembers() const -> bool {
+  return role_ == replica_role::kLeader && !transferring_ &&
+         commit_ >= members_index_ && commit_ >= leader_start_index_;
+}
+
 auto replica_core::ReconcileMember(const replica_envelope& from) -> void {
-  const auto* member = members_.Find(from.from);
-  // A name that is no member is not added by itself; operators do that.
-  if (member == nullptr || commit_ < members_index_ ||
-      commit_ < leader_start_index_) {
-    return;
-  }
+  // A name that is no member asks to be added, or operators add it.
+  if (members_.Find(from.from) == nullptr || !MayChangeMembers()) return;
   peers_[from.from] = peer_progress{};
   ProposeMembers(
       members_.With({from.from, from.from_incarnation, /*voter=*/false}));
 }
 
+auto replica_core::AddLearner(const std::string& name,
+                              incarnation_id incarnation, monotonic_ms now)
+    -> void {
+  const auto* known = members_.Find(name);
+  if (known != nullptr && known->incarnation == incarnation) return;
+  if (!MayChangeMembers() || name == name_) return;
+  now_ = now;
+  peers_[name] = peer_progress{};
+  peers_[name].acked_sent_at = now;
+  ProposeMembers(members_.With({name, incarnation, /*voter=*/false}));
+}
+
+auto replica_core::SilentFor(const std::string& member) const -> monotonic_ms {
+  if (member == name_) return 0;
+  const auto peer = peers_.find(member);
+  const auto heard = peer == peers_.end() ? -1 : peer->second.acked_sent_at;
+  return now_ - std::max(heard, leader_since_);
+}
+
+auto replica_core::HeardVoters() const -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      members_.members.begin(), members_.members.end(),
+      [&](const auto& member) {
+        return member.voter &&
+               SilentFor(member.name) < options_.replace_silent_ms;
+      }));
+}
+
+auto replica_core::DropSilentMembers() -> void {
+  if (options_.target_voters == 0 || !MayChangeMembers()) return;
+  for (const auto& member : members_.members) {
+    const auto silent = SilentFor(member.name);
+    const bool is_spare_voter =
+        member.voter && members_.VoterCount() > options_.target_voters &&
+        silent >= options_.replace_silent_ms;
+    const bool is_lost_learner =
+        !member.voter && silent >= options_.drop_learner_ms;
+    if (!is_spare_voter && !is_lost_learner) continue;
+    ProposeMembers(members_.Without(member.name));
+    return;
+  }
+}
+
 auto replica_core::PromoteLearners() -> void {
-  if (commit_ < members_index_ || commit_ < leader_start_index_) return;
+  if (!MayChangeMembers()) return;
+  const bool has_enough = options_.target_voters > 0 &&
+                          HeardVoters() >= options_.target_voters;
+  if (has_enough) return;
   for (const auto& member : members_.members) {
     if (member.voter || peers_[member.name].match < commit_) continue;
+    if (SilentFor(member.name) >= options_.replace_silent_ms) continue;
     ProposeMembers(
         members_.With({member.name, member.incarnation, /*voter=*/true}));
     return;
--- /dev/null
+++ b/src/rollout/service_rollout.cpp
@@ -0,0 +1,144 @@
+#include "lovagedale/rollout/service_rollout.h"
+
+#include "lovagedale/common/hash.h"
+
+namespace lovagedale {
+namespace {
+
+/// Share of the sessions that a canary gets: well under the share of requests
+/// that operators accept on a bad version, as sessions differ in size.
+constexpr double kCanaryShare = 0.08;
+constexpr std::uint64_t kCanarySalt = 0x63616e617279ULL;
+
+auto Percent(double share) -> std::string {
+  return std::to_string(static_cast<int>(share * 100 + 0.5)) + "%";
+}
+
+auto FailureShare(const version_answers& answers) -> double {
+  return answers.requests == 0 ? 0
+                               : static_cast<double>(answers.failures) /
+                                     static_cast<double>(answers.requests);
+}
+
+auto MeanLatency(const version_answers& answers) -> double {
+  const auto good = answers.requests - answers.failures;
+  return good == 0 ? 0
+                   : static_cast<double>(answers.latency_ms) /
+                         static_cast<double>(good);
+}
+
+/// What is wrong with the new version's answers; empty if nothing.
+auto FindFault(const version_answers& fresh, const version_answers& former,
+               const service_rollout_limits& limits) -> std::string {
+  const auto share = FailureShare(fresh);
+  const auto former_share = FailureShare(former);
+  if (fresh.failures >= limits.min_failures &&
+      share > former_share + limits.excess_failures) {
+    return Percent(share) + " of " + std::to_string(fresh.requests) +
+           " answers failed; of the former version's " + Percent(former_share);
+  }
+  const auto good = fresh.requests - fresh.failures;
+  const auto former_good = former.requests - former.failures;
+  if (good >= limits.min_latency_answers &&
+      former_good >= limits.min_latency_answers &&
+      MeanLatency(fresh) > limits.excess_latency * MeanLatency(former)) {
+    return "mean latency " + std::to_string(MeanLatency(fresh)) +
+           " ms; of the former version " + std::to_string(MeanLatency(former)) +
+           " ms";
+  }
+  return "";
+}
+
+}  // namespace
+
+auto PhaseName(service_rollout_phase phase) -> const char* {
+  switch (phase) {
+    case service_rollout_phase::kCanary:
+      return "canary";
+    case service_rollout_phase::kMost:
+      return "most";
+    case service_rollout_phase::kCompleted:
+      return "completed";
+    case service_rollout_phase::kReverted:
+      return "reverted";
+  }
+  return "unknown";
+}
+
+auto MayUseVersion(const service_rollout* rollout, const std::string& version,
+                   std::uint64_t session_hash) -> bool {
+  if (rollout == nullptr) return true;
+  const bool is_target = version == rollout->target;
+  switch (rollout->phase) {
+    case service_rollout_phase::kCanary:
+      return is_target ==
+             (UnitInterval(MixBits(session_hash ^ kCanarySalt)) < kCanaryShare);
+    case service_rollout_phase::kMost:
+    case service_rollout_phase::kCompleted:
+      return is_target;
+    case service_rollout_phase::kReverted:
+      return !is_target;
+  }
+  return true;
+}
+
+auto JudgeServiceRollout(const service_rollout& rollout,
+                         const version_answers_table& answers,
+                         monotonic_ms elapsed_ms,
+                         const service_rollout_limits& limits)
+    -> std::optional<service_rollout_decision> {
+  using phase = service_rollout_phase;
+  if (!rollout.IsRunning()) return std::nullopt;
+  std::map<std::string, version_answers> fresh;
+  std::map<std::string, version_answers> former;
+  version_answers fresh_total;
+  version_answers former_total;
+  for (const auto& [key, counts] : answers) {
+    if (key.service != rollout.service) continue;
+    const bool is_target = key.version == rollout.target;
+    (is_target ? fresh : former)[key.route] += counts;
+    (is_target ? fresh_total : former_total) += counts;
+  }
+  // A version may be bad on one route only, which the sum would hide.
+  for (const auto& [route, counts] : fresh) {
+    const auto fault = FindFault(counts, former[route], limits);
+    if (!fault.empty()) {
+      return service_rollout_decision{phase::kReverted, route + ": " + fault};
+    }
+  }
+  const auto fault = FindFault(fresh_total, former_total, limits);
+  if (!fault.empty()) return service_rollout_decision{phase::kReverted, fault};
+
+  const auto part = rollout.duration_ms <= 0
+                        ? 1.0
+                        : static_cast<double>(elapsed_ms) /
+                              static_cast<double>(rollout.duration_ms);
+  if (rollout.phase == phase::kCanary && part >= limits.most_after &&
+      fresh_total.requests >= limits.min_answers) {
+    return service_rollout_decision{
+        phase::kMost,
+        std::to_string(fresh_total.requests) + " answers without a fault"};
+  }
+  if (rollout.phase == phase::kMost && part >= limits.complete_after) {
+    return service_rollout_decision{phase::kCompleted,
+                                    "all sessions moved without a fault"};
+  }
+  return std::nullopt;
+}
+
+auto version_answers_total::Report(const std::string& entry,
+                                   std::uint64_t incarnation,
+                                   const version_answers_table& table) -> void {
+  auto& known = by_entry_[{entry, incarnation}];
+  for (const auto& [key, counts] : table) known[key] = counts;
+}
+
+auto version_answers_total::Total() const -> version_answers_table {
+  version_answers_table total;
+  for (const auto& [entry, table] : by_entry_) {
+    for (const auto& [key, counts] : table) total[key] += counts;
+  }
+  return total;
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/route_entry/fleet_link.cpp
@@ -0,0 +1,165 @@
+#include "lovagedale/route_entry/fleet_link.h"
+
+#include <algorithm>
+
+#include "lovagedale/common/codec.h"
+#include "lovagedale/common/fiber_event.h"
+#include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
+#include "lovagedale/control/settings.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/// The leader holds its answers for up to a second.
+constexpr milliseconds kHeartbeatTimeout{1'600};
+constexpr milliseconds kFollowerPeriod{500};
+constexpr milliseconds kLeaderPeriod{20};
+constexpr milliseconds kLostPeriod{200};
+constexpr milliseconds kLeaveTimeout{300};
+/// Without a word from a leader for this long, entries read the list of
+/// servers themselves, at a slow pace: all of them do so at once.
+constexpr monotonic_ms kLeaderLostMs = 1'800;
+constexpr milliseconds kOwnListPeriod{1'500};
+
+auto DrawIncarnation() -> process_incarnation {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+}  // namespace
+
+fleet_link::fleet_link(asio::io_context& context,
+                       const route_entry_settings& settings, relay_state& state,
+                       server_source source, std::function<void()> on_view)
+    : context_(context),
+      settings_(settings),
+      state_(state),
+      source_(std::move(source)),
+      on_view_(std::move(on_view)),
+      incarnation_(DrawIncarnation()),
+      leader_heard_(clock_.Now()) {}
+
+auto fleet_link::Start() -> void {
+  for (const auto& seed : settings_.seeds) Follow(seed);
+  if (source_) {
+    SpawnTask(context_, [this](asio::yield_context yield) { ListLoop(yield); });
+  }
+}
+
+auto fleet_link::Follow(const std::string& replica) -> void {
+  if (replicas_.contains(replica)) return;
+  const auto address = AddressOfReplica(replica, settings_.control_port);
+  if (!address) return;
+  auto& channel = replicas_[replica];
+  channel = std::make_unique<rpc_channel>(context_, *address);
+  SpawnTask(context_, [this, &channel = *channel](asio::yield_context yield) {
+    HeartbeatLoop(channel, yield);
+  });
+}
+
+auto fleet_link::IsLeaderHeard() const -> bool {
+  return clock_.Now() - leader_heard_ < kLeaderLostMs;
+}
+
+auto fleet_link::MakeHeartbeat() const -> entry_heartbeat {
+  entry_heartbeat heartbeat;
+  heartbeat.node = settings_.name;
+  heartbeat.zone = settings_.zone;
+  heartbeat.incarnation = incarnation_;
+  heartbeat.revision = state_.view ? state_.view->revision : 0;
+  heartbeat.servers_number = feed_number_;
+  heartbeat.answers = state_.answers;
+  return heartbeat;
+}
+
+auto fleet_link::HeartbeatLoop(rpc_channel& channel, asio::yield_context yield)
+    -> void {
+  const auto& name = channel.address().name;
+  bool is_lost = false;
+  while (!leaving_) {
+    auto period = kLostPeriod;
+    std::string failure;
+    try {
+      const auto response = Decode<heartbeat_response>(
+          channel.Call(Encode(control_request(MakeHeartbeat())),
+                       kHeartbeatTimeout, yield));
+      period = response.is_leader ? kLeaderPeriod : kFollowerPeriod;
+      if (response.is_leader) {
+        if (leader_ != name) {
+          log_line(log_level::kInfo, "control_leader").With("replica", name);
+        }
+        leader_ = name;
+        leader_heard_ = clock_.Now();
+        members_ = response.replicas;
+      }
+      Adopt(response);
+    } catch (const std::exception& error) {
+      failure = error.what();
+    }
+    if (!failure.empty() != is_lost) {
+      is_lost = !failure.empty();
+      log_line(log_level::kInfo, is_lost ? "control_lost" : "control_regained")
+          .With("replica", name)
+          .With("reason", failure);
+    }
+    Pause(context_.get_executor(), period, yield);
+  }
+}
+
+auto fleet_link::Adopt(const heartbeat_response& response) -> void {
+  for (const auto& replica : response.replicas) Follow(replica);
+  const auto revision = state_.view ? state_.view->revision : 0;
+  if (response.view && response.view->revision > revision) {
+    state_.view = std::make_shared<const routing_view>(*response.view);
+    log_line(log_level::kInfo, "routes_adopted")
+        .With("revision", state_.view->revision)
+        .With("version", state_.view->routes.version())
+        .With("routes", state_.view->routes.config().routes.size());
+    on_view_();
+  }
+  if (response.servers && response.servers->number > feed_number_) {
+    feed_number_ = response.servers->number;
+    state_.servers.Update(*response.servers);
+    log_line(log_level::kInfo, "servers_adopted")
+        .With("number", feed_number_)
+        .With("servers", response.servers->servers.size());
+  }
+}
+
+auto fleet_link::ListLoop(asio::yield_context yield) -> void {
+  while (!leaving_) {
+    Pause(context_.get_executor(), kOwnListPeriod, yield);
+    if (leaving_ || IsLeaderHeard()) continue;
+    try {
+      // The leader's next list has a higher number than its last one, so it
+      // replaces this one.
+      state_.servers.Update({feed_number_, source_(yield)});
+      log_line(log_level::kInfo, "servers_read")
+          .With("after_number", feed_number_)
+          .With("servers", state_.servers.All().size());
+    } catch (const std::exception& error) {
+      log_line(log_level::kWarning, "server_list_lost")
+          .With("reason", error.what());
+    }
+  }
+}
+
+auto fleet_link::Leave(asio::yield_context yield) -> void {
+  leaving_ = true;
+  const auto leader = replicas_.find(leader_);
+  if (leader == replicas_.end()) return;
+  auto heartbeat = MakeHeartbeat();
+  heartbeat.leaving = true;
+  try {
+    leader->second->Call(Encode(control_request(heartbeat)), kLeaveTimeout,
+                         yield);
+  } catch (const std::exception& error) {
+    log_line(log_level::kInfo, "leave_not_told").With("reason", error.what());
+  }
+}
+
+}  // namespace lovagedale
--- /dev/null
+++ b/src/route_entry/settings.cpp
@@ -0,0 +1,48 @@
+#include "lovagedale/route_entry/settings.h"
+
+#include "lovagedale/common/json_reader.h"
+#include "lovagedale/common/settings_fields.h"
+
+namespace lovagedale {
+namespace {
+
+constexpr std::int64_t kMaxDrainMs = 600'000;
+constexpr std::int64_t kMaxWindowMs = 600'000;
+constexpr double kMaxRatio = 10;
+constexpr double kMaxFloor = 10'000;
+
+}  // namespace
+
+auto ParseRouteEntrySettings(std::string_view text) -> route_entry_settings {
+  route_entry_settings settings;
+  ReadSettings(text, [&](object_reader& root) {
+    settings.name = root.RequiredString("name");
+    settings.zone = root.RequiredString("zone");
+    settings.callers = ReadEndpoint(root, "callers");
+    settings.ready = ReadEndpoint(root, "ready");
+    settings.metrics_port = ReadPort(root, "metrics_port");
+    settings.control_port = ReadPort(root, "control_port");
+    settings.seeds = root.StringList("seeds");
+    settings.drain_delay = std::chrono::milliseconds(root.Integer(
+        "drain_delay_ms", 0, kMaxDrainMs, settings.drain_delay.count()));
+    settings.drain_limit = std::chrono::milliseconds(root.Integer(
+        "drain_limit_ms", 0, kMaxDrainMs, settings.drain_limit.count()));
+    ReadLogSettings(root, settings.log_file, settings.log_level);
+    root.Object("retries", [&](object_reader& reader) {
+      auto& relay = settings.relay;
+      relay.retry_ratio =
+          reader.Number("ratio", 0, kMaxRatio, relay.retry_ratio);
+      relay.retry_window_ms =
+          reader.Integer("window_ms", 10, kMaxWindowMs, relay.retry_window_ms);
+      relay.retry_floor =
+          reader.Number("floor", 0, kMaxFloor, relay.retry_floor);
+    });
+    settings.relay.zone = settings.zone;
+    if (settings.seeds.empty()) {
+      root.AddError("seeds", "an empty list", "at least one IP:PORT");
+    }
+  });
+  return settings;
+}
+
+}  // namespace lovagedale
