Draining entries refuse what they could not end; unreached servers cost no retry

Ruled out: a longer drain (the balancer uses leaving nodes again when fewer than half of a zone are in rotation, so late requests come in any case).

--- a/include/lovagedale/process/process.h
+++ b/include/lovagedale/process/process.h
@@ -22,6 +22,9 @@
   std::function<int(const std::string& settings)> run;
 };
 
+/// The present text of the settings file. Throws std::runtime_error.
+auto ReadSettingsFile() -> std::string;
+
 /// Parses --config, --check_config, --help and --version, reads and checks the
 /// settings and runs the program. Errors go to standard error.
 auto RunProcess(int argc, char** argv, const process_main& program) -> int;
--- a/include/lovagedale/process/replica_process.h
+++ b/include/lovagedale/process/replica_process.h
@@ -35,7 +35,7 @@
             context, settings.host, settings.http_port, /*share_port=*/false,
             http_limits{},
             [this](http_exchange& exchange) { service_.HandleHttp(exchange); }),
-        signals_(context, SIGTERM, SIGINT),
+        signals_(context, SIGTERM, SIGINT, SIGHUP),
         timer_(context) {}
 
   auto Run() -> int {
@@ -53,6 +53,13 @@
   auto WaitForSignal() -> void {
     signals_.async_wait([this](boost::system::error_code error, int signal) {
       if (error) return;
+      if (signal == SIGHUP) {
+        // A replica's settings hold for its life: only its first start and
+        // its joining use what may change.
+        log_line(log_level::kInfo, "reload_asked").With("signal", signal);
+        WaitForSignal();
+        return;
+      }
       if (stopping_) {
         log_line(log_level::kWarning, "stopped_at_once").With("signal", signal);
         exit_code_ = kExitFailure;
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -11,7 +11,7 @@
 namespace lovagedale {
 
 /// A connection to a server of a neighbouring zone takes milliseconds.
-inline constexpr std::chrono::milliseconds kServerConnectTime{400};
+inline constexpr std::chrono::milliseconds kServerConnectTime{250};
 /// Below this a server could not finish anything.
 inline constexpr monotonic_ms kLeastUsefulMs = 5;
 /// Part of the remaining time that the first answer may take while another
@@ -92,6 +92,10 @@
   const auto limit =
       std::min(item.timeout_ms, call_.time_limit_ms.value_or(item.timeout_ms));
   deadline_ms_ = started_ms_ + limit;
+  if (state_.stops_at_ms && deadline_ms_ > *state_.stops_at_ms) {
+    Refuse(refusal::kStopping, "");
+    return false;
+  }
   session_hash_ = Hash64(call_.session.empty() ? call_.id : call_.session);
   service_ = ChooseService(item, MixBits(Hash64(call_.id)));
   state_.retries.CountRequest(started_ms_);
@@ -143,7 +147,8 @@
     facts.push_back({server->id_hash, server->in_flight,
                      server->listed.capacity, server->health.failure_share(),
                      server->listed.zone == state_.settings.zone,
-                     server->health.IsHeldOut(now)});
+                     server->health.IsHeldOut(now) ||
+                         state_.servers.IsZoneLost(server->listed.zone, now)});
   }
   choice_input input;
   input.random = state_.random();
@@ -188,10 +193,12 @@
 auto relayed_call<Protocol>::AllowsAnotherRun(attempt_result result) -> bool {
   const auto& item = *match_.matched;
   if (sends_ >= kMaxSends) return false;
+  // It cost the servers nothing.
+  if (result == attempt_result::kUnreached) return true;
+  // Paid for when the answer was dropped.
+  if (result == attempt_result::kNextModel) return true;
   const bool was_run = result != attempt_result::kNotRun;
-  if (was_run && result != attempt_result::kNextModel && !MayRepeat()) {
-    return false;
-  }
+  if (was_run && !MayRepeat()) return false;
   if (runs_ >= item.max_attempts) return false;
   return state_.retries.TryRetry(clock_.Now());
 }
@@ -290,6 +297,7 @@
       connection_->ReadAll(Deadlines(false), exchange_.yield());
     } else if (IsTooUncertain(facts)) {
       result = attempt_result::kNextModel;
+      may_have_run_ = true;
       connection_->Close();
     } else {
       may_have_run_ = true;
@@ -318,6 +326,7 @@
     } else if (result != attempt_result::kFailed) {
       server->health.Succeeded(now);
     }
+    state_.servers.Reached(server->listed.zone);
     return result;
   }
   if (gone_) return attempt_result::kAnswered;
@@ -326,8 +335,9 @@
     // Nothing reached the server, so it was no run.
     if (was_sent_) --runs_;
     server->health.Unreachable(now);
+    state_.servers.Unreachable(server->listed.zone, now);
     state_.pool.Drop(server->listed.id);
-    return attempt_result::kNotRun;
+    return attempt_result::kUnreached;
   }
   may_have_run_ = true;
   server->health.Failed(now);
@@ -346,7 +356,9 @@
   auto& threshold = state_.tiers[{item.name, item.models[tier_]}];
   threshold.Add(*facts.confidence);
   if (*facts.confidence >= threshold.Threshold()) return false;
-  if (runs_ >= item.max_attempts) return false;
+  if (runs_ >= item.max_attempts || !state_.retries.TryRetry(clock_.Now())) {
+    return false;
+  }
   tier_ = item.models.size() - 1;
   return true;
 }
@@ -478,8 +490,8 @@
 auto relayed_call<Protocol>::LogAttempt(const server_handle& server,
                                         attempt_result result,
                                         const std::string& reason) -> void {
-  static constexpr const char* kNames[] = {"answered", "not_run", "maybe_run",
-                                           "failed", "next_model"};
+  static constexpr const char* kNames[] = {"answered",  "unreached", "not_run",
+                                           "maybe_run", "failed",    "next_model"};
   const auto* name = kNames[static_cast<std::size_t>(result)];
   ++state_.attempts[name];
   if (result == attempt_result::kAnswered ||
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -15,6 +15,7 @@
 /// How one attempt at a server ended.
 enum class attempt_result {
   kAnswered,   ///< the caller has the whole answer, or all that it will get
+  kUnreached,  ///< no byte reached the server
   kNotRun,     ///< the server did not run the request, and never will
   kMaybeRun,   ///< it may have run; no usable answer
   kFailed,     ///< the server answered with a failure, which is kept
@@ -27,6 +28,7 @@
   kMalformed,
   kNoRoute,
   kUnknownKey,
+  kStopping,       ///< this process stops before the call could end
   kNoServer,       ///< no server of the service is known
   kServersRefuse,  ///< every server that was asked refused to run it
   kExpired,        ///< the time limit passed before it was sent
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -79,6 +80,8 @@
   std::map<call_counts_key, std::uint64_t> counts;
   std::map<std::string, std::uint64_t> attempts;  ///< by outcome
   std::size_t active = 0;  ///< calls under way
+  /// Set while the process stops: when calls that still run are cut.
+  std::optional<monotonic_ms> stops_at_ms;
 
  private:
   /// A server that has vanished acknowledges nothing; packet loss is made good
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -24,11 +24,44 @@
 
 using server_handle = std::shared_ptr<server_record>;
 
+/// Whether a zone's servers can be reached at all: after several in a row could
+/// not, the zone gets no work but a trial from time to time.
+class zone_reach {
+ public:
+  auto Unreachable(monotonic_ms now) -> void {
+    if (++in_a_row_ < kInARow) return;
+    lost_until_ = now + kTrialPeriodMs;
+  }
+  auto Reached() -> void {
+    in_a_row_ = 0;
+    lost_until_ = 0;
+  }
+  auto IsLost(monotonic_ms now) const -> bool { return now < lost_until_; }
+
+ private:
+  /// A single server that is down is no sign of a cut.
+  static constexpr int kInARow = 3;
+  static constexpr monotonic_ms kTrialPeriodMs = 700;
+
+  int in_a_row_ = 0;
+  monotonic_ms lost_until_ = 0;
+};
+
 /// The discovered servers by service. One thread only.
 class server_table {
  public:
   /// Takes the servers of a list; what is known of those that stay is kept.
   auto Update(const server_list& list) -> void;
+  /// A server of the zone could not be reached, or answered.
+  auto Unreachable(const std::string& zone, monotonic_ms now) -> void {
+    zones_[zone].Unreachable(now);
+  }
+  auto Reached(const std::string& zone) -> void { zones_[zone].Reached(); }
+  /// Whether the zone is cut off from here, as far as can be told.
+  auto IsZoneLost(const std::string& zone, monotonic_ms now) const -> bool {
+    const auto found = zones_.find(zone);
+    return found != zones_.end() && found->second.IsLost(now);
+  }
   auto number() const -> std::uint64_t { return number_; }
   auto Servers(const std::string& service) const
       -> const std::vector<server_handle>&;
@@ -40,6 +73,7 @@
   std::uint64_t number_ = 0;
   std::unordered_map<std::string, server_handle> by_id_;
   std::map<std::string, std::vector<server_handle>> by_service_;
+  std::map<std::string, zone_reach> zones_;
 };
 
 
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -27,6 +27,8 @@
   /// Tells control that this entry leaves.
   auto Leave(boost::asio::yield_context yield) -> void;
   auto IsLeaderHeard() const -> bool;
+  /// Follows these control replicas too.
+  auto FollowSeeds(const std::vector<std::string>& seeds) -> void;
 
  private:
   auto Follow(const std::string& replica) -> void;
--- a/include/lovagedale/route_entry/route_entry-inl.h
+++ b/include/lovagedale/route_entry/route_entry-inl.h
@@ -10,6 +10,14 @@
 namespace lovagedale {
 
 inline constexpr std::chrono::milliseconds kDrainPoll{50};
+/// Polls in a row without a call that end a drain: callers may keep a
+/// connection for a moment between two calls.
+inline constexpr int kQuietPolls = 20;
+/// Calls that still run are cut so long before the grace time ends, so that
+/// their callers learn it from a closed connection.
+inline constexpr std::chrono::milliseconds kCutMargin{400};
+/// Between two looks at the settings file, which may change without a signal.
+inline constexpr monotonic_ms kReloadPeriodMs = 2'000;
 inline constexpr std::chrono::milliseconds kCleanUpPeriod{1'000};
 /// Time for the last answers to leave after the last call has ended.
 inline constexpr std::chrono::milliseconds kLastBytes{100};
@@ -18,9 +26,11 @@
 route_entry<Protocol>::route_entry(boost::asio::io_context& context,
                                    route_entry_settings settings,
                                    Protocol protocol, std::string ready_path,
-                                   server_source source)
+                                   server_source source,
+                                   reload_settings reload)
     : context_(context),
       settings_(std::move(settings)),
+      reload_(std::move(reload)),
       ready_path_(std::move(ready_path)),
       state_(context, settings_.relay),
       relay_(state_, std::move(protocol)),
@@ -40,6 +50,7 @@
 
 template <call_protocol Protocol>
 auto route_entry<Protocol>::Run() -> int {
+  seeds_ = settings_.seeds;
   WaitForSignal();
   link_.Start();
   CleanUp();
@@ -58,10 +69,31 @@
   clean_up_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     state_.pool.DropExpired();
+    Reload(/*is_asked=*/false);
     CleanUp();
   });
 }
 
+template <call_protocol Protocol>
+auto route_entry<Protocol>::Reload(bool is_asked) -> void {
+  system_monotonic_clock clock;
+  if (!is_asked && clock.Now() - reloaded_at_ < kReloadPeriodMs) return;
+  reloaded_at_ = clock.Now();
+  try {
+    const auto settings = reload_();
+    const bool has_changed = settings.seeds != seeds_;
+    if (has_changed) link_.FollowSeeds(settings.seeds);
+    seeds_ = settings.seeds;
+    if (has_changed || is_asked) {
+      log_line(log_level::kInfo, "settings_reloaded")
+          .With("seeds_changed", has_changed);
+    }
+  } catch (const std::exception& error) {
+    log_line(log_level::kError, "settings_refused")
+        .With("reason", error.what());
+  }
+}
+
 template <call_protocol Protocol>
 auto route_entry<Protocol>::ApplyLimits() -> void {
   const auto& limits = state_.view->routes.config().limits;
@@ -78,7 +110,7 @@
   signals_.async_wait([this](boost::system::error_code error, int signal) {
     if (error) return;
     if (signal == SIGHUP) {
-      log_line(log_level::kInfo, "reload_requested").With("signal", signal);
+      Reload(/*is_asked=*/true);
     } else if (draining_) {
       log_line(log_level::kWarning, "stopped_at_once")
           .With("signal", signal)
@@ -102,20 +134,27 @@
 auto route_entry<Protocol>::Drain(boost::asio::yield_context yield) -> void {
   const auto executor = context_.get_executor();
   system_monotonic_clock clock;
-  const auto deadline = clock.Now() + settings_.drain_limit.count();
+  const auto deadline =
+      clock.Now() + settings_.grace.count() - kCutMargin.count();
   // The balancer sends new connections until it has seen that this entry
   // leaves; callers keep those that they have until an answer closes them.
   Pause(executor, settings_.drain_delay, yield);
+  state_.stops_at_ms = deadline;
   callers_.BeginDrain();
   callers_.CloseIdle();
   int quiet_polls = 0;
-  constexpr int kQuietPolls = 4;
   while (quiet_polls < kQuietPolls && clock.Now() < deadline) {
     quiet_polls = callers_.ActiveRequests() == 0 ? quiet_polls + 1 : 0;
     Pause(executor, kDrainPoll, yield);
   }
   link_.Leave(yield);
-  Pause(executor, kLastBytes, yield);
+  // Callers that come now are told to go elsewhere, until none is left.
+  state_.stops_at_ms = 0;
+  callers_.StopAccepting();
+  callers_.CloseIdle();
+  do {
+    Pause(executor, kLastBytes, yield);
+  } while (callers_.ActiveRequests() > 0 && clock.Now() < deadline);
   log_line(log_level::kInfo, "drained").With("calls_cut", state_.active);
   context_.stop();
 }
--- a/include/lovagedale/route_entry/route_entry.h
+++ b/include/lovagedale/route_entry/route_entry.h
@@ -15,13 +15,17 @@
 /// Text of an entry's counters, in the Prometheus format.
 auto FormatRelayMetrics(const relay_state& state) -> std::string;
 
+/// Reads the settings again. Throws std::exception if they are refused.
+using reload_settings = std::function<route_entry_settings()>;
+
 /// An entry that relays by routes. Everything runs on one thread: the entry
 /// hosts that it is made for have one core or less.
 template <call_protocol Protocol>
 class route_entry {
  public:
   route_entry(boost::asio::io_context& context, route_entry_settings settings,
-              Protocol protocol, std::string ready_path, server_source source);
+              Protocol protocol, std::string ready_path, server_source source,
+              reload_settings reload);
 
   /// Runs until a signal has come and the calls have ended; the exit code.
   auto Run() -> int;
@@ -33,9 +37,12 @@
   auto HandleMetrics(http_exchange& exchange) -> void;
   auto ApplyLimits() -> void;
   auto CleanUp() -> void;
+  /// Takes the seeds of the settings file, if they have changed.
+  auto Reload(bool is_asked) -> void;
 
   boost::asio::io_context& context_;
   const route_entry_settings settings_;
+  const reload_settings reload_;
   const std::string ready_path_;
   relay_state state_;
   relay<Protocol> relay_;
@@ -45,6 +52,8 @@
   http_server metrics_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer clean_up_;
+  std::vector<std::string> seeds_;
+  monotonic_ms reloaded_at_ = 0;
   bool draining_ = false;
   int exit_code_ = 0;
 };
--- a/include/lovagedale/route_entry/settings.h
+++ b/include/lovagedale/route_entry/settings.h
@@ -22,8 +22,8 @@
   relay_settings relay;
   /// Time for the balancer to move after this entry says that it leaves.
   std::chrono::milliseconds drain_delay{2'500};
-  /// Time in all until requests that still run are cut.
-  std::chrono::milliseconds drain_limit{7'000};
+  /// Time in all after which the platform ends a process that still runs.
+  std::chrono::milliseconds grace{8'000};
   std::string log_file;
   std::string log_level;
 
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -38,6 +38,10 @@
 
 }  // namespace
 
+auto ReadSettingsFile() -> std::string {
+  return ReadFile(absl::GetFlag(FLAGS_config));
+}
+
 auto RunProcess(int argc, char** argv, const process_main& program) -> int {
   absl::SetProgramUsageMessage(program.description);
   absl::FlagsUsageConfig usage;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -6,6 +6,8 @@
 /// When a caller may come back: after a configuration or a list has had time
 /// to arrive, or after servers have worked off some of their queue.
 constexpr double kSoonSeconds = 0.3;
+/// Another entry can take the call at once.
+constexpr double kOtherEntrySeconds = 0.05;
 constexpr double kBusySeconds = 0.5;
 
 }  // namespace
@@ -20,6 +22,8 @@
       return {404, "no_route", std::nullopt};
     case refusal::kUnknownKey:
       return {401, "unknown_key", std::nullopt};
+    case refusal::kStopping:
+      return {503, "stopping", kOtherEntrySeconds};
     case refusal::kNoServer:
       return {503, "no_server", kSoonSeconds};
     case refusal::kServersRefuse:
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -44,12 +44,16 @@
       leader_heard_(clock_.Now()) {}
 
 auto fleet_link::Start() -> void {
-  for (const auto& seed : settings_.seeds) Follow(seed);
+  FollowSeeds(settings_.seeds);
   if (source_) {
     SpawnTask(context_, [this](asio::yield_context yield) { ListLoop(yield); });
   }
 }
 
+auto fleet_link::FollowSeeds(const std::vector<std::string>& seeds) -> void {
+  for (const auto& seed : seeds) Follow(seed);
+}
+
 auto fleet_link::Follow(const std::string& replica) -> void {
   if (replicas_.contains(replica)) return;
   const auto address = AddressOfReplica(replica, settings_.control_port);
--- a/src/route_entry/settings.cpp
+++ b/src/route_entry/settings.cpp
@@ -25,8 +25,10 @@
     settings.seeds = root.StringList("seeds");
     settings.drain_delay = std::chrono::milliseconds(root.Integer(
         "drain_delay_ms", 0, kMaxDrainMs, settings.drain_delay.count()));
-    settings.drain_limit = std::chrono::milliseconds(root.Integer(
-        "drain_limit_ms", 0, kMaxDrainMs, settings.drain_limit.count()));
+    settings.grace = std::chrono::milliseconds(static_cast<std::int64_t>(
+        root.Number("grace_s", 0, kMaxDrainMs / 1'000.0,
+                    static_cast<double>(settings.grace.count()) / 1'000) *
+        1'000));
     ReadLogSettings(root, settings.log_file, settings.log_level);
     root.Object("retries", [&](object_reader& reader) {
       auto& relay = settings.relay;
