--- a/src/rpc/channel.cpp
+++ b/src/rpc/channel.cpp
@@ -13,7 +13,9 @@
 using tcp = asio::ip::tcp;
 
 constexpr int kDeadPeerMs = 5'000;
-constexpr std::chrono::milliseconds kConnectTimeout{1'000};
+/// A few round trips between regions. Less than the second after which the
+/// kernel sends a lost opening packet again: a new attempt is sooner.
+constexpr std::chrono::milliseconds kConnectTimeout{300};
 constexpr std::chrono::milliseconds kReconnectDelay{100};
 constexpr std::chrono::milliseconds kConnectPoll{2};
 constexpr std::chrono::milliseconds kPingPeriod{500};
