Prompts go where the least work is left before their first event

Cause: the bound on busy servers counted requests of one entry; a hot subject's prompts queued behind each other on the server that keeps it while others idled. Ruled out: a tighter bound on counts (a prompt's work spans two orders of magnitude by its length and model).

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -32,9 +32,6 @@
 inline constexpr monotonic_ms kServerWaitMs = 400;
 /// Answers to other requests that are passed over on one connection.
 inline constexpr int kMaxForeignAnswers = 3;
-/// Shared parts with fewer tokens than this are read faster than they are
-/// missed: a prompt goes to the least busy server instead.
-inline constexpr std::uint32_t kAffinityTokens = 100;
 /// One of so many calls that went well is logged.
 inline constexpr std::uint64_t kLogEvery = 16;
 
@@ -145,26 +142,50 @@
   std::vector<server_candidate> facts;
   for (const auto& server : servers) {
     facts.push_back({server->id_hash, server->in_flight,
-                     server->listed.capacity, server->health.failure_share(),
+                     server->listed.capacity, server->work, server->health.failure_share(),
                      server->listed.zone == state_.settings.zone,
                      server->health.IsHeldOut(now) ||
                          state_.servers.IsZoneLost(server->listed.zone, now)});
   }
   choice_input input;
   input.random = state_.random();
-  if (match_.matched->prompts && call_.parts.size() > 1) {
-    std::uint32_t shared = 0;
-    for (std::size_t i = 0; i + 1 < call_.parts.size(); ++i) {
-      shared += call_.parts[i].tokens;
-    }
-    if (shared >= kAffinityTokens) {
-      input.affinity = MixBits(call_.parts[call_.parts.size() - 2].id);
-    }
-  }
+  input.prompt = PromptWork();
   const auto chosen = ChooseServer(facts, input);
   return chosen ? servers[*chosen] : nullptr;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::ModelCost() const -> double {
+  const auto& models = match_.matched->models;
+  const auto* service = view_->routes.FindService(service_);
+  if (models.empty() || service == nullptr) return 1;
+  const auto cost_of = [&](const std::string& name) {
+    for (const auto& model : service->models) {
+      if (model.name == name) return model.cost;
+    }
+    return 0.0;
+  };
+  const auto smallest = cost_of(models.front());
+  return smallest > 0 ? cost_of(models[tier_]) / smallest : 1;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::PromptWork() const -> std::optional<prompt_work> {
+  if (!match_.matched->prompts || call_.parts.size() < 2) return std::nullopt;
+  // Parts before the last shared one are few and kept by every server.
+  const auto& shared = call_.parts[call_.parts.size() - 2];
+  const auto& own = call_.parts.back();
+  const auto cost = ModelCost();
+  return prompt_work{shared.id, shared.tokens * cost,
+                     (shared.tokens + own.tokens) * cost};
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::ReleaseWork() -> void {
+  if (working_) working_->work = std::max(0.0, working_->work - work_);
+  working_.reset();
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::Attempts() -> void {
   const auto waits_until = clock_.Now() + kServerWaitMs;
@@ -284,6 +305,11 @@
   tried_.push_back(server->listed.id);
   ++sends_;
   ++server->in_flight;
+  if (const auto prompt = PromptWork()) {
+    working_ = server;
+    work_ = prompt->whole;
+    server->work += work_;
+  }
   std::optional<http_call_error> failure;
   bool is_caller_lost = false;
   try {
@@ -314,6 +340,7 @@
     is_caller_lost = true;
   }
   --server->in_flight;
+  ReleaseWork();
   connection_.reset();
   const auto now = clock_.Now();
   if (is_caller_lost) {
@@ -402,6 +429,7 @@
     const auto events = events_.Feed(bytes);
     if (events.empty()) continue;
     if (!is_counted) CountAnswer(server, /*failed=*/false);
+    ReleaseWork();
     is_counted = true;
     if (!exchange_.HasStarted()) {
       exchange_.StartStream(head.status, head.content_type, head.headers);
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -95,6 +95,11 @@
   auto IsTooUncertain(const answer_facts& facts) -> bool;
   auto PickServer() -> server_handle;
   auto MayRepeat() const -> bool;
+  /// The work of the call's prompt on the model of the present tier.
+  auto PromptWork() const -> std::optional<prompt_work>;
+  auto ModelCost() const -> double;
+  /// The first event, or the end: the server has read the prompt.
+  auto ReleaseWork() -> void;
   auto IsStreamAnswer(const http_response_head& head) const -> bool;
   auto AllowsAnotherRun(attempt_result result) -> bool;
   auto Finish() -> void;
@@ -128,6 +133,8 @@
   bool gone_ = false;
   std::unique_ptr<http_connection> connection_;
   monotonic_ms sent_ms_ = 0;
+  server_handle working_;  ///< the server that reads the prompt now
+  double work_ = 0;
   std::optional<kept_failure> failure_;
   event_splitter events_;
   std::string attempt_reason_;
--- a/include/lovagedale/relay/server_choice.h
+++ b/include/lovagedale/relay/server_choice.h
@@ -12,6 +12,9 @@
   std::uint64_t id_hash = 0;
   std::uint32_t in_flight = 0;  ///< this entry's requests at it
   std::uint32_t capacity = 1;
+  /// What this entry's requests still have to do there before their first
+  /// event, in the unit of choice_input.
+  double work = 0;
   double failure_share = 0;
   bool own_zone = false;
   bool held_out = false;
@@ -19,19 +22,28 @@
   auto operator==(const server_candidate&) const -> bool = default;
 };
 
-/// What a request asks of the choice.
+/// What a request with a prompt asks of the choice. Work is counted in prompt
+/// tokens, times the model's cost.
+struct prompt_work {
+  std::uint64_t shared_part = 0;  ///< identifies the prompt's shared part
+  double shared = 0;  ///< spared by a server that keeps the shared part
+  double whole = 0;   ///< of the whole prompt
+
+  auto operator==(const prompt_work&) const -> bool = default;
+};
+
 struct choice_input {
-  /// Identifies the prompt's shared parts; requests with the same one go to
-  /// the same server while it is not busier than the others.
-  std::optional<std::uint64_t> affinity;
+  std::optional<prompt_work> prompt;
   std::uint64_t random = 0;
 
   auto operator==(const choice_input&) const -> bool = default;
 };
 
-/// Index of the server that gets the request; nothing without candidates. All
-/// entries choose the same one for an affinity, without telling each other.
-/// Servers that are held out get work only where all are.
+/// Index of the server that gets the request; nothing without candidates.
+/// Servers that are held out get work only where all are. A prompt goes where
+/// the least work is left before its first event: what waits there, and the
+/// shared part unless the server keeps it. All entries take the same server,
+/// by rendezvous hashing, for the one that keeps a part.
 auto ChooseServer(const std::vector<server_candidate>& candidates,
                   const choice_input& input) -> std::optional<std::size_t>;
 
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -18,6 +18,7 @@
   listed_server listed;
   std::uint64_t id_hash = 0;
   std::uint32_t in_flight = 0;
+  double work = 0;  ///< see server_candidate
   server_health health;
   bool gone = false;  ///< its address belongs to another server by now
 };
--- a/src/relay/server_choice.cpp
+++ b/src/relay/server_choice.cpp
@@ -7,41 +7,47 @@
 namespace lovagedale {
 namespace {
 
-/// A server that holds the shared parts may be this much busier than the mean
-/// before the next one by rank gets the request.
-constexpr double kBusyFactor = 1.5;
-constexpr double kBusySlack = 2.0;
+/// Other entries see the same busy parts of prompts: what one entry has sent
+/// to a server counts for more than itself.
+constexpr double kOthersFactor = 2.0;
+/// Work, as a part of the whole prompt's, that a server of another zone must
+/// spare to be chosen: what the transfer between zones costs.
+constexpr double kFarPart = 0.15;
+/// Failures make a server's work look greater by this multiple of their share.
+constexpr double kFailureWeight = 4.0;
 /// Requests that a server of another zone must have less of to be chosen.
 constexpr double kZoneSlack = 2.0;
 
 auto Load(const server_candidate& server) -> double {
-  return (server.in_flight + 1) * (1 + 4 * server.failure_share) /
+  return (server.in_flight + 1) * (1 + kFailureWeight * server.failure_share) /
          static_cast<double>(std::max<std::uint32_t>(1, server.capacity));
 }
 
-auto MeanInFlight(const std::vector<server_candidate>& candidates,
-                  const std::vector<std::size_t>& usable) -> double {
-  double sum = 0;
-  for (const auto i : usable) sum += candidates[i].in_flight;
-  return sum / static_cast<double>(usable.size());
-}
-
-auto ChooseByAffinity(const std::vector<server_candidate>& candidates,
-                      std::vector<std::size_t> usable, std::uint64_t affinity)
-    -> std::size_t {
-  const auto bound =
-      kBusyFactor * MeanInFlight(candidates, usable) + kBusySlack;
+auto ChooseForPrompt(const std::vector<server_candidate>& candidates,
+                     const std::vector<std::size_t>& usable,
+                     const prompt_work& prompt) -> std::size_t {
   const auto rank = [&](std::size_t i) {
-    return MixBits(candidates[i].id_hash ^ affinity);
+    return MixBits(candidates[i].id_hash ^ MixBits(prompt.shared_part));
   };
-  std::sort(usable.begin(), usable.end(), [&](std::size_t a, std::size_t b) {
-    return rank(a) > rank(b);
-  });
-  const auto found =
-      std::find_if(usable.begin(), usable.end(), [&](std::size_t i) {
-        return candidates[i].in_flight < bound;
-      });
-  return found == usable.end() ? usable.front() : *found;
+  auto keeper = usable.front();
+  for (const auto i : usable) {
+    if (rank(i) > rank(keeper)) keeper = i;
+  }
+  const auto left = [&](std::size_t i) {
+    const auto& server = candidates[i];
+    auto work = server.work * kOthersFactor;
+    if (i != keeper) work += prompt.shared;
+    if (!server.own_zone) work += prompt.whole * kFarPart;
+    return (work + prompt.whole - prompt.shared) *
+           (1 + kFailureWeight * server.failure_share);
+  };
+  auto best = keeper;
+  for (const auto i : usable) {
+    const auto difference = left(i) - left(best);
+    // Equal ones are taken by rank, so that a second server keeps the part.
+    if (difference < 0 || (difference == 0 && rank(i) > rank(best))) best = i;
+  }
+  return best;
 }
 
 /// The less loaded of two that are drawn.
@@ -65,9 +71,7 @@
   if (usable.empty()) {
     for (std::size_t i = 0; i < candidates.size(); ++i) usable.push_back(i);
   }
-  if (input.affinity) {
-    return ChooseByAffinity(candidates, std::move(usable), *input.affinity);
-  }
+  if (input.prompt) return ChooseForPrompt(candidates, usable, *input.prompt);
   std::vector<std::size_t> near;
   for (const auto i : usable) {
     if (candidates[i].own_zone) near.push_back(i);
