Calls wait for the routes of a starting entry; a draining one takes calls that it can end

Cause: after a kill of all processes 997 calls were refused for want of routes, while control elected a leader 0.5 s after its start and entries that had found no leader asked again only every 500 ms; draining entries refused each call whose time limit, not its usual time, was past their end; four were killed as they said goodbye. Ruled out: readiness earlier (the balancer uses all entries when none is ready).

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -30,8 +30,13 @@
 /// Wait for a server to appear when none is known.
 inline constexpr std::chrono::milliseconds kServerPoll{40};
 inline constexpr monotonic_ms kServerWaitMs = 400;
+/// Wait of one call for the first routes of a process that has just started.
+inline constexpr monotonic_ms kRoutesWaitMs = 800;
 /// Answers to other requests that are passed over on one connection.
 inline constexpr int kMaxForeignAnswers = 3;
+/// A stopping process takes a call only if it has time for this multiple of
+/// what the longest recent call of the route took.
+inline constexpr monotonic_ms kDurationMargin = 2;
 /// One of so many calls that went well is logged.
 inline constexpr std::uint64_t kLogEvery = 16;
 
@@ -50,11 +55,11 @@
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::Run() -> void {
-  if (!Admit()) return;
   exchange_.OnCallerGone([this] {
     gone_ = true;
     if (connection_) connection_->Close();
   });
+  if (!Admit()) return;
   Attempts();
   if (gone_) {
     exchange_.CloseAfterwards();
@@ -62,6 +67,16 @@
   }
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::AwaitRoutes() -> void {
+  const auto until =
+      std::min(state_.routes_awaited_until_ms, started_ms_ + kRoutesWaitMs);
+  while (!state_.view && clock_.Now() < until && !gone_) {
+    Pause(state_.context.get_executor(), kServerPoll, exchange_.yield());
+  }
+  view_ = state_.view;
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::Admit() -> bool {
   const auto& request = exchange_.request();
@@ -72,6 +87,7 @@
     Refuse(refusal::kMalformed, error.what());
     return false;
   }
+  AwaitRoutes();
   if (!view_ || view_->routes.version() == 0) {
     Refuse(refusal::kNoConfiguration, "");
     return false;
@@ -89,7 +105,12 @@
   const auto limit =
       std::min(item.timeout_ms, call_.time_limit_ms.value_or(item.timeout_ms));
   deadline_ms_ = started_ms_ + limit;
-  if (state_.stops_at_ms && deadline_ms_ > *state_.stops_at_ms) {
+  if (gone_) {
+    exchange_.CloseAfterwards();
+    LogOutcome("caller_gone", 0, "");
+    return false;
+  }
+  if (state_.stops_at_ms && !CanEndBefore(*state_.stops_at_ms)) {
     Refuse(refusal::kStopping, "");
     return false;
   }
@@ -99,6 +120,14 @@
   return true;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::CanEndBefore(monotonic_ms stop) const -> bool {
+  if (deadline_ms_ <= stop) return true;
+  const auto known = state_.durations.find(match_.matched->name);
+  return known != state_.durations.end() &&
+         started_ms_ + known->second.Longest() * kDurationMargin < stop;
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::MayRepeat() const -> bool {
   const auto& item = *match_.matched;
@@ -544,6 +573,7 @@
       match_.matched == nullptr ? "" : match_.matched->name;
   ++state_.counts[{route, outcome}];
   const bool is_good = status >= 200 && status < 300;
+  if (is_good) state_.durations[route].Add(clock_.Now() - started_ms_);
   if (is_good && Hash64(call_.id) % kLogEvery != 0) return;
   log_line(log_level::kInfo, "call_ended")
       .With("request", call_.id)
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -80,6 +80,8 @@
     std::string body;
   };
 
+  /// Waits for the first routes while the process is starting.
+  auto AwaitRoutes() -> void;
   /// Finds route, customer and service; false if the request was refused.
   auto Admit() -> bool;
   auto Attempts() -> void;
@@ -95,6 +97,8 @@
   auto IsTooUncertain(const answer_facts& facts) -> bool;
   auto PickServer() -> server_handle;
   auto MayRepeat() const -> bool;
+  /// Whether the call ends before `stop`, as calls of its route usually do.
+  auto CanEndBefore(monotonic_ms stop) const -> bool;
   /// The work of the call's prompt on the model of the present tier.
   auto PromptWork() const -> std::optional<prompt_work>;
   auto ModelCost() const -> double;
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
@@ -54,6 +56,22 @@
   auto operator<=>(const call_counts_key&) const = default;
 };
 
+/// The longest of a route's latest calls.
+class recent_durations {
+ public:
+  auto Add(monotonic_ms duration) -> void {
+    latest_[next_++ % latest_.size()] = duration;
+  }
+  auto Longest() const -> monotonic_ms {
+    return *std::max_element(latest_.begin(), latest_.end());
+  }
+
+ private:
+  /// Enough that a call longer than all of them is rare.
+  std::array<monotonic_ms, 200> latest_{};
+  std::size_t next_ = 0;
+};
+
 /// What all calls of one entry share. One thread only.
 class relay_state {
  public:
@@ -63,7 +81,9 @@
         pool(context, kDeadServerAfter),
         retries(this->settings.retry_ratio, this->settings.retry_window_ms,
                 this->settings.retry_floor),
-        random(std::random_device{}()) {}
+        random(std::random_device{}()),
+        routes_awaited_until_ms(system_monotonic_clock{}.Now() + kStartTimeMs) {
+  }
   relay_state(const relay_state&) = delete;
   auto operator=(const relay_state&) -> relay_state& = delete;
 
@@ -78,12 +98,18 @@
   /// Cumulative; by services that have a roll-out.
   version_answers_table answers;
   std::map<call_counts_key, std::uint64_t> counts;
+  std::map<std::string, recent_durations> durations;  ///< by route
   std::map<std::string, std::uint64_t> attempts;  ///< by outcome
   std::size_t active = 0;  ///< calls under way
+  /// Until then calls wait for the first routes, which control sends as soon as
+  /// it has a leader.
+  const monotonic_ms routes_awaited_until_ms;
   /// Set while the process stops: when calls that still run are cut.
   std::optional<monotonic_ms> stops_at_ms;
 
  private:
+  /// Connecting to control, and an election that may be under way.
+  static constexpr monotonic_ms kStartTimeMs = 1'500;
   /// A server that has vanished acknowledges nothing; packet loss is made good
   /// within a few hundred milliseconds.
   static constexpr std::chrono::milliseconds kDeadServerAfter{1'500};
--- a/include/lovagedale/route_entry/route_entry-inl.h
+++ b/include/lovagedale/route_entry/route_entry-inl.h
@@ -147,7 +147,6 @@
     quiet_polls = callers_.ActiveRequests() == 0 ? quiet_polls + 1 : 0;
     Pause(executor, kDrainPoll, yield);
   }
-  link_.Leave(yield);
   // Callers that come now are told to go elsewhere, until none is left.
   state_.stops_at_ms = 0;
   callers_.StopAccepting();
@@ -155,6 +154,7 @@
   do {
     Pause(executor, kLastBytes, yield);
   } while (callers_.ActiveRequests() > 0 && clock.Now() < deadline);
+  if (clock.Now() < deadline) link_.Leave(yield);
   log_line(log_level::kInfo, "drained").With("calls_cut", state_.active);
   context_.stop();
 }
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds kFollowerPeriod{500};
 constexpr milliseconds kLeaderPeriod{20};
 constexpr milliseconds kLostPeriod{200};
+/// While no leader is known: an election ends within a few of these.
+constexpr milliseconds kSearchPeriod{60};
 constexpr milliseconds kLeaveTimeout{300};
 /// Without a word from a leader for this long, entries read the list of
 /// servers themselves, at a slow pace: all of them do so at once.
@@ -91,7 +93,9 @@
       const auto response = Decode<heartbeat_response>(
           channel.Call(Encode(control_request(MakeHeartbeat())),
                        kHeartbeatTimeout, yield));
-      period = response.is_leader ? kLeaderPeriod : kFollowerPeriod;
+      period = response.is_leader ? kLeaderPeriod
+               : leader_.empty()  ? kSearchPeriod
+                                  : kFollowerPeriod;
       if (response.is_leader) {
         if (leader_ != name) {
           log_line(log_level::kInfo, "control_leader").With("replica", name);
@@ -104,6 +108,10 @@
     } catch (const std::exception& error) {
       failure = error.what();
     }
+    if (leader_ == name && (!failure.empty() || period != kLeaderPeriod)) {
+      leader_.clear();
+    }
+    if (leader_.empty() && !failure.empty()) period = kSearchPeriod;
     if (!failure.empty() != is_lost) {
       is_lost = !failure.empty();
       log_line(log_level::kInfo, is_lost ? "control_lost" : "control_regained")
