Fewer answers are asked of the largest model while its answers come late

Cause: after a burst and a kill of all processes every answer of the largest model came late for 12 s, as almost half of the requests still went to it. Ruled out: placement (busiest/mean 1.11).

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -409,9 +409,13 @@
       exchange_.HasStarted()) {
     return false;
   }
-  auto& threshold = state_.tiers[{item.name, item.models[tier_]}];
+  auto& threshold = state_.tiers[{item.name, item.models[tier_]}].threshold;
   threshold.Add(*facts.confidence);
-  if (*facts.confidence >= threshold.Threshold()) return false;
+  const auto& larger = state_.tiers[{item.name, item.models.back()}];
+  const auto least = ThresholdUnderLoad(
+      threshold.Threshold(), larger.first_event.mean_ms(),
+      static_cast<double>(item.objective_ms));
+  if (*facts.confidence >= least) return false;
   if (runs_ >= item.max_attempts || !state_.retries.TryRetry(clock_.Now())) {
     return false;
   }
@@ -457,7 +461,7 @@
     if (bytes.empty()) break;
     const auto events = events_.Feed(bytes);
     if (events.empty()) continue;
-    if (!is_counted) CountAnswer(server, /*failed=*/false);
+    if (!is_counted) CountFirstEvent(server);
     ReleaseWork();
     is_counted = true;
     if (!exchange_.HasStarted()) {
@@ -491,6 +495,16 @@
   }
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::CountFirstEvent(const server_handle& server)
+    -> void {
+  CountAnswer(server, /*failed=*/false);
+  const auto& models = match_.matched->models;
+  if (models.empty()) return;
+  state_.tiers[{match_.matched->name, models[tier_]}].first_event.Add(
+      static_cast<double>(clock_.Now() - sent_ms_));
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::Finish() -> void {
   if (exchange_.HasStarted()) {
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -111,6 +111,7 @@
   auto RelayKeptFailure() -> void;
   auto LeftMs() const -> monotonic_ms { return deadline_ms_ - clock_.Now(); }
   auto Deadlines(bool for_stream_body) const -> http_deadlines;
+  auto CountFirstEvent(const server_handle& server) -> void;
   auto CountAnswer(const server_handle& server, bool failed) -> void;
   auto LogAttempt(const server_handle& server, attempt_result result,
                   const std::string& reason) -> void;
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -93,7 +93,7 @@
   server_table servers;
   connection_pool pool;
   retry_budget retries;
-  tier_thresholds tiers;
+  tier_table tiers;
   std::mt19937_64 random;
   /// Cumulative; by services that have a roll-out.
   version_answers_table answers;
--- a/include/lovagedale/relay/tier_choice.h
+++ b/include/lovagedale/relay/tier_choice.h
@@ -31,8 +31,37 @@
   double threshold_ = 0.5;
 };
 
-/// The thresholds of each route's models.
-using tier_thresholds =
-    std::map<std::pair<std::string, std::string>, confidence_threshold>;
+/// How long the larger model's answers take to begin, of late.
+class first_event_time {
+ public:
+  auto Add(double ms) -> void {
+    mean_ms_ = count_ == 0 ? ms : mean_ms_ + kWeight * (ms - mean_ms_);
+    ++count_;
+  }
+  auto mean_ms() const -> double { return mean_ms_; }
+
+ private:
+  /// About the last fifteen answers count.
+  static constexpr double kWeight = 0.07;
+
+  double mean_ms_ = 0;
+  std::uint64_t count_ = 0;
+};
+
+/// The threshold while servers are busy. A larger model's answer costs a
+/// multiple of a small one's; when these begin to come late, more of them make
+/// every answer late. From half of the objective on, fewer answers are dropped,
+/// down to those that are almost certainly poor.
+auto ThresholdUnderLoad(double threshold, double first_event_ms,
+                        double objective_ms) -> double;
+
+/// What is known of one model on one route.
+struct tier_facts {
+  confidence_threshold threshold;
+  first_event_time first_event;
+};
+
+/// By route and model.
+using tier_table = std::map<std::pair<std::string, std::string>, tier_facts>;
 
 }  // namespace lovagedale
--- a/src/relay/tier_choice.cpp
+++ b/src/relay/tier_choice.cpp
@@ -36,4 +36,13 @@
   }
 }
 
+auto ThresholdUnderLoad(double threshold, double first_event_ms,
+                        double objective_ms) -> double {
+  constexpr double kCalm = 0.5;
+  constexpr double kLeast = 0.1;
+  if (objective_ms <= 0) return threshold;
+  const auto load = first_event_ms / objective_ms;
+  return threshold * std::clamp(1 - (load - kCalm), kLeast, 1.0);
+}
+
 }  // namespace lovagedale
