Larger models get nothing while they would answer late

Cause: the mean time to the first event follows a queue only after it has been waited through, and even at ten times the objective a sixth of the requests went to the largest model. What: requests that wait count with twice their age; from a third of the objective on fewer answers are dropped, none where the larger model's would come late.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -211,8 +211,13 @@
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::ReleaseWork() -> void {
-  if (working_) working_->work = std::max(0.0, working_->work - work_);
+  if (!working_) return;
+  working_->work = std::max(0.0, working_->work - work_);
   working_.reset();
+  const auto& models = match_.matched->models;
+  if (models.empty()) return;
+  state_.tiers[{match_.matched->name, models[working_tier_]}].first_event.Ended(
+      working_since_ms_);
 }
 
 template <call_protocol Protocol>
@@ -338,6 +343,13 @@
     working_ = server;
     work_ = prompt->whole;
     server->work += work_;
+    const auto& models = match_.matched->models;
+    if (!models.empty()) {
+      working_tier_ = tier_;
+      working_since_ms_ = clock_.Now();
+      state_.tiers[{match_.matched->name, models[tier_]}].first_event.Sent(
+          working_since_ms_);
+    }
   }
   std::optional<http_call_error> failure;
   bool is_caller_lost = false;
@@ -413,7 +425,7 @@
   threshold.Add(*facts.confidence);
   const auto& larger = state_.tiers[{item.name, item.models.back()}];
   const auto least = ThresholdUnderLoad(
-      threshold.Threshold(), larger.first_event.mean_ms(),
+      threshold.Threshold(), larger.first_event.Expected(clock_.Now()),
       static_cast<double>(item.objective_ms));
   if (*facts.confidence >= least) return false;
   if (runs_ >= item.max_attempts || !state_.retries.TryRetry(clock_.Now())) {
@@ -501,7 +513,7 @@
   CountAnswer(server, /*failed=*/false);
   const auto& models = match_.matched->models;
   if (models.empty()) return;
-  state_.tiers[{match_.matched->name, models[tier_]}].first_event.Add(
+  state_.tiers[{match_.matched->name, models[tier_]}].first_event.Began(
       static_cast<double>(clock_.Now() - sent_ms_));
 }
 
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -140,6 +140,8 @@
   monotonic_ms sent_ms_ = 0;
   server_handle working_;  ///< the server that reads the prompt now
   double work_ = 0;
+  std::size_t working_tier_ = 0;
+  monotonic_ms working_since_ms_ = 0;
   std::optional<kept_failure> failure_;
   event_splitter events_;
   std::string attempt_reason_;
--- a/include/lovagedale/relay/tier_choice.h
+++ b/include/lovagedale/relay/tier_choice.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
 #include <string>
 
+#include "lovagedale/common/time.h"
+
 namespace lovagedale {
 
 /// Learns, from the confidences that a model reports, which of its answers to
@@ -31,27 +34,47 @@
   double threshold_ = 0.5;
 };
 
-/// How long the larger model's answers take to begin, of late.
+/// How long a model's answers take to begin, of late and at present.
 class first_event_time {
  public:
-  auto Add(double ms) -> void {
+  auto Sent(monotonic_ms now) -> void {
+    ++waiting_;
+    waiting_since_ += now;
+  }
+  /// A request sent at `sent` waits no longer.
+  auto Ended(monotonic_ms sent) -> void {
+    --waiting_;
+    waiting_since_ -= sent;
+  }
+  auto Began(double ms) -> void {
     mean_ms_ = count_ == 0 ? ms : mean_ms_ + kWeight * (ms - mean_ms_);
     ++count_;
   }
-  auto mean_ms() const -> double { return mean_ms_; }
+  /// What the next answer may take: as long as the latest ones, or as those
+  /// that wait now, which have half of their time behind them.
+  auto Expected(monotonic_ms now) const -> double {
+    if (waiting_ < kFewestWaiting) return mean_ms_;
+    const auto age = static_cast<double>(now) -
+                     static_cast<double>(waiting_since_) /
+                         static_cast<double>(waiting_);
+    return std::max(mean_ms_, 2 * age);
+  }
 
  private:
+  static constexpr std::int64_t kFewestWaiting = 3;
   /// About the last fifteen answers count.
   static constexpr double kWeight = 0.07;
 
   double mean_ms_ = 0;
   std::uint64_t count_ = 0;
+  std::int64_t waiting_ = 0;
+  monotonic_ms waiting_since_ = 0;  ///< sum of when they were sent
 };
 
 /// The threshold while servers are busy. A larger model's answer costs a
 /// multiple of a small one's; when these begin to come late, more of them make
-/// every answer late. From half of the objective on, fewer answers are dropped,
-/// down to those that are almost certainly poor.
+/// every answer late. From a third of the objective on, fewer answers are
+/// dropped, and none where the larger model's would come late.
 auto ThresholdUnderLoad(double threshold, double first_event_ms,
                         double objective_ms) -> double;
 
