--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -30,6 +30,30 @@
   }
 };
 
+/// What an entry that relays to discovered servers reports.
+struct relay_report {
+  std::uint64_t servers_number = 0;  ///< of the server list it follows
+  /// Cumulative; of services under roll-out only.
+  version_answers_table answers;
+
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(servers_number, answers);
+  }
+};
+
+/// What such an entry is told.
+struct relay_news {
+  /// From the leader, if the entry follows an older list.
+  std::optional<server_list> servers;
+  std::vector<std::string> replicas;  ///< names of control's members
+
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(servers, replicas);
+  }
+};
+
 /// Sent by each entry to each control replica once a second.
 struct entry_heartbeat {
   std::string node;
@@ -43,14 +67,13 @@
   std::vector<std::uint64_t> cleared;  ///< suspects that finished elsewhere
   std::vector<limit_demand> limits;    ///< what has changed, or all
   bool limits_complete = false;        ///< `limits` names all limited customers
-  std::uint64_t servers_number = 0;    ///< of the server list it follows
-  /// Cumulative; of services under roll-out only.
-  version_answers_table answers;
+  /// Present if the entry relays to discovered servers.
+  std::optional<relay_report> relay;
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(node, zone, incarnation, revision, leaving, evidence, crashes,
-            cleared, limits, limits_complete, servers_number, answers);
+            cleared, limits, limits_complete, relay);
   }
 };
 
@@ -69,15 +92,13 @@
   std::uint32_t registered_entries = 0;  ///< for equal shares of rate limits
   std::vector<limit_share> shares;       ///< of rate limits; what has changed
   bool needs_limits = false;  ///< the next heartbeat must name all limits
-  /// From the leader, if the sender follows an older list.
-  std::optional<server_list> servers;
-  std::vector<std::string> replicas;  ///< names of control's members
+  /// Present if the heartbeat had a relay_report.
+  std::optional<relay_news> relay;
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(is_leader, leader, revision, view, permit_ms, evidence,
-            live_entries, registered_entries, shares, needs_limits, servers,
-            replicas);
+            live_entries, registered_entries, shares, needs_limits, relay);
   }
 };
 
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -71,6 +71,8 @@
 
   auto HandleRpc(const std::string& body, rpc_reply reply) -> void;
   auto HandleHeartbeat(entry_heartbeat heartbeat, rpc_reply reply) -> void;
+  /// Whether the sender relays and follows another list than the present one.
+  auto IsListOld(const entry_heartbeat& heartbeat) const -> bool;
   auto TrackDemand(const entry_heartbeat& heartbeat) -> void;
   auto RegisterIfNew(const entry_heartbeat& heartbeat) -> void;
   auto HandleCrashes(const entry_heartbeat& heartbeat) -> void;
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -47,7 +47,6 @@
   process_incarnation incarnation_;
   /// Channels are kept for the life of the process, as fibers use them.
   std::map<std::string, std::unique_ptr<rpc_channel>> replicas_;
-  std::vector<std::string> members_;
   std::string leader_;
   monotonic_ms leader_heard_ = 0;
   std::uint64_t feed_number_ = 0;  ///< of the leader's latest list
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -112,8 +112,10 @@
   held_heartbeat held{std::move(heartbeat), std::move(reply),
                       now + kHoldHeartbeatMs};
   if (tracker_) {
-    answers_.Report(held.heartbeat.node, held.heartbeat.incarnation,
-                    held.heartbeat.answers);
+    if (held.heartbeat.relay) {
+      answers_.Report(held.heartbeat.node, held.heartbeat.incarnation,
+                      held.heartbeat.relay->answers);
+    }
     if (held.heartbeat.leaving) {
       RemoveNode(held.heartbeat.node, [](propose_status) {});
       tracker_->Forget(held.heartbeat.node);
@@ -129,7 +131,7 @@
   }
   const bool has_news =
       held.heartbeat.revision != machine_.view().revision || !tracker_ ||
-      held.heartbeat.servers_number != servers_.list().number;
+      IsListOld(held.heartbeat);
   if (has_news || urgent || stopped_) {
     Answer(held);
     return;
@@ -137,6 +139,12 @@
   held_.push_back(std::move(held));
 }
 
+auto control_service::IsListOld(const entry_heartbeat& heartbeat) const
+    -> bool {
+  return heartbeat.relay && servers_.list().number != 0 &&
+         heartbeat.relay->servers_number != servers_.list().number;
+}
+
 auto control_service::TrackDemand(const entry_heartbeat& heartbeat) -> void {
   std::map<std::string, std::uint64_t> totals;
   for (const auto& [key, counts] :
@@ -201,12 +209,14 @@
   if (held.heartbeat.revision < response.revision) {
     response.view = machine_.view();
   }
-  for (const auto& member : node_.core().members().members) {
-    response.replicas.push_back(member.name);
-  }
-  if (response.is_leader && servers_.list().number != 0 &&
-      servers_.list().number != held.heartbeat.servers_number) {
-    response.servers = servers_.list();
+  if (held.heartbeat.relay) {
+    response.relay.emplace();
+    for (const auto& member : node_.core().members().members) {
+      response.relay->replicas.push_back(member.name);
+    }
+    if (response.is_leader && IsListOld(held.heartbeat)) {
+      response.relay->servers = servers_.list();
+    }
   }
   const bool is_registered = machine_.nodes().contains(held.heartbeat.node);
   // Only a leader whose lease holds knows that no newer revision exists.
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -77,8 +77,7 @@
   heartbeat.zone = settings_.zone;
   heartbeat.incarnation = incarnation_;
   heartbeat.revision = state_.view ? state_.view->revision : 0;
-  heartbeat.servers_number = feed_number_;
-  heartbeat.answers = state_.answers;
+  heartbeat.relay = relay_report{feed_number_, state_.answers};
   return heartbeat;
 }
 
@@ -102,7 +101,6 @@
         }
         leader_ = name;
         leader_heard_ = clock_.Now();
-        members_ = response.replicas;
       }
       Adopt(response);
     } catch (const std::exception& error) {
@@ -123,7 +121,6 @@
 }
 
 auto fleet_link::Adopt(const heartbeat_response& response) -> void {
-  for (const auto& replica : response.replicas) Follow(replica);
   const auto revision = state_.view ? state_.view->revision : 0;
   if (response.view && response.view->revision > revision) {
     state_.view = std::make_shared<const routing_view>(*response.view);
@@ -133,12 +130,15 @@
         .With("routes", state_.view->routes.config().routes.size());
     on_view_();
   }
-  if (response.servers && response.servers->number > feed_number_) {
-    feed_number_ = response.servers->number;
-    state_.servers.Update(*response.servers);
+  if (!response.relay) return;
+  for (const auto& replica : response.relay->replicas) Follow(replica);
+  const auto& servers = response.relay->servers;
+  if (servers && servers->number > feed_number_) {
+    feed_number_ = servers->number;
+    state_.servers.Update(*servers);
     log_line(log_level::kInfo, "servers_adopted")
         .With("number", feed_number_)
-        .With("servers", response.servers->servers.size());
+        .With("servers", servers->servers.size());
   }
 }
 
--- /dev/null
+++ b/tests/platform/caller_protocol_test.cpp
@@ -0,0 +1,138 @@
+#include "caller_protocol.h"
+
+#include <doctest/doctest.h>
+
+namespace lovagedale::testing {
+namespace {
+
+auto Request() -> http_request {
+  http_request request;
+  request.method = "POST";
+  request.target = "/c/x?y=1";
+  request.body = "text";
+  request.headers = {{"Host", "h.example"},
+                     {"X-Lovagedale-Request-Id", "r1"},
+                     {"X-Lovagedale-Deadline-Ms", "8000"},
+                     {"X-Lovagedale-Model", "*"},
+                     {"X-Lovagedale-Token-Usage", "1460,80"},
+                     {"X-Lovagedale-Prefix-Hash", "5c1e07a2:800,91bd3f06:410"},
+                     {"Authorization", "Token secret"},
+                     {"Session", "s1"},
+                     {"X-Other", "kept"}};
+  return request;
+}
+
+auto Count(const http_request& request, std::string_view name) -> int {
+  int count = 0;
+  for (const auto& header : request.headers) {
+    if (header.first == name) ++count;
+  }
+  return count;
+}
+
+const platform::caller_protocol kProtocol;
+
+}  // namespace
+
+TEST_CASE("a caller's headers read into a call") {
+  const auto call = kProtocol.ReadCall(Request());
+  CHECK(call.id == "r1");
+  CHECK(call.key == "secret");
+  CHECK(call.session == "s1");
+  CHECK(call.time_limit_ms == 8'000);
+  CHECK(call.prompt_tokens == 1'460);
+  CHECK(call.max_output_tokens == 80);
+  CHECK(call.parts == std::vector<prompt_part>{{0x5c1e07a2, 800},
+                                               {0x91bd3f06, 410}});
+  CHECK_FALSE(call.after_event);
+}
+
+TEST_CASE("control headers that are doubled or out of range are refused") {
+  const auto refuses = [](const std::string& name, const std::string& value) {
+    auto request = Request();
+    std::erase_if(request.headers,
+                  [&](const auto& header) { return header.first == name; });
+    request.headers.emplace_back(name, value);
+    CHECK_THROWS_AS(kProtocol.ReadCall(request), call_malformed);
+  };
+  refuses("X-Lovagedale-Deadline-Ms", "soon");
+  refuses("X-Lovagedale-Deadline-Ms", "-1");
+  refuses("X-Lovagedale-Deadline-Ms", "nan");
+  refuses("X-Lovagedale-Token-Usage", "12");
+  refuses("X-Lovagedale-Prefix-Hash", "xyz:1");
+  refuses("X-Lovagedale-Request-Id", "");
+  refuses("Last-Event-Id", "x");
+  auto doubled = Request();
+  doubled.headers.emplace_back("x-lovagedale-deadline-ms", "9000");
+  CHECK_THROWS_AS(kProtocol.ReadCall(doubled), call_malformed);
+}
+
+TEST_CASE("a server gets the caller's request, what is left, and no key") {
+  auto request = Request();
+  request.headers.emplace_back("Connection", "keep-alive, X-Hop");
+  request.headers.emplace_back("X-Hop", "mine");
+  request.headers.emplace_back("X-Lovagedale-Tenant", "forged");
+  request.headers.emplace_back("X-Lovagedale-Kv-Retention", "forged");
+  request.headers.emplace_back("Kv-From", "forged");
+  listed_server server;
+  server.id = "i-1";
+  call_dispatch dispatch;
+  dispatch.server = &server;
+  dispatch.customer = "carts";
+  dispatch.left_ms = 500;
+  dispatch.model = "small";
+  dispatch.after_event = 12;
+  const auto sent =
+      kProtocol.ServerRequest(request, kProtocol.ReadCall(request), dispatch);
+  CHECK(sent.method == "POST");
+  CHECK(sent.target == "/c/x?y=1");
+  CHECK(sent.body == "text");
+  CHECK(sent.Header("Host") == "h.example");
+  CHECK(sent.Header("X-Other") == "kept");
+  CHECK(sent.Header("X-Lovagedale-Request-Id") == "r1");
+  CHECK(sent.Header("X-Lovagedale-Deadline-Ms") == "500");
+  CHECK(Count(sent, "X-Lovagedale-Deadline-Ms") == 1);
+  CHECK(sent.Header("X-Lovagedale-Target-Replica") == "i-1");
+  CHECK(sent.Header("X-Lovagedale-Tenant") == "carts");
+  CHECK(Count(sent, "X-Lovagedale-Tenant") == 1);
+  CHECK(sent.Header("X-Lovagedale-Model") == "small");
+  CHECK(sent.Header("Last-Event-Id") == "12");
+  CHECK(sent.Header("Authorization").empty());
+  CHECK(sent.Header("X-Lovagedale-Kv-Retention").empty());
+  CHECK(sent.Header("Kv-From").empty());
+  CHECK(sent.Header("X-Hop").empty());
+}
+
+TEST_CASE("a model that the caller names is not replaced") {
+  auto request = Request();
+  for (auto& [name, value] : request.headers) {
+    if (name == "X-Lovagedale-Model") value = "large";
+  }
+  listed_server server;
+  call_dispatch dispatch;
+  dispatch.server = &server;
+  dispatch.model = "small";
+  const auto sent =
+      kProtocol.ServerRequest(request, kProtocol.ReadCall(request), dispatch);
+  CHECK(sent.Header("X-Lovagedale-Model") == "large");
+  CHECK(Count(sent, "X-Lovagedale-Model") == 1);
+}
+
+TEST_CASE("answers tell whose they are and whether anything ran") {
+  http_response_head head;
+  head.status = 200;
+  head.headers = {{"X-Lovagedale-Request-Id", "r1"},
+                  {"X-Lovagedale-Confidence", "42"}};
+  CHECK(kProtocol.ReadAnswer(head) == answer_facts{"r1", false, false, 0.42});
+  head = {};
+  head.status = 503;
+  CHECK_FALSE(kProtocol.ReadAnswer(head).not_run);
+  head.headers = {{"X-Lovagedale-Not-Executed", "1"}};
+  CHECK(kProtocol.ReadAnswer(head).not_run);
+  head = {};
+  head.status = 421;
+  CHECK(kProtocol.ReadAnswer(head).other_server);
+  CHECK(kProtocol.ReadAnswer(head).not_run);
+}
+
+}  // namespace lovagedale::testing
--- /dev/null
+++ b/tests/platform/config_document_test.cpp
@@ -0,0 +1,85 @@
+#include "config_document.h"
+
+#include <doctest/doctest.h>
+
+namespace lovagedale::testing {
+namespace {
+
+using platform::document_invalid;
+using platform::ParseConfigDocument;
+
+constexpr const char* kDocument = R"({
+  "version": 7, "new_field": [1],
+  "routes": [
+    {"name": "chat", "host": "h.example", "path_prefix": "/c/",
+     "route_type": "streaming", "timeout_ms": 5000.0, "target_latency_ms": 1000,
+     "priority": 1, "model_tiers": ["small", "large"],
+     "traffic_split": [{"backend": "engines", "weight": 90},
+                       {"backend": "shop", "weight": 10}],
+     "max_attempts": 3, "public": true, "session_affinity": true,
+     "stream_resume": true, "itl_target_ms": 800},
+    {"name": "order", "host": "h.example", "path_prefix": "/o/",
+     "route_type": "non_idempotent", "timeout_ms": 1500, "backend": "shop",
+     "max_attempts": 1}],
+  "backends": [
+    {"name": "engines", "max_connections": 360,
+     "runtime": {"models": [{"name": "small", "cost": 0.02}]}},
+    {"name": "shop", "max_connections": 96}],
+  "limits": {"max_header_bytes": 1000, "idle_timeout_ms": 15000},
+  "tenants": [{"name": "carts", "api_keys": ["k1", "k2"], "priority": 1}]})";
+
+auto With(std::string text, const std::string& from, const std::string& to)
+    -> std::string {
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("the operator's document reads into the product's routes") {
+  const auto config = ParseConfigDocument(kDocument);
+  CHECK(config.version == 7);
+  REQUIRE(config.routes.size() == 2);
+  const auto& chat = config.routes[0];
+  CHECK(chat.kind == route_kind::kStream);
+  CHECK(chat.resumable);
+  CHECK(chat.open);
+  CHECK(chat.prompts);
+  CHECK(chat.timeout_ms == 5'000);
+  CHECK(chat.objective_ms == 1'000);
+  CHECK(chat.pause_ms == 800);
+  CHECK(chat.max_attempts == 3);
+  CHECK(chat.services ==
+        std::vector<weighted_service>{{"engines", 90}, {"shop", 10}});
+  CHECK(chat.models == std::vector<std::string>{"small", "large"});
+  CHECK(config.routes[1].kind == route_kind::kOnce);
+  CHECK_FALSE(config.routes[1].open);
+  CHECK(config.services[0].models[0].cost == doctest::Approx(0.02));
+  CHECK(config.limits.header_bytes == 1'000);
+  CHECK(config.limits.idle_timeout_ms == 15'000);
+  CHECK(config.customers[0].keys.size() == 2);
+  CHECK(config.customers[0].priority == 1U);
+}
+
+TEST_CASE("documents that are cut short or unsound are refused") {
+  const std::string whole = kDocument;
+  for (std::size_t cut = 0; cut < whole.size(); cut += 7) {
+    CHECK_THROWS_AS(ParseConfigDocument(whole.substr(0, cut)),
+                    document_invalid);
+  }
+  CHECK_THROWS_AS(ParseConfigDocument(With(whole, R"("version": 7)",
+                                           R"("version": "7")")),
+                  document_invalid);
+  CHECK_THROWS_AS(
+      ParseConfigDocument(With(whole, R"("weight": 90)", R"("weight": -1)")),
+      document_invalid);
+  CHECK_THROWS_AS(
+      ParseConfigDocument(With(whole, "non_idempotent", "sometimes")),
+      document_invalid);
+  CHECK_THROWS_AS(
+      ParseConfigDocument(With(whole, R"("timeout_ms": 1500)",
+                               R"("timeout_ms": 0)")),
+      document_invalid);
+}
+
+}  // namespace lovagedale::testing
--- /dev/null
+++ b/tests/relay/event_splitter_test.cpp
@@ -0,0 +1,53 @@
+#include "lovagedale/relay/event_splitter.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace lovagedale::testing {
+namespace {
+
+auto Event(int number) -> std::string {
+  return "id: " + std::to_string(number) + "\ndata: piece " +
+         std::to_string(number) + "\n\n";
+}
+
+}  // namespace
+
+TEST_CASE("only whole events pass, however the bytes are cut") {
+  CHECK(rc::check([] {
+    std::string stream;
+    const auto count = *rc::gen::inRange(1, 20);
+    for (int i = 1; i <= count; ++i) stream += Event(i);
+    const auto cut = *rc::gen::inRange<std::size_t>(0, stream.size() + 1);
+    event_splitter splitter;
+    std::string passed;
+    for (std::size_t at = 0; at < cut;) {
+      const auto bytes = *rc::gen::inRange<std::size_t>(1, 40);
+      const auto part = stream.substr(at, std::min(bytes, cut - at));
+      passed += splitter.Feed(part);
+      at += part.size();
+    }
+    RC_ASSERT(stream.starts_with(passed));
+    RC_ASSERT(passed.empty() || passed.ends_with("\n\n"));
+    RC_ASSERT(splitter.HasPartialEvent() == (passed.size() < cut));
+  }));
+}
+
+TEST_CASE("a stream goes on at another server without a gap or a double") {
+  event_splitter splitter;
+  std::string passed;
+  passed += splitter.Feed(Event(1) + Event(2) + "id: 3\nda");
+  CHECK(splitter.last_event() == 2U);
+  splitter.Restart();
+  // The second server repeats an event that the caller has.
+  passed += splitter.Feed(Event(2) + Event(3) + Event(4));
+  CHECK(passed == Event(1) + Event(2) + Event(3) + Event(4));
+  CHECK_FALSE(splitter.HasPartialEvent());
+}
+
+TEST_CASE("a first line of another name does not hide an event's number") {
+  CHECK(EventNumber("x-weights: 2\nid:7\ndata: a\n\n") == 7U);
+  CHECK_FALSE(EventNumber("data: id: 7\n\n"));
+}
+
+}  // namespace lovagedale::testing
--- /dev/null
+++ b/tests/relay/tier_choice_test.cpp
@@ -0,0 +1,94 @@
+#include "lovagedale/relay/tier_choice.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+namespace lovagedale::testing {
+
+TEST_CASE("the threshold parts two groups of confidences") {
+  confidence_threshold threshold;
+  CHECK(threshold.Threshold() == 0.5);
+  std::mt19937_64 random(3);
+  std::normal_distribution<double> poor(0.15, 0.05);
+  std::normal_distribution<double> good(0.65, 0.08);
+  for (int i = 0; i < 600; ++i) {
+    threshold.Add(i % 3 == 0 ? poor(random) : good(random));
+  }
+  CHECK(threshold.Threshold() > 0.25);
+  CHECK(threshold.Threshold() < 0.55);
+}
+
+TEST_CASE("confidences outside of the range count as its ends") {
+  confidence_threshold threshold;
+  for (int i = 0; i < 200; ++i) threshold.Add(i % 2 == 0 ? -3 : 7);
+  CHECK(threshold.Threshold() > 0);
+  CHECK(threshold.Threshold() < 1);
+}
+
+TEST_CASE("the threshold falls with the larger model's time, to nothing") {
+  CHECK(ThresholdUnderLoad(0.5, 0, 1'000) == 0.5);
+  CHECK(ThresholdUnderLoad(0.5, 300, 1'000) == 0.5);
+  CHECK(ThresholdUnderLoad(0.5, 700, 1'000) < 0.3);
+  CHECK(ThresholdUnderLoad(0.5, 1'000, 1'000) == 0);
+  CHECK(ThresholdUnderLoad(0.5, 9'000, 1'000) == 0);
+  CHECK(ThresholdUnderLoad(0.5, 9'000, 0) == 0.5);  // no objective
+}
+
+TEST_CASE("requests that wait count before their answers have begun") {
+  first_event_time time;
+  time.Began(100);
+  for (int i = 0; i < 5; ++i) time.Sent(1'000);
+  CHECK(time.Expected(1'000) == 100);
+  CHECK(time.Expected(1'400) == 800);
+  for (int i = 0; i < 5; ++i) time.Ended(1'000);
+  CHECK(time.Expected(1'400) == 100);
+}
+
+// Load pattern: burst. The largest model costs ten times the smallest, and
+// three times the usual requests arrive for some seconds. Protected: the share
+// of answers within the objective, during the burst and after it.
+TEST_CASE("a burst makes answers poorer for its time, and not all late") {
+  constexpr monotonic_ms kObjective = 1'000;
+  const auto run = [](bool adaptive) {
+    std::mt19937_64 random(5);
+    std::uniform_real_distribution<double> confidence(0, 1);
+    first_event_time larger;
+    std::deque<std::pair<monotonic_ms, double>> queue;  // sent, work left
+    int in_time = 0;
+    int asked = 0;
+    for (monotonic_ms now = 0; now < 20'000; now += 10) {
+      const bool is_burst = now > 4'000 && now < 8'000;
+      for (int i = 0; i < (is_burst ? 3 : 1); ++i) {
+        ++asked;
+        const auto least =
+            adaptive ? ThresholdUnderLoad(0.5, larger.Expected(now), kObjective)
+                     : 0.5;
+        if (confidence(random) >= least) {
+          ++in_time;  // the small model's answer, at once
+          continue;
+        }
+        queue.emplace_back(now, 18);
+        larger.Sent(now);
+      }
+      for (double capacity = 10; capacity > 0 && !queue.empty();) {
+        auto& [sent, work] = queue.front();
+        const auto done = std::min(capacity, work);
+        capacity -= done;
+        work -= done;
+        if (work > 0) break;
+        if (now - sent <= kObjective) ++in_time;
+        larger.Ended(sent);
+        larger.Began(static_cast<double>(now - sent));
+        queue.pop_front();
+      }
+    }
+    return static_cast<double>(in_time) / asked;
+  };
+  CHECK(run(/*adaptive=*/true) > 0.97);
+  CHECK(run(/*adaptive=*/false) < 0.75);
+}
+
+}  // namespace lovagedale::testing
