Sessions that began before a canary stay on the former version

Ruled out: callers that change entries (connections are spread by a hash of the caller). Each entry remembers the version that a session used last, for the session's time.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -114,8 +114,10 @@
     Refuse(refusal::kStopping, "");
     return false;
   }
-  session_hash_ = Hash64(call_.session.empty() ? call_.id : call_.session);
   service_ = ChooseService(item, MixBits(Hash64(call_.id)));
+  // A session has a version of each service.
+  session_hash_ =
+      HashFields(service_, call_.session.empty() ? call_.id : call_.session);
   state_.retries.CountRequest(started_ms_);
   return true;
 }
@@ -139,13 +141,15 @@
 auto relayed_call<Protocol>::PickServer() -> server_handle {
   const auto now = clock_.Now();
   const auto* rollout = view_->RolloutOf(service_);
+  const rollout_session session{session_hash_,
+                                state_.sessions.VersionOf(session_hash_, now)};
   const auto collect = [&](bool any_version, bool tried_too) {
     std::vector<server_handle> servers;
     for (const auto& server : state_.servers.Servers(service_)) {
       const auto& listed = server->listed;
       if (listed.leaving || server->gone) continue;
       if (!any_version &&
-          !MayUseVersion(rollout, listed.version, session_hash_)) {
+          !MayUseVersion(rollout, listed.version, session)) {
         continue;
       }
       if (!tried_too && std::find(tried_.begin(), tried_.end(), listed.id) !=
@@ -307,6 +311,10 @@
       protocol_.ServerRequest(exchange_.request(), call_, dispatch);
   ++runs_;
   was_sent_ = true;
+  if (!call_.session.empty()) {
+    state_.sessions.Remember(session_hash_, server->listed.version,
+                             clock_.Now());
+  }
   sent_ms_ = clock_.Now();
   return ReadOwnHead(connection_->Send(request, deadlines, exchange_.yield()));
 }
--- a/include/lovagedale/rollout/service_rollout.h
+++ b/include/lovagedale/rollout/service_rollout.h
@@ -40,10 +40,18 @@
   }
 };
 
-/// Whether a session's requests may go to servers of `version`. `session_hash`
-/// identifies the session, so that it stays where it is while the share does.
+/// A session as far as a roll-out is concerned.
+struct rollout_session {
+  std::uint64_t hash = 0;
+  const std::string* version = nullptr;  ///< that it used last; null if new
+
+  auto operator==(const rollout_session&) const -> bool = default;
+};
+
+/// Whether a session's requests may go to servers of `version`. During the
+/// canary only new sessions are divided; the others stay where they are.
 auto MayUseVersion(const service_rollout* rollout, const std::string& version,
-                   std::uint64_t session_hash) -> bool;
+                   const rollout_session& session) -> bool;
 
 /// What servers of one version answered on one route.
 struct version_answers {
--- a/src/rollout/service_rollout.cpp
+++ b/src/rollout/service_rollout.cpp
@@ -66,13 +66,16 @@
 }
 
 auto MayUseVersion(const service_rollout* rollout, const std::string& version,
-                   std::uint64_t session_hash) -> bool {
+                   const rollout_session& session) -> bool {
   if (rollout == nullptr) return true;
   const bool is_target = version == rollout->target;
   switch (rollout->phase) {
     case service_rollout_phase::kCanary:
+      if (session.version != nullptr) {
+        return is_target == (*session.version == rollout->target);
+      }
       return is_target ==
-             (UnitInterval(MixBits(session_hash ^ kCanarySalt)) < kCanaryShare);
+             (UnitInterval(MixBits(session.hash ^ kCanarySalt)) < kCanaryShare);
     case service_rollout_phase::kMost:
     case service_rollout_phase::kCompleted:
       return is_target;
--- a/tests/rollout/service_rollout_test.cpp
+++ b/tests/rollout/service_rollout_test.cpp
@@ -70,7 +70,8 @@
 
 TEST_CASE("a session stays on its version while the share does") {
   CHECK(rc::check([] {
-    const auto session = *rc::gen::arbitrary<std::uint64_t>();
+    const rollout_session session{*rc::gen::arbitrary<std::uint64_t>(),
+                                  nullptr};
     const auto canary = Running(phase::kCanary);
     const bool is_fresh = MayUseVersion(&canary, "v2", session);
     RC_ASSERT(MayUseVersion(&canary, "v1", session) != is_fresh);
@@ -84,11 +85,23 @@
   }));
 }
 
+TEST_CASE("sessions that began before the canary stay on the former version") {
+  const auto canary = Running(phase::kCanary);
+  const std::string former = "v1";
+  const std::string fresh = "v2";
+  for (std::uint64_t hash = 0; hash < 1'000; ++hash) {
+    CHECK(MayUseVersion(&canary, "v1", {hash, &former}));
+    CHECK_FALSE(MayUseVersion(&canary, "v2", {hash, &former}));
+    CHECK(MayUseVersion(&canary, "v2", {hash, &fresh}));
+    CHECK_FALSE(MayUseVersion(&canary, "v1", {hash, &fresh}));
+  }
+}
+
 TEST_CASE("a canary gets less than a tenth of the sessions") {
   const auto canary = Running(phase::kCanary);
   int fresh = 0;
   for (std::uint64_t session = 0; session < 10'000; ++session) {
-    if (MayUseVersion(&canary, "v2", Hash64(std::to_string(session)))) ++fresh;
+    if (MayUseVersion(&canary, "v2", {Hash64(std::to_string(session)), nullptr})) ++fresh;
   }
   CHECK(fresh > 500);
   CHECK(fresh < 1'000);
