Voters are spread over zones, as many as the stated losses need

The group kept its three founders whatever the stated losses. Ruled out: a stale leader (its lease had a majority). What: members tell their zone; a learner of a zone with fewer voters takes the vote of one in the fullest zone; 2 f + 1 voters for f lost hosts. A silent voter is replaced only by a learner that has caught up.

--- a/include/lovagedale/replication/messages.h
+++ b/include/lovagedale/replication/messages.h
@@ -178,12 +178,13 @@
 struct replica_envelope {
   std::string from;
   incarnation_id from_incarnation = 0;
+  std::string from_zone;
   std::string to;
   replica_message message;
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(from, from_incarnation, to, message);
+    archive(from, from_incarnation, from_zone, to, message);
   }
 };
 
--- a/include/lovagedale/replication/replica_core.h
+++ b/include/lovagedale/replication/replica_core.h
@@ -25,8 +25,10 @@
   std::size_t max_append_bytes = 1UL << 20U;
   /// Entries kept behind a snapshot for replicas that lag a little.
   std::size_t kept_entries = 1'000;
-  /// Learners get a vote while fewer voters than this are heard; 0: always.
+  /// Learners get a vote while fewer voters than this are heard, and voters
+  /// are spread over the zones; 0: every learner gets a vote.
   std::size_t target_voters = 0;
+  std::string zone;  ///< of this replica
   /// A voter that is silent for this long may be replaced by a learner.
   monotonic_ms replace_silent_ms = 2'500;
   /// A learner that is silent for this long is dropped.
@@ -144,7 +146,12 @@
   auto CommitTo(log_index index) -> void;
   auto ReconcileMember(const replica_envelope& from) -> void;
   auto PromoteLearners() -> void;
+  /// Voters that are heard, all together and by zone.
   auto HeardVoters() const -> std::size_t;
+  auto VotersByZone() const -> std::map<std::string, std::size_t>;
+  auto ZoneOf(const std::string& member) const -> std::string;
+  /// The learner whose vote spreads the voters best; null if none may vote.
+  auto BestLearner() const -> const replica_member*;
   auto SilentFor(const std::string& member) const -> monotonic_ms;
   auto DropSilentMembers() -> void;
   auto MayChangeMembers() const -> bool;
@@ -185,6 +192,7 @@
   monotonic_ms transfer_at_ = 0;
   std::set<std::string> votes_;
   std::map<std::string, peer_progress> peers_;
+  std::map<std::string, std::string> zones_;  // Of members that were heard.
   monotonic_ms leader_since_ = 0;
   log_index leader_start_index_ = 0;
   monotonic_ms now_ = 0;  // Time of the latest step.
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::int64_t kMaxMs = 60'000;
-constexpr std::int64_t kMaxVoters = 9;
+constexpr std::int64_t kMaxHostFaults = 4;
 constexpr std::int64_t kMaxKeptEntries = 1'000'000;
 
 auto ReadReplication(object_reader& reader) -> replication_options {
@@ -31,8 +31,10 @@
     reader.AddError("election_max_ms", std::to_string(options.election_max_ms),
                     "more than election_min_ms");
   }
-  options.target_voters = static_cast<std::size_t>(
-      reader.Integer("target_voters", 0, kMaxVoters, 0));
+  // A majority must be left when so many hosts are lost.
+  const auto host_faults = reader.Integer("host_faults", 0, kMaxHostFaults, 0);
+  options.target_voters =
+      host_faults == 0 ? 0 : static_cast<std::size_t>(2 * host_faults + 1);
   options.kept_entries = static_cast<std::size_t>(reader.Integer(
       "kept_entries", 0, kMaxKeptEntries,
       static_cast<std::int64_t>(options.kept_entries)));
@@ -64,6 +66,7 @@
     root.Object("replication", [&](object_reader& reader) {
       settings.replication = ReadReplication(reader);
     });
+    settings.replication.zone = settings.zone;
     if (!settings.seeds.empty() && settings.http_port == 0) {
       const auto own = ParseEndpoint(settings.name);
       if (own) {
--- a/src/replication/replica_core.cpp
+++ b/src/replication/replica_core.cpp
@@ -30,7 +30,8 @@
 
 auto replica_core::Send(const std::string& to, replica_message message)
     -> void {
-  output_.messages.push_back({name_, incarnation_, to, std::move(message)});
+  output_.messages.push_back(
+      {name_, incarnation_, options_.zone, to, std::move(message)});
 }
 
 auto replica_core::SetHardState(term_number term, std::string voted_for)
@@ -153,6 +154,7 @@
     -> void {
   if (envelope.to != name_) return;
   now_ = now;
+  zones_[envelope.from] = envelope.from_zone;
   std::visit([&](const auto& message) { Handle(envelope, message, now); },
              envelope.message);
 }
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -174,33 +174,76 @@
       }));
 }
 
+auto replica_core::ZoneOf(const std::string& member) const -> std::string {
+  if (member == name_) return options_.zone;
+  const auto known = zones_.find(member);
+  return known == zones_.end() ? "" : known->second;
+}
+
+auto replica_core::VotersByZone() const -> std::map<std::string, std::size_t> {
+  std::map<std::string, std::size_t> voters;
+  for (const auto& member : members_.members) {
+    if (member.voter && SilentFor(member.name) < options_.replace_silent_ms) {
+      ++voters[ZoneOf(member.name)];
+    }
+  }
+  return voters;
+}
+
 auto replica_core::DropSilentMembers() -> void {
   if (options_.target_voters == 0 || !MayChangeMembers()) return;
+  const auto is_silent = [&](const replica_member& member) {
+    return SilentFor(member.name) >= (member.voter ? options_.replace_silent_ms
+                                                   : options_.drop_learner_ms);
+  };
+  const bool has_spare = members_.VoterCount() > options_.target_voters;
   for (const auto& member : members_.members) {
-    const auto silent = SilentFor(member.name);
-    const bool is_spare_voter =
-        member.voter && members_.VoterCount() > options_.target_voters &&
-        silent >= options_.replace_silent_ms;
-    const bool is_lost_learner =
-        !member.voter && silent >= options_.drop_learner_ms;
-    if (!is_spare_voter && !is_lost_learner) continue;
+    if (!is_silent(member) || (member.voter && !has_spare)) continue;
     ProposeMembers(members_.Without(member.name));
     return;
   }
+  if (!has_spare) return;
+  // All are heard: the zone with the most voters gives one up.
+  const auto voters = VotersByZone();
+  const replica_member* spare = nullptr;
+  for (const auto& member : members_.members) {
+    if (!member.voter || member.name == name_) continue;
+    if (spare == nullptr || voters.at(ZoneOf(member.name)) >
+                                voters.at(ZoneOf(spare->name))) {
+      spare = &member;
+    }
+  }
+  if (spare == nullptr) return;
+  ProposeMembers(
+      members_.With({spare->name, spare->incarnation, /*voter=*/false}));
 }
 
-auto replica_core::PromoteLearners() -> void {
-  if (!MayChangeMembers()) return;
-  const bool has_enough = options_.target_voters > 0 &&
-                          HeardVoters() >= options_.target_voters;
-  if (has_enough) return;
+auto replica_core::BestLearner() const -> const replica_member* {
+  const auto voters = VotersByZone();
+  const auto voters_in = [&](const replica_member& member) {
+    const auto found = voters.find(ZoneOf(member.name));
+    return found == voters.end() ? 0 : found->second;
+  };
+  const replica_member* best = nullptr;
   for (const auto& member : members_.members) {
-    if (member.voter || peers_[member.name].match < commit_) continue;
+    if (member.voter || MatchIndex(member.name) < commit_) continue;
     if (SilentFor(member.name) >= options_.replace_silent_ms) continue;
-    ProposeMembers(
-        members_.With({member.name, member.incarnation, /*voter=*/true}));
-    return;
+    if (best == nullptr || voters_in(member) < voters_in(*best)) best = &member;
   }
+  if (best == nullptr || options_.target_voters == 0) return best;
+  if (HeardVoters() < options_.target_voters) return best;
+  // Enough of them, but a zone may have two more than this one's.
+  std::size_t most = 0;
+  for (const auto& [zone, count] : voters) most = std::max(most, count);
+  return voters_in(*best) + 1 < most ? best : nullptr;
+}
+
+auto replica_core::PromoteLearners() -> void {
+  if (!MayChangeMembers()) return;
+  const auto* learner = BestLearner();
+  if (learner == nullptr) return;
+  ProposeMembers(
+      members_.With({learner->name, learner->incarnation, /*voter=*/true}));
 }
 
 auto replica_core::ProposeMembers(const member_set& members) -> void {
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -30,18 +30,38 @@
  public:
   replica_cluster(std::size_t size, std::uint64_t seed,
                   fake_fault fault = fake_fault::kNone)
-      : random_(seed), fault_(fault), nodes_(size) {
+      : replica_cluster(size, size, {}, seed, fault) {}
+
+  /// The first `founders` form the group; the others are blank. Each replica
+  /// asks for membership while it has no leader, as control replicas do.
+  replica_cluster(std::size_t size, std::size_t founders,
+                  std::vector<std::string> zones, std::uint64_t seed,
+                  fake_fault fault = fake_fault::kNone)
+      : random_(seed), fault_(fault), zones_(std::move(zones)), nodes_(size) {
     member_set members;
-    for (std::size_t i = 0; i < size; ++i) {
+    for (std::size_t i = 0; i < founders; ++i) {
       members.members.push_back({Name(i), 1, true});
     }
-    for (auto& node : nodes_) {
-      node.disk.incarnation = 1;
-      node.disk.snapshot.members = members;
+    for (std::size_t i = 0; i < size; ++i) {
+      auto& disk = nodes_[i].disk;
+      disk.incarnation = i < founders ? 1 : ++last_incarnation_;
+      if (i < founders) disk.snapshot.members = members;
     }
     for (std::size_t i = 0; i < size; ++i) Start(i);
   }
 
+  /// Each replica without a leader asks every other one to be a member.
+  auto JoinAll() -> void {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (!nodes_[i].core || !nodes_[i].core->leader().empty()) continue;
+      for (std::size_t j = 0; j < nodes_.size(); ++j) {
+        if (i == j || !nodes_[j].core || cuts_.contains(Pair(i, j))) continue;
+        nodes_[j].core->AddLearner(Name(i), nodes_[i].disk.incarnation, now_);
+        Process(j);
+      }
+    }
+  }
+
   auto Run(monotonic_ms time) -> void {
     for (const auto end = now_ + time; now_ < end; now_ += kStep) {
       DeliverDue();
@@ -57,7 +77,12 @@
   auto Start(std::size_t i) -> void {
     auto& node = nodes_[i];
     if (node.core) return;
-    node.core.emplace(Name(i), node.disk, options(), random_(), now_);
+    auto own = options();
+    if (!zones_.empty()) {
+      own.zone = zones_[i];
+      own.target_voters = target_voters_;
+    }
+    node.core.emplace(Name(i), node.disk, own, random_(), now_);
     node.state = node.disk.snapshot.state;
     node.applied = node.disk.snapshot.index;
   }
@@ -89,6 +114,8 @@
     Start(i);
   }
 
+  auto SetTargetVoters(std::size_t count) -> void { target_voters_ = count; }
+
   auto Cut(std::size_t a, std::size_t b) -> void { cuts_.insert(Pair(a, b)); }
   auto CutOff(std::size_t a) -> void {
     for (std::size_t b = 0; b < nodes_.size(); ++b) {
@@ -169,6 +196,10 @@
   /// First broken invariant; empty if all hold.
   auto violation() const -> const std::string& { return violation_; }
 
+  static auto Name(std::size_t i) -> std::string {
+    return "r" + std::to_string(i);
+  }
+
   static auto options() -> replication_options {
     replication_options value;
     value.kept_entries = 5;
@@ -192,9 +223,6 @@
     replica_envelope envelope;
   };
 
-  static auto Name(std::size_t i) -> std::string {
-    return "r" + std::to_string(i);
-  }
   static auto Pair(std::size_t a, std::size_t b)
       -> std::pair<std::size_t, std::size_t> {
     return {std::min(a, b), std::max(a, b)};
@@ -305,6 +333,8 @@
 
   std::mt19937_64 random_;
   fake_fault fault_;
+  std::vector<std::string> zones_;
+  std::size_t target_voters_ = 3;
   monotonic_ms now_ = 1'000;
   double loss_ = 0;
   incarnation_id last_incarnation_ = 1;
