--- a/include/lovagedale/common/log.h
+++ b/include/lovagedale/common/log.h
@@ -14,6 +14,9 @@
 auto InitializeLogging(const std::string& process, const std::string& file,
                        log_level level) -> void;
 
+/// Writes out what is queued; nothing may be logged afterwards.
+auto ShutdownLogging() -> void;
+
 /// Writes one record. Prefer log_line, which formats the fields.
 auto WriteLog(log_level level, std::string_view text) -> void;
 
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -61,6 +61,8 @@
   root.setLogLevel(ToLog4cplus(level));
 }
 
+auto ShutdownLogging() -> void { log4cplus::Logger::shutdown(); }
+
 auto WriteLog(log_level level, std::string_view text) -> void {
   static const auto root = log4cplus::Logger::getRoot();
   const auto native = ToLog4cplus(level);
