--- a/include/lovagedale/rollout/service_rollout.h
+++ b/include/lovagedale/rollout/service_rollout.h
@@ -99,8 +99,10 @@
   /// roll-out is complete.
   double most_after = 0.55;
   double complete_after = 0.8;
-  /// Answers of the new version without which no session follows.
+  /// Answers of the new version without which no other session follows; a
+  /// service with little traffic has fewer by the last part of the duration.
   std::uint64_t min_answers = 10;
+  double few_after = 0.7;
 
   auto operator==(const service_rollout_limits&) const -> bool = default;
 };
--- a/src/rollout/service_rollout.cpp
+++ b/src/rollout/service_rollout.cpp
@@ -5,9 +5,10 @@
 namespace lovagedale {
 namespace {
 
-/// Share of the sessions that a canary gets: well under the share of requests
-/// that operators accept on a bad version, as sessions differ in size.
-constexpr double kCanaryShare = 0.08;
+/// Share of the sessions that a canary gets. Entries do not know the sessions
+/// that began at other entries before the canary, so some that are under way
+/// change their version: the share is as small as a verdict allows.
+constexpr double kCanaryShare = 0.015;
 constexpr std::uint64_t kCanarySalt = 0x63616e617279ULL;
 
 auto Percent(double share) -> std::string {
@@ -116,8 +117,9 @@
                         ? 1.0
                         : static_cast<double>(elapsed_ms) /
                               static_cast<double>(rollout.duration_ms);
-  if (rollout.phase == phase::kCanary && part >= limits.most_after &&
-      fresh_total.requests >= limits.min_answers) {
+  const bool is_seen = fresh_total.requests >= limits.min_answers ||
+                       (fresh_total.requests > 0 && part >= limits.few_after);
+  if (rollout.phase == phase::kCanary && part >= limits.most_after && is_seen) {
     return service_rollout_decision{
         phase::kMost,
         std::to_string(fresh_total.requests) + " answers without a fault"};
