--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -17,6 +17,11 @@
 /// Part of the remaining time that the first answer may take while another
 /// server could still be asked.
 inline constexpr double kFirstTryPart = 0.6;
+/// A server that is silent for this multiple of the usual time to the first
+/// byte, and for this part of the objective at least, is given up while another
+/// one may be asked.
+inline constexpr double kSilentMultiple = 4;
+inline constexpr double kLeastPatience = 0.5;
 /// A stream whose events pause for this multiple of the route's longest pause,
 /// and at least this long, goes on elsewhere.
 inline constexpr monotonic_ms kStalledPauses = 2;
@@ -34,6 +39,9 @@
 inline constexpr monotonic_ms kRoutesWaitMs = 800;
 /// Answers to other requests that are passed over on one connection.
 inline constexpr int kMaxForeignAnswers = 3;
+/// Time to a larger model's first event, as a multiple of a small one's, that
+/// is assumed before any was seen: a few times its work, beside the same queue.
+inline constexpr double kLargerMultiple = 3;
 /// A stopping process takes a call only if it has time for this multiple of
 /// what the longest recent call of the route took.
 inline constexpr monotonic_ms kDurationMargin = 2;
@@ -218,10 +226,7 @@
   if (!working_) return;
   working_->work = std::max(0.0, working_->work - work_);
   working_.reset();
-  const auto& models = match_.matched->models;
-  if (models.empty()) return;
-  state_.tiers[{match_.matched->name, models[working_tier_]}].first_event.Ended(
-      working_since_ms_);
+  state_.tiers[working_tier_].first_event.Ended(working_since_ms_);
 }
 
 template <call_protocol Protocol>
@@ -262,6 +267,30 @@
   return state_.retries.TryRetry(clock_.Now());
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::FirstByteTime(monotonic_ms left) const
+    -> monotonic_ms {
+  const auto& item = *match_.matched;
+  const auto longest = static_cast<double>(left) * kFirstTryPart;
+  const auto known = state_.tiers.find(TierKey());
+  const auto objective = static_cast<double>(item.objective_ms);
+  const auto usual =
+      known == state_.tiers.end()
+          ? objective
+          : known->second.first_event.Expected(clock_.Now(), objective);
+  const auto patience =
+      std::max(usual * kSilentMultiple, objective * kLeastPatience);
+  return std::max<monotonic_ms>(
+      1, static_cast<monotonic_ms>(std::min(longest, patience)));
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::TierKey() const
+    -> std::pair<std::string, std::string> {
+  const auto& item = *match_.matched;
+  return {item.name, item.models.empty() ? "" : item.models[tier_]};
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::Deadlines(bool for_stream_body) const
     -> http_deadlines {
@@ -271,12 +300,8 @@
   http_deadlines deadlines;
   deadlines.connect = std::min(kServerConnectTime,
                                std::chrono::milliseconds(left));
-  const auto first =
-      is_last ? left
-              : std::max<monotonic_ms>(
-                    1, static_cast<monotonic_ms>(static_cast<double>(left) *
-                                                 kFirstTryPart));
-  deadlines.first_byte = std::chrono::milliseconds(first);
+  deadlines.first_byte =
+      std::chrono::milliseconds(is_last ? left : FirstByteTime(left));
   auto between = left;
   if (for_stream_body && !is_last) {
     between = std::min(
@@ -351,13 +376,9 @@
     working_ = server;
     work_ = prompt->whole;
     server->work += work_;
-    const auto& models = match_.matched->models;
-    if (!models.empty()) {
-      working_tier_ = tier_;
-      working_since_ms_ = clock_.Now();
-      state_.tiers[{match_.matched->name, models[tier_]}].first_event.Sent(
-          working_since_ms_);
-    }
+    working_tier_ = TierKey();
+    working_since_ms_ = clock_.Now();
+    state_.tiers[working_tier_].first_event.Sent(working_since_ms_);
   }
   std::optional<http_call_error> failure;
   bool is_caller_lost = false;
@@ -432,9 +453,13 @@
   auto& threshold = state_.tiers[{item.name, item.models[tier_]}].threshold;
   threshold.Add(*facts.confidence);
   const auto& larger = state_.tiers[{item.name, item.models.back()}];
+  const auto objective = static_cast<double>(item.objective_ms);
+  // The answer in hand tells how busy the servers are.
+  const auto guess =
+      static_cast<double>(clock_.Now() - sent_ms_) * kLargerMultiple;
   const auto least = ThresholdUnderLoad(
-      threshold.Threshold(), larger.first_event.Expected(clock_.Now()),
-      static_cast<double>(item.objective_ms));
+      threshold.Threshold(), larger.first_event.Expected(clock_.Now(), guess),
+      objective);
   if (*facts.confidence >= least) return false;
   if (runs_ >= item.max_attempts || !state_.retries.TryRetry(clock_.Now())) {
     return false;
@@ -457,6 +482,8 @@
   auto body = connection_->ReadAll(Deadlines(false), exchange_.yield());
   const bool is_failure = head.status >= 500;
   CountAnswer(server, is_failure);
+  state_.tiers[TierKey()].first_event.Began(
+      static_cast<double>(clock_.Now() - sent_ms_));
   if (is_failure || exchange_.HasStarted()) {
     attempt_reason_ = "answered " + std::to_string(head.status);
     server->health.Failed(clock_.Now());
@@ -519,9 +546,7 @@
 auto relayed_call<Protocol>::CountFirstEvent(const server_handle& server)
     -> void {
   CountAnswer(server, /*failed=*/false);
-  const auto& models = match_.matched->models;
-  if (models.empty()) return;
-  state_.tiers[{match_.matched->name, models[tier_]}].first_event.Began(
+  state_.tiers[TierKey()].first_event.Began(
       static_cast<double>(clock_.Now() - sent_ms_));
 }
 
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -110,6 +110,10 @@
   auto Refuse(refusal why, const std::string& detail) -> void;
   auto RelayKeptFailure() -> void;
   auto LeftMs() const -> monotonic_ms { return deadline_ms_ - clock_.Now(); }
+  /// How long a server may be silent while another one may be asked.
+  auto FirstByteTime(monotonic_ms left) const -> monotonic_ms;
+  /// Key of the route and the present model in tier_table.
+  auto TierKey() const -> std::pair<std::string, std::string>;
   auto Deadlines(bool for_stream_body) const -> http_deadlines;
   auto CountFirstEvent(const server_handle& server) -> void;
   auto CountAnswer(const server_handle& server, bool failed) -> void;
@@ -140,7 +144,7 @@
   monotonic_ms sent_ms_ = 0;
   server_handle working_;  ///< the server that reads the prompt now
   double work_ = 0;
-  std::size_t working_tier_ = 0;
+  std::pair<std::string, std::string> working_tier_;  ///< a key of tier_table
   monotonic_ms working_since_ms_ = 0;
   std::optional<kept_failure> failure_;
   event_splitter events_;
--- a/include/lovagedale/relay/tier_choice.h
+++ b/include/lovagedale/relay/tier_choice.h
@@ -51,17 +51,21 @@
     ++count_;
   }
   /// What the next answer may take: as long as the latest ones, or as those
-  /// that wait now, which have half of their time behind them.
-  auto Expected(monotonic_ms now) const -> double {
-    if (waiting_ < kFewestWaiting) return mean_ms_;
+  /// that wait now, which have half of their time behind them. Before the
+  /// first ones it is `unknown_ms`: after a restart the servers may be busy.
+  auto Expected(monotonic_ms now, double unknown_ms) const -> double {
+    const auto seen = count_ < kFewestSeen ? std::max(mean_ms_, unknown_ms)
+                                           : mean_ms_;
+    if (waiting_ < kFewestWaiting) return seen;
     const auto age = static_cast<double>(now) -
                      static_cast<double>(waiting_since_) /
                          static_cast<double>(waiting_);
-    return std::max(mean_ms_, 2 * age);
+    return std::max(seen, 2 * age);
   }
 
  private:
   static constexpr std::int64_t kFewestWaiting = 3;
+  static constexpr std::uint64_t kFewestSeen = 10;
   /// About the last fifteen answers count.
   static constexpr double kWeight = 0.07;
 
--- a/tests/relay/tier_choice_test.cpp
+++ b/tests/relay/tier_choice_test.cpp
@@ -39,12 +39,22 @@
 
 TEST_CASE("requests that wait count before their answers have begun") {
   first_event_time time;
-  time.Began(100);
+  for (int i = 0; i < 20; ++i) time.Began(100);
   for (int i = 0; i < 5; ++i) time.Sent(1'000);
-  CHECK(time.Expected(1'000) == 100);
-  CHECK(time.Expected(1'400) == 800);
+  CHECK(time.Expected(1'000, 700) == 100);
+  CHECK(time.Expected(1'400, 700) == 800);
   for (int i = 0; i < 5; ++i) time.Ended(1'000);
-  CHECK(time.Expected(1'400) == 100);
+  CHECK(time.Expected(1'400, 700) == 100);
+}
+
+// Load pattern: all processes were killed, and every caller is back at once.
+TEST_CASE("a process that has seen no answers assumes that servers are busy") {
+  first_event_time time;
+  CHECK(time.Expected(1'000, 700) == 700);
+  for (int i = 0; i < 9; ++i) time.Began(100);
+  CHECK(time.Expected(1'000, 700) == 700);
+  time.Began(100);
+  CHECK(time.Expected(1'000, 700) == 100);
 }
 
 // Load pattern: burst. The largest model costs ten times the smallest, and
@@ -64,7 +74,7 @@
       for (int i = 0; i < (is_burst ? 3 : 1); ++i) {
         ++asked;
         const auto least =
-            adaptive ? ThresholdUnderLoad(0.5, larger.Expected(now), kObjective)
+            adaptive ? ThresholdUnderLoad(0.5, larger.Expected(now, 0), kObjective)
                      : 0.5;
         if (confidence(random) >= least) {
           ++in_time;  // the small model's answer, at once
