--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -41,7 +41,7 @@
 inline constexpr int kMaxForeignAnswers = 3;
 /// Time to a larger model's first event, as a multiple of a small one's, that
 /// is assumed before any was seen: a few times its work, beside the same queue.
-inline constexpr double kLargerMultiple = 3;
+inline constexpr double kLargerMultiple = 2;
 /// A stopping process takes a call only if it has time for this multiple of
 /// what the longest recent call of the route took.
 inline constexpr monotonic_ms kDurationMargin = 2;
--- a/include/lovagedale/relay/tier_choice.h
+++ b/include/lovagedale/relay/tier_choice.h
@@ -65,7 +65,7 @@
 
  private:
   static constexpr std::int64_t kFewestWaiting = 3;
-  static constexpr std::uint64_t kFewestSeen = 10;
+  static constexpr std::uint64_t kFewestSeen = 4;
   /// About the last fifteen answers count.
   static constexpr double kWeight = 0.07;
 
