--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -82,6 +82,26 @@
   CHECK(refused.find("Lovagedale-Ran: no") != std::string::npos);
 }
 
+TEST_CASE("a request whose length is given twice or in two ways gets 400") {
+  int handled = 0;
+  const running_server server({}, [&](http_exchange& exchange) {
+    ++handled;
+    Echo(exchange);
+  });
+  const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n";
+  for (const auto* framing :
+       {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Content-Length: 4\r\nContent-Length: 4\r\n",
+        "Content-Length: 4\r\nContent-Length: 5\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n"}) {
+    const auto answer =
+        Exchange(server.port(), head + framing + "\r\n0\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 400"));
+  }
+  CHECK(handled == 0);
+}
+
 TEST_CASE("a server survives its handlers' failures") {
   running_server server({}, [](http_exchange& exchange) {
     if (exchange.request().target == "/fail") throw std::runtime_error("x");
--- /dev/null
+++ b/tests/support/plain_protocol.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <charconv>
+
+#include "lovagedale/relay/call.h"
+
+namespace lovagedale::testing {
+
+/// A call protocol with short names, for tests of the relay.
+class plain_protocol {
+ public:
+  auto ReadCall(const http_request& request) const -> call_request {
+    call_request call;
+    call.id = std::string(request.Header("Id"));
+    if (call.id.empty()) throw call_malformed("Id: missing");
+    call.key = std::string(request.Header("Key"));
+    const auto limit = request.Header("Limit");
+    std::int64_t ms = 0;
+    std::from_chars(limit.data(), limit.data() + limit.size(), ms);
+    if (ms > 0) call.time_limit_ms = ms;
+    return call;
+  }
+  auto ServerRequest(const http_request& request, const call_request& /*call*/,
+                     const call_dispatch& dispatch) const -> http_request {
+    auto sent = request;
+    sent.headers.emplace_back("Server", dispatch.server->id);
+    sent.headers.emplace_back("Model", dispatch.model);
+    if (dispatch.after_event) {
+      sent.headers.emplace_back("After", std::to_string(*dispatch.after_event));
+    }
+    return sent;
+  }
+  auto ReadAnswer(const http_response_head& head) const -> answer_facts {
+    answer_facts facts;
+    facts.request_id = std::string(head.Header("Id"));
+    facts.not_run = !head.Header("Not-Run").empty();
+    const auto confidence = head.Header("Confidence");
+    if (!confidence.empty()) {
+      facts.confidence = std::stod(std::string(confidence));
+    }
+    return facts;
+  }
+  auto OwnAnswerHeaders(const call_request& call) const -> header_list {
+    return {{"Id", call.id}};
+  }
+};
+
+}  // namespace lovagedale::testing
