Bounded log on standard output; counters and latency histograms of relayed calls

Log lines are written by a thread of their own with a bound on what is queued; a reader that stops reading loses lines, which are counted, and blocks nobody (bounded_writer_test: 20,000 lines into a pipe that nobody reads).

--- a/include/lovagedale/common/log.h
+++ b/include/lovagedale/common/log.h
@@ -9,8 +9,10 @@
 
 enum class log_level { kDebug, kInfo, kWarning, kError };
 
-/// Sets up log4cplus once per process: one line per record on standard error,
+/// Sets up log4cplus once per process: one line per record on standard output,
 /// or in `file` when that is not empty. `process` is printed in every line.
+/// Nothing that logs waits for a reader: records that find the queue full are
+/// dropped and counted. Throws std::runtime_error if the file cannot be opened.
 auto InitializeLogging(const std::string& process, const std::string& file,
                        log_level level) -> void;
 
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -45,8 +45,6 @@
 /// A stopping process takes a call only if it has time for this multiple of
 /// what the longest recent call of the route took.
 inline constexpr monotonic_ms kDurationMargin = 2;
-/// One of so many calls that went well is logged.
-inline constexpr std::uint64_t kLogEvery = 16;
 
 template <call_protocol Protocol>
 auto relay<Protocol>::Handle(http_exchange& exchange) -> void {
@@ -482,8 +480,7 @@
   auto body = connection_->ReadAll(Deadlines(false), exchange_.yield());
   const bool is_failure = head.status >= 500;
   CountAnswer(server, is_failure);
-  state_.tiers[TierKey()].first_event.Began(
-      static_cast<double>(clock_.Now() - sent_ms_));
+  CountFirstByte();
   if (is_failure || exchange_.HasStarted()) {
     attempt_reason_ = "answered " + std::to_string(head.status);
     server->health.Failed(clock_.Now());
@@ -546,8 +543,14 @@
 auto relayed_call<Protocol>::CountFirstEvent(const server_handle& server)
     -> void {
   CountAnswer(server, /*failed=*/false);
-  state_.tiers[TierKey()].first_event.Began(
-      static_cast<double>(clock_.Now() - sent_ms_));
+  CountFirstByte();
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::CountFirstByte() -> void {
+  const auto ms = static_cast<double>(clock_.Now() - sent_ms_);
+  state_.tiers[TierKey()].first_event.Began(ms);
+  state_.first_event_times[TierKey()].Add(ms);
 }
 
 template <call_protocol Protocol>
@@ -611,7 +614,8 @@
   const auto* name = kNames[static_cast<std::size_t>(result)];
   ++state_.attempts[name];
   if (result == attempt_result::kAnswered ||
-      result == attempt_result::kNextModel) {
+      result == attempt_result::kNextModel ||
+      !state_.log.AllowFailure(clock_.Now())) {
     return;
   }
   log_line(log_level::kInfo, "attempt_failed")
@@ -632,15 +636,22 @@
       match_.matched == nullptr ? "" : match_.matched->name;
   ++state_.counts[{route, outcome}];
   const bool is_good = status >= 200 && status < 300;
-  if (is_good) state_.durations[route].Add(clock_.Now() - started_ms_);
-  if (is_good && Hash64(call_.id) % kLogEvery != 0) return;
+  const auto now = clock_.Now();
+  if (is_good) {
+    state_.durations[route].Add(now - started_ms_);
+    state_.whole_times[route].Add(static_cast<double>(now - started_ms_));
+  }
+  const bool is_logged = is_good
+                             ? state_.log.AllowSuccess(Hash64(call_.id), now)
+                             : state_.log.AllowFailure(now);
+  if (!is_logged) return;
   log_line(log_level::kInfo, "call_ended")
       .With("request", call_.id)
       .With("route", route)
       .With("outcome", outcome)
       .With("status", status)
       .With("sends", sends_)
-      .With("took_ms", clock_.Now() - started_ms_)
+      .With("took_ms", now - started_ms_)
       .With("limit_ms", deadline_ms_ - started_ms_)
       .With("revision", view_ ? view_->revision : 0)
       .With("detail", detail);
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -116,6 +116,8 @@
   auto TierKey() const -> std::pair<std::string, std::string>;
   auto Deadlines(bool for_stream_body) const -> http_deadlines;
   auto CountFirstEvent(const server_handle& server) -> void;
+  /// Notes how long the server took to begin its answer.
+  auto CountFirstByte() -> void;
   auto CountAnswer(const server_handle& server, bool failed) -> void;
   auto LogAttempt(const server_handle& server, attempt_result result,
                   const std::string& reason) -> void;
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -10,8 +10,10 @@
 #include <random>
 #include <string>
 
+#include "lovagedale/common/latency_histogram.h"
 #include "lovagedale/configuration/fleet_view.h"
 #include "lovagedale/relay/connection_pool.h"
+#include "lovagedale/relay/log_budget.h"
 #include "lovagedale/relay/retry_budget.h"
 #include "lovagedale/relay/server_table.h"
 #include "lovagedale/relay/session_memory.h"
@@ -105,6 +107,11 @@
   std::map<call_counts_key, std::uint64_t> counts;
   std::map<std::string, recent_durations> durations;  ///< by route
   std::map<std::string, std::uint64_t> attempts;  ///< by outcome
+  std::map<std::string, latency_histogram> whole_times;  ///< by route
+  /// By route and model; empty where the route has no models.
+  std::map<std::pair<std::string, std::string>, latency_histogram>
+      first_event_times;
+  log_budget log;
   std::size_t active = 0;  ///< calls under way
   /// Until then calls wait for the first routes, which control sends as soon as
   /// it has a leader.
--- /dev/null
+++ b/src/common/bounded_writer.cpp
@@ -0,0 +1,106 @@
+#include "lovagedale/common/bounded_writer.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+
+namespace lovagedale {
+namespace {
+
+/// A pipe that polls as writable takes this many bytes without blocking.
+constexpr std::size_t kWriteBytes = 4'096;
+constexpr int kPollMs = 50;
+/// Time for what is queued when the process ends.
+constexpr std::chrono::milliseconds kLastWrites{200};
+
+}  // namespace
+
+bounded_writer::bounded_writer(int fd, std::size_t max_queued_bytes)
+    : fd_(fd),
+      max_queued_bytes_(max_queued_bytes),
+      thread_([this] { Run(); }) {}
+
+bounded_writer::~bounded_writer() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_one();
+  thread_.join();
+}
+
+auto bounded_writer::Write(std::string line) -> bool {
+  {
+    const std::lock_guard lock(mutex_);
+    if (queued_bytes_ + line.size() > max_queued_bytes_) {
+      ++dropped_;
+      return false;
+    }
+    queued_bytes_ += line.size();
+    queue_.push_back(std::move(line));
+    if (queue_.size() > 1) return true;  // The thread is awake.
+  }
+  wake_.notify_one();
+  return true;
+}
+
+auto bounded_writer::dropped() const -> std::uint64_t {
+  const std::lock_guard lock(mutex_);
+  return dropped_;
+}
+
+auto bounded_writer::IsEnding() const -> bool {
+  const std::lock_guard lock(mutex_);
+  return stopping_;
+}
+
+auto bounded_writer::WriteOut(const std::string& bytes) -> bool {
+  std::size_t written = 0;
+  std::chrono::steady_clock::time_point give_up{};
+  while (written < bytes.size()) {
+    pollfd poller{fd_, POLLOUT, 0};
+    const int ready = ::poll(&poller, 1, kPollMs);
+    if (ready <= 0) {
+      if (!IsEnding()) continue;
+      const auto now = std::chrono::steady_clock::now();
+      if (give_up == std::chrono::steady_clock::time_point{}) {
+        give_up = now + kLastWrites;
+      }
+      if (now >= give_up) return false;
+      continue;
+    }
+    const auto size = std::min(kWriteBytes, bytes.size() - written);
+    const auto result = ::write(fd_, bytes.data() + written, size);
+    if (result > 0) {
+      written += static_cast<std::size_t>(result);
+    } else if (errno != EINTR && errno != EAGAIN) {
+      return false;  // Nobody reads any more.
+    }
+  }
+  return true;
+}
+
+auto bounded_writer::Run() -> void {
+  for (;;) {
+    std::string bytes;
+    {
+      std::unique_lock lock(mutex_);
+      wake_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+      if (queue_.empty()) return;
+      for (const auto& line : queue_) bytes += line;
+      queue_.clear();
+      queued_bytes_ = 0;
+      if (dropped_ != reported_) {
+        bytes += "log_lines_dropped count=" +
+                 std::to_string(dropped_ - reported_) + "\n";
+        reported_ = dropped_;
+      }
+    }
+    if (!WriteOut(bytes) && IsEnding()) return;
+  }
+}
+
+}  // namespace lovagedale
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -1,20 +1,47 @@
 #include "lovagedale/common/log.h"
 
-#include <log4cplus/asyncappender.h>
+#include <fcntl.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <unistd.h>
+
 #include <memory>
+#include <sstream>
+#include <stdexcept>
+
+#include "lovagedale/common/bounded_writer.h"
 
 namespace lovagedale {
 namespace {
 
-constexpr unsigned kMaxQueuedRecords = 100'000;
+/// A few seconds of an entry's records at the peak.
+constexpr std::size_t kMaxQueuedBytes = 1UL << 20U;
+
+/// Formats records on the caller's thread and writes them on its own.
+class bounded_appender : public log4cplus::Appender {
+ public:
+  explicit bounded_appender(int fd) : writer_(fd, kMaxQueuedBytes) {}
+  ~bounded_appender() override { destructorImpl(); }
+  bounded_appender(const bounded_appender&) = delete;
+  auto operator=(const bounded_appender&) -> bounded_appender& = delete;
+  auto close() -> void override { closed = true; }
+
+ protected:
+  auto append(const log4cplus::spi::InternalLoggingEvent& event)
+      -> void override {
+    std::ostringstream out;
+    layout->formatAndAppend(out, event);
+    writer_.Write(std::move(out).str());
+  }
+
+ private:
+  bounded_writer writer_;
+};
 
 auto ToLog4cplus(log_level level) -> log4cplus::LogLevel {
   switch (level) {
@@ -30,13 +57,14 @@
   return log4cplus::ERROR_LOG_LEVEL;
 }
 
-auto MakeAppender(const std::string& file) -> log4cplus::SharedAppenderPtr {
-  if (file.empty()) {
-    return log4cplus::SharedAppenderPtr(
-        new log4cplus::ConsoleAppender(/*logToStdErr=*/true));
-  }
-  return log4cplus::SharedAppenderPtr(
-      new log4cplus::FileAppender(file, std::ios_base::app, true));
+/// Standard output, or the end of a file.
+auto OpenLog(const std::string& file) -> int {
+  if (file.empty()) return STDOUT_FILENO;
+  constexpr int kMode = 0644;
+  const int fd =
+      ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kMode);
+  if (fd < 0) throw std::runtime_error("cannot open log file " + file);
+  return fd;
 }
 
 auto IsQuotingNeeded(std::string_view value) -> bool {
@@ -49,15 +77,13 @@
 auto InitializeLogging(const std::string& process, const std::string& file,
                        log_level level) -> void {
   static log4cplus::Initializer initializer;
-  auto appender = MakeAppender(file);
+  const log4cplus::SharedAppenderPtr appender(
+      new bounded_appender(OpenLog(file)));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "%D{%Y-%m-%dT%H:%M:%S.%q} %p " + process + " %m%n"));
-  // A thread of its own writes: traffic threads must not wait for the disk.
-  const log4cplus::SharedAppenderPtr asynchronous(
-      new log4cplus::AsyncAppender(appender, kMaxQueuedRecords));
   auto root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
-  root.addAppender(asynchronous);
+  root.addAppender(appender);
   root.setLogLevel(ToLog4cplus(level));
 }
 
--- /dev/null
+++ b/tests/common/bounded_writer_test.cpp
@@ -0,0 +1,88 @@
+#include "lovagedale/common/bounded_writer.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <string>
+
+namespace lovagedale::testing {
+namespace {
+
+class pipe_pair {
+ public:
+  pipe_pair() { REQUIRE(::pipe(ends_) == 0); }
+  ~pipe_pair() {
+    ::close(ends_[0]);
+    ::close(ends_[1]);
+  }
+  pipe_pair(const pipe_pair&) = delete;
+  auto operator=(const pipe_pair&) -> pipe_pair& = delete;
+
+  auto write_end() const -> int { return ends_[1]; }
+  auto Read(std::size_t bytes) const -> std::string {
+    std::string text;
+    char buffer[4'096];
+    while (text.size() < bytes) {
+      const auto got = ::read(ends_[0], buffer, sizeof(buffer));
+      if (got <= 0) break;
+      text.append(buffer, static_cast<std::size_t>(got));
+    }
+    return text;
+  }
+
+ private:
+  int ends_[2] = {};
+};
+
+}  // namespace
+
+TEST_CASE("lines come out whole and in order") {
+  const pipe_pair pipe;
+  std::string expected;
+  {
+    bounded_writer writer(pipe.write_end(), 1U << 20U);
+    for (int i = 0; i < 200; ++i) {
+      const auto line = "line " + std::to_string(i) + "\n";
+      expected += line;
+      CHECK(writer.Write(line));
+    }
+    CHECK(pipe.Read(expected.size()) == expected);
+  }
+}
+
+// A pipe that nobody reads: callers go on, and what is lost is counted.
+TEST_CASE("a reader that does not read blocks nobody") {
+  const pipe_pair pipe;
+  constexpr std::size_t kLine = 100;
+  constexpr std::size_t kBound = 50'000;
+  constexpr int kLines = 20'000;
+  bounded_writer writer(pipe.write_end(), kBound);
+  std::uint64_t refused = 0;
+  const auto started = std::chrono::steady_clock::now();
+  for (int i = 0; i < kLines; ++i) {
+    if (!writer.Write(std::string(kLine - 1, 'x') + "\n")) ++refused;
+  }
+  const auto took = std::chrono::steady_clock::now() - started;
+  CHECK(writer.dropped() == refused);
+  // All but a pipe, a batch under way and the queue.
+  CHECK(refused * kLine > kLines * kLine - 65'536 - 2 * kBound - kLine);
+  // A hundredth of a millisecond a line.
+  CHECK(took < std::chrono::milliseconds(kLines / 100));
+  // Once it reads again, it is told what it has missed.
+  const auto text = pipe.Read((kLines - refused) * kLine + kLine / 4);
+  CHECK(text.find("log_lines_dropped count=") != std::string::npos);
+}
+
+TEST_CASE("a process ends though nobody reads its log") {
+  const pipe_pair pipe;
+  const auto started = std::chrono::steady_clock::now();
+  {
+    bounded_writer writer(pipe.write_end(), 1U << 20U);
+    for (int i = 0; i < 5'000; ++i) writer.Write(std::string(100, 'x') + "\n");
+  }
+  CHECK(std::chrono::steady_clock::now() - started <
+        std::chrono::milliseconds(1'000));
+}
+
+}  // namespace lovagedale::testing
