A canary waits for its servers and takes the share that a verdict needs

What: the leader counts the service's requests while servers start, then gives the canary the share that brings 60 answers before the other sessions follow. Ruled out: a smaller fixed share (a small service would have no answers).

--- a/include/lovagedale/configuration/changes.h
+++ b/include/lovagedale/configuration/changes.h
@@ -116,10 +116,11 @@
   std::string service;
   std::string target;
   service_rollout_phase phase = service_rollout_phase::kCanary;
+  double share = 0;  ///< of the sessions, for the canary
   std::string reason;
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(service, target, phase, reason);
+    archive(service, target, phase, share, reason);
   }
 };
 
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -171,6 +171,7 @@
   // A version under roll-out may not have started; one that was taken back
   // gets nothing whatever happens.
   const bool is_open = rollout == nullptr ||
+                       rollout->phase == service_rollout_phase::kWaiting ||
                        rollout->phase == service_rollout_phase::kCanary;
   if (servers.empty() && is_open) {
     servers = collect(true, true);
--- a/include/lovagedale/rollout/service_rollout.h
+++ b/include/lovagedale/rollout/service_rollout.h
@@ -12,6 +12,7 @@
 
 /// How far the traffic of a service has moved to servers of another version.
 enum class service_rollout_phase : std::uint8_t {
+  kWaiting,    ///< for servers of the new version
   kCanary,     ///< a small share of the sessions
   kMost,       ///< all sessions; the former servers are kept ready
   kCompleted,  ///< the former servers are no longer needed
@@ -25,18 +26,19 @@
 struct service_rollout {
   std::string service;
   std::string target;  ///< the new version
-  service_rollout_phase phase = service_rollout_phase::kCanary;
+  service_rollout_phase phase = service_rollout_phase::kWaiting;
   std::int64_t duration_ms = 0;  ///< time until it must be decided
+  double share = 0;              ///< of the sessions, for the canary; 0 to 1
   std::string reason;            ///< of the latest phase
 
   auto operator==(const service_rollout&) const -> bool = default;
   auto IsRunning() const -> bool {
-    return phase == service_rollout_phase::kCanary ||
-           phase == service_rollout_phase::kMost;
+    return phase != service_rollout_phase::kCompleted &&
+           phase != service_rollout_phase::kReverted;
   }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(service, target, phase, duration_ms, reason);
+    archive(service, target, phase, duration_ms, share, reason);
   }
 };
 
@@ -95,6 +97,15 @@
   std::uint64_t min_latency_answers = 12;
   /// Mean latency, as a multiple of the former version's, that is too much.
   double excess_latency = 3.0;
+  /// Answers of the new version that the canary should bring, and bounds of
+  /// its share. Entries do not know the sessions that began at other entries
+  /// before the canary, so some that are under way change their version: the
+  /// share is as small as a verdict allows.
+  double wanted_answers = 60;
+  double least_share = 0.002;
+  double greatest_share = 0.08;
+  /// Time in which requests are counted before the canary.
+  monotonic_ms counting_ms = 1'000;
   /// Parts of the duration after which all sessions move, and after which the
   /// roll-out is complete.
   double most_after = 0.55;
@@ -107,15 +118,25 @@
   auto operator==(const service_rollout_limits&) const -> bool = default;
 };
 
-/// The next phase of a running roll-out, with the reason; nothing if it stays.
-/// `answers` are those since it began, of all entries.
+/// What a verdict is based on.
+struct service_rollout_facts {
+  /// Since the roll-out began, of all entries.
+  version_answers_table answers;
+  monotonic_ms elapsed_ms = 0;
+  /// Servers that take work, of the new version and of others.
+  std::size_t fresh_servers = 0;
+  std::size_t former_servers = 0;
+};
+
 struct service_rollout_decision {
   service_rollout_phase phase;
   std::string reason;
+  double share = 0;  ///< of the sessions, if the phase is kCanary
 };
+
+/// The next phase of a running roll-out; nothing if it stays.
 auto JudgeServiceRollout(const service_rollout& rollout,
-                         const version_answers_table& answers,
-                         monotonic_ms elapsed_ms,
+                         const service_rollout_facts& facts,
                          const service_rollout_limits& limits)
     -> std::optional<service_rollout_decision>;
 
--- a/src/configuration/control_machine.cpp
+++ b/src/configuration/control_machine.cpp
@@ -358,9 +358,10 @@
 
 auto control_machine::StartServiceRollout(const begin_service_rollout& action)
     -> void {
-  const service_rollout started{action.service, action.target,
-                                service_rollout_phase::kCanary,
-                                action.duration_ms, ""};
+  service_rollout started;
+  started.service = action.service;
+  started.target = action.target;
+  started.duration_ms = action.duration_ms;
   for (auto& known : view_.service_rollouts) {
     if (known.service != action.service) continue;
     // The same order again, under another change id.
@@ -375,6 +376,7 @@
   for (auto& known : view_.service_rollouts) {
     if (known.service != action.service) continue;
     known.phase = action.phase;
+    known.share = action.share;
     known.reason = action.reason;
   }
 }
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -437,16 +437,21 @@
   const auto rollouts = machine_.view().service_rollouts;
   for (const auto& rollout : rollouts) {
     if (!rollout.IsRunning()) continue;
-    const auto elapsed =
-        clock_.Now() - rollouts_since_[rollout.service].second;
-    const auto decision = JudgeServiceRollout(rollout, answers_.Total(),
-                                              elapsed, service_limits_);
+    service_rollout_facts facts;
+    facts.answers = answers_.Total();
+    facts.elapsed_ms = clock_.Now() - rollouts_since_[rollout.service].second;
+    for (const auto& server : servers_.list().servers) {
+      if (server.service != rollout.service || server.leaving) continue;
+      ++(server.version == rollout.target ? facts.fresh_servers
+                                          : facts.former_servers);
+    }
+    const auto decision = JudgeServiceRollout(rollout, facts, service_limits_);
     if (!decision) continue;
     ProposeOwnChange(
         "service_rollout/" + rollout.service + "/" + rollout.target + "/" +
             PhaseName(decision->phase),
         move_service_rollout{rollout.service, rollout.target, decision->phase,
-                             decision->reason},
+                             decision->share, decision->reason},
         decision->reason);
   }
 }
--- a/src/rollout/service_rollout.cpp
+++ b/src/rollout/service_rollout.cpp
@@ -1,14 +1,12 @@
 #include "lovagedale/rollout/service_rollout.h"
 
+#include <algorithm>
+
 #include "lovagedale/common/hash.h"
 
 namespace lovagedale {
 namespace {
 
-/// Share of the sessions that a canary gets. Entries do not know the sessions
-/// that began at other entries before the canary, so some that are under way
-/// change their version: the share is as small as a verdict allows.
-constexpr double kCanaryShare = 0.015;
 constexpr std::uint64_t kCanarySalt = 0x63616e617279ULL;
 
 auto Percent(double share) -> std::string {
@@ -50,10 +48,40 @@
   return "";
 }
 
+/// As many servers as before, or some once part of the time has passed.
+auto IsReadyForCanary(const service_rollout& rollout,
+                      const service_rollout_facts& facts,
+                      const service_rollout_limits& limits) -> bool {
+  constexpr std::int64_t kPatience = 4;
+  if (facts.elapsed_ms < limits.counting_ms || facts.fresh_servers == 0) {
+    return false;
+  }
+  return facts.fresh_servers >= facts.former_servers ||
+         facts.elapsed_ms >= rollout.duration_ms / kPatience;
+}
+
+/// The share that brings the wanted answers before the other sessions move.
+auto CanaryShare(std::uint64_t requests, const service_rollout& rollout,
+                 monotonic_ms elapsed_ms, const service_rollout_limits& limits)
+    -> double {
+  const auto left = limits.most_after *
+                        static_cast<double>(rollout.duration_ms) -
+                    static_cast<double>(elapsed_ms);
+  const auto expected = static_cast<double>(requests) /
+                        static_cast<double>(std::max<monotonic_ms>(
+                            1, elapsed_ms)) *
+                        std::max(1.0, left);
+  if (expected <= 0) return limits.greatest_share;
+  return std::clamp(limits.wanted_answers / expected, limits.least_share,
+                    limits.greatest_share);
+}
+
 }  // namespace
 
 auto PhaseName(service_rollout_phase phase) -> const char* {
   switch (phase) {
+    case service_rollout_phase::kWaiting:
+      return "waiting";
     case service_rollout_phase::kCanary:
       return "canary";
     case service_rollout_phase::kMost:
@@ -71,12 +99,15 @@
   if (rollout == nullptr) return true;
   const bool is_target = version == rollout->target;
   switch (rollout->phase) {
+    case service_rollout_phase::kWaiting:
+      return !is_target;
     case service_rollout_phase::kCanary:
       if (session.version != nullptr) {
         return is_target == (*session.version == rollout->target);
       }
       return is_target ==
-             (UnitInterval(MixBits(session.hash ^ kCanarySalt)) < kCanaryShare);
+             (UnitInterval(MixBits(session.hash ^ kCanarySalt)) <
+              rollout->share);
     case service_rollout_phase::kMost:
     case service_rollout_phase::kCompleted:
       return is_target;
@@ -87,8 +118,7 @@
 }
 
 auto JudgeServiceRollout(const service_rollout& rollout,
-                         const version_answers_table& answers,
-                         monotonic_ms elapsed_ms,
+                         const service_rollout_facts& facts,
                          const service_rollout_limits& limits)
     -> std::optional<service_rollout_decision> {
   using phase = service_rollout_phase;
@@ -97,7 +127,7 @@
   std::map<std::string, version_answers> former;
   version_answers fresh_total;
   version_answers former_total;
-  for (const auto& [key, counts] : answers) {
+  for (const auto& [key, counts] : facts.answers) {
     if (key.service != rollout.service) continue;
     const bool is_target = key.version == rollout.target;
     (is_target ? fresh : former)[key.route] += counts;
@@ -115,8 +145,16 @@
 
   const auto part = rollout.duration_ms <= 0
                         ? 1.0
-                        : static_cast<double>(elapsed_ms) /
+                        : static_cast<double>(facts.elapsed_ms) /
                               static_cast<double>(rollout.duration_ms);
+  if (rollout.phase == phase::kWaiting) {
+    if (!IsReadyForCanary(rollout, facts, limits)) return std::nullopt;
+    const auto share =
+        CanaryShare(former_total.requests, rollout, facts.elapsed_ms, limits);
+    return service_rollout_decision{
+        phase::kCanary,
+        std::to_string(facts.fresh_servers) + " servers are ready", share};
+  }
   const bool is_seen = fresh_total.requests >= limits.min_answers ||
                        (fresh_total.requests > 0 && part >= limits.few_after);
   if (rollout.phase == phase::kCanary && part >= limits.most_after && is_seen) {
