--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -17,7 +17,7 @@
 cmake -S . -B build/lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON \
   -DCMAKE_CXX_COMPILER_LAUNCHER= >/dev/null
 sed -i 's/-fpch-preprocess//g' build/lint/compile_commands.json
-mapfile -t checked < <(git ls-files --cached --others --exclude-standard 'src/*.cpp')
+mapfile -t checked < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'platform/*.cpp')
 printf '%s\n' "${checked[@]}" |
   xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build/lint 2>/dev/null
 echo "clang-tidy: ${#checked[@]} files are clean"
