--- a/include/lovagedale/common/latency_histogram.h
+++ b/include/lovagedale/common/latency_histogram.h
@@ -20,8 +20,9 @@
       -> prometheus::ClientMetric;
 
  private:
-  using log_axis = boost::histogram::axis::regular<
-      double, boost::histogram::axis::transform::log>;
+  using log_axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
 
   decltype(boost::histogram::make_histogram(log_axis(1, 1, 2))) bins_;
   double sum_ms_ = 0;
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -89,6 +89,8 @@
   auto TrackServiceRollouts() -> void;
   /// Asks to be a member of the group until a leader is heard.
   auto JoinLoop(boost::asio::yield_context yield) -> void;
+  /// Null if the name tells no address.
+  auto JoinChannel(const std::string& name) -> rpc_channel*;
   auto AskToJoin(const std::string& name, boost::asio::yield_context yield)
       -> void;
   auto OrderEngines() -> void;
@@ -119,7 +121,8 @@
   version_answers_total answers_;
   /// By service: the target, and when its roll-out was first seen here.
   std::map<std::string, std::pair<std::string, monotonic_ms>> rollouts_since_;
-  std::map<std::string, std::unique_ptr<rpc_channel>> join_channels_;  // By name.
+  std::map<std::string, std::unique_ptr<rpc_channel>>
+      join_channels_;  // By name.
   monotonic_ms leading_since_ = 0;
   monotonic_ms ordered_at_ = 0;
   /// While this replica leads.
--- a/include/lovagedale/discovery/server_feed.h
+++ b/include/lovagedale/discovery/server_feed.h
@@ -12,8 +12,8 @@
 
 /// Reads the platform's whole list of servers. Throws std::exception if it
 /// cannot be had now.
-using server_source = std::function<std::vector<listed_server>(
-    boost::asio::yield_context yield)>;
+using server_source =
+    std::function<std::vector<listed_server>(boost::asio::yield_context yield)>;
 
 /// Reads the list for the whole fleet while this process is the one to do so.
 class server_feed {
--- a/include/lovagedale/process/replica_main.h
+++ b/include/lovagedale/process/replica_main.h
@@ -22,7 +22,6 @@
 /// `extract` is for files that hold more than the replica's settings.
 auto RunReplicaProgram(int argc, char** argv, const std::string& name,
                        const std::string& description, const run_replica& run,
-                       const extract_settings& extract = {})
-    -> int;
+                       const extract_settings& extract = {}) -> int;
 
 }  // namespace lovagedale
--- a/include/lovagedale/relay/call.h
+++ b/include/lovagedale/relay/call.h
@@ -46,18 +46,18 @@
 /// How a request is sent to one server.
 struct call_dispatch {
   const listed_server* server = nullptr;
-  std::string customer;         ///< empty if the route needs no key
-  std::int64_t left_ms = 0;     ///< of the time limit
-  std::string model;            ///< empty: as the caller asked
-  std::uint32_t priority = 0;   ///< 0 is the most urgent
+  std::string customer;        ///< empty if the route needs no key
+  std::int64_t left_ms = 0;    ///< of the time limit
+  std::string model;           ///< empty: as the caller asked
+  std::uint32_t priority = 0;  ///< 0 is the most urgent
   /// The stream goes on after this event.
   std::optional<std::uint64_t> after_event;
 };
 
 /// What a server's answer says beside its status.
 struct answer_facts {
-  std::string request_id;  ///< of the request that it answers; may be empty
-  bool not_run = false;    ///< the server promises that it did not run it
+  std::string request_id;     ///< of the request that it answers; may be empty
+  bool not_run = false;       ///< the server promises that it did not run it
   bool other_server = false;  ///< another server has this address now
   /// The answer's own confidence, 0 to 1.
   std::optional<double> confidence;
@@ -67,18 +67,18 @@
 
 /// How callers and servers write what the relay needs to know.
 template <typename T>
-concept call_protocol =
-    requires(const T& protocol, const http_request& request,
-             const call_request& call, const call_dispatch& dispatch,
-             const http_response_head& head) {
-      /// Throws call_malformed.
-      { protocol.ReadCall(request) } -> std::same_as<call_request>;
-      {
-        protocol.ServerRequest(request, call, dispatch)
-      } -> std::same_as<http_request>;
-      { protocol.ReadAnswer(head) } -> std::same_as<answer_facts>;
-      /// Headers of an answer that this process gives itself.
-      { protocol.OwnAnswerHeaders(call) } -> std::same_as<header_list>;
-    };
+concept call_protocol = requires(const T& protocol, const http_request& request,
+                                 const call_request& call,
+                                 const call_dispatch& dispatch,
+                                 const http_response_head& head) {
+  /// Throws call_malformed.
+  { protocol.ReadCall(request) } -> std::same_as<call_request>;
+  {
+    protocol.ServerRequest(request, call, dispatch)
+    } -> std::same_as<http_request>;
+  { protocol.ReadAnswer(head) } -> std::same_as<answer_facts>;
+  /// Headers of an answer that this process gives itself.
+  { protocol.OwnAnswerHeaders(call) } -> std::same_as<header_list>;
+};
 
 }  // namespace lovagedale
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -37,6 +37,9 @@
 inline constexpr monotonic_ms kServerWaitMs = 400;
 /// Wait of one call for the first routes of a process that has just started.
 inline constexpr monotonic_ms kRoutesWaitMs = 800;
+/// Time for full servers to finish some of their requests: about the time that
+/// one request of a plain service takes.
+inline constexpr std::chrono::milliseconds kFullPause{60};
 /// Answers to other requests that are passed over on one connection.
 inline constexpr int kMaxForeignAnswers = 3;
 /// Time to a larger model's first event, as a multiple of a small one's, that
@@ -98,7 +101,8 @@
     Refuse(refusal::kNoConfiguration, "");
     return false;
   }
-  match_ = view_->routes.Match(request.Header("Host"), request.Path(), call_.key);
+  match_ =
+      view_->routes.Match(request.Header("Host"), request.Path(), call_.key);
   if (match_.verdict == route_verdict::kNoRoute) {
     Refuse(refusal::kNoRoute, "");
     return false;
@@ -154,12 +158,11 @@
     for (const auto& server : state_.servers.Servers(service_)) {
       const auto& listed = server->listed;
       if (listed.leaving || server->gone) continue;
-      if (!any_version &&
-          !MayUseVersion(rollout, listed.version, session)) {
+      if (!any_version && !MayUseVersion(rollout, listed.version, session)) {
         continue;
       }
-      if (!tried_too && std::find(tried_.begin(), tried_.end(), listed.id) !=
-                            tried_.end()) {
+      if (!tried_too &&
+          std::find(tried_.begin(), tried_.end(), listed.id) != tried_.end()) {
         continue;
       }
       servers.push_back(server);
@@ -180,9 +183,11 @@
     });
   }
   std::vector<server_candidate> facts;
+  facts.reserve(servers.size());
   for (const auto& server : servers) {
     facts.push_back({server->id_hash, server->in_flight,
-                     server->listed.capacity, server->work, server->health.failure_share(),
+                     server->listed.capacity, server->work,
+                     server->health.failure_share(),
                      server->listed.zone == state_.settings.zone,
                      server->health.IsHeldOut(now) ||
                          state_.servers.IsZoneLost(server->listed.zone, now)});
@@ -248,10 +253,24 @@
     LogAttempt(server, result, attempt_reason_);
     if (result == attempt_result::kAnswered || gone_) return;
     if (!AllowsAnotherRun(result)) break;
+    if (result == attempt_result::kNotRun && tried_.size() >= KnownServers()) {
+      // All are full: asked again at once they would refuse again.
+      tried_.clear();
+      Pause(state_.context.get_executor(), kFullPause, exchange_.yield());
+    }
   }
   if (!gone_) Finish();
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::KnownServers() const -> std::size_t {
+  const auto& servers = state_.servers.Servers(service_);
+  return static_cast<std::size_t>(
+      std::count_if(servers.begin(), servers.end(), [](const auto& server) {
+        return !server->listed.leaving && !server->gone;
+      }));
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::AllowsAnotherRun(attempt_result result) -> bool {
   const auto& item = *match_.matched;
@@ -297,14 +316,14 @@
   const auto left = std::max<monotonic_ms>(1, LeftMs());
   const bool is_last = runs_ >= item.max_attempts || !MayRepeat();
   http_deadlines deadlines;
-  deadlines.connect = std::min(kServerConnectTime,
-                               std::chrono::milliseconds(left));
+  deadlines.connect =
+      std::min(kServerConnectTime, std::chrono::milliseconds(left));
   deadlines.first_byte =
       std::chrono::milliseconds(is_last ? left : FirstByteTime(left));
   auto between = left;
   if (for_stream_body && !is_last) {
-    between = std::min(
-        left, std::max(kLeastStallMs, item.pause_ms * kStalledPauses));
+    between =
+        std::min(left, std::max(kLeastStallMs, item.pause_ms * kStalledPauses));
   }
   deadlines.between_reads = std::chrono::milliseconds(between);
   return deadlines;
@@ -500,9 +519,8 @@
   events_.Restart();
   bool is_counted = false;
   for (;;) {
-    const auto bytes =
-        connection_->ReadSome(Deadlines(/*for_stream_body=*/true),
-                              exchange_.yield());
+    const auto bytes = connection_->ReadSome(
+        Deadlines(/*for_stream_body=*/true), exchange_.yield());
     if (bytes.empty()) break;
     const auto events = events_.Feed(bytes);
     if (events.empty()) continue;
@@ -530,8 +548,8 @@
 auto relayed_call<Protocol>::CountAnswer(const server_handle& server,
                                          bool failed) -> void {
   if (view_->RolloutOf(service_) == nullptr) return;
-  auto& counts = state_.answers[{service_, server->listed.version,
-                                 match_.matched->name}];
+  auto& counts =
+      state_.answers[{service_, server->listed.version, match_.matched->name}];
   ++counts.requests;
   if (failed) {
     ++counts.failures;
@@ -599,10 +617,9 @@
                          "0." + std::string(hundredths < 10 ? "0" : "") +
                              std::to_string(std::min(hundredths, 99)));
   }
-  exchange_.Respond(answer.status, "application/json",
-                    std::string(R"({"error":{"type":")") + answer.reason +
-                        R"("}})",
-                    headers);
+  exchange_.Respond(
+      answer.status, "application/json",
+      std::string(R"({"error":{"type":")") + answer.reason + R"("}})", headers);
   LogOutcome(answer.reason, answer.status, detail);
 }
 
@@ -610,8 +627,8 @@
 auto relayed_call<Protocol>::LogAttempt(const server_handle& server,
                                         attempt_result result,
                                         const std::string& reason) -> void {
-  static constexpr const char* kNames[] = {"answered",  "unreached", "not_run",
-                                           "maybe_run", "failed",    "next_model"};
+  static constexpr const char* kNames[] = {
+      "answered", "unreached", "not_run", "maybe_run", "failed", "next_model"};
   const auto* name = kNames[static_cast<std::size_t>(result)];
   ++state_.attempts[name];
   if (result == attempt_result::kAnswered ||
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -106,6 +106,8 @@
   auto ReleaseWork() -> void;
   auto IsStreamAnswer(const http_response_head& head) const -> bool;
   auto AllowsAnotherRun(attempt_result result) -> bool;
+  /// Servers of the service that take work.
+  auto KnownServers() const -> std::size_t;
   auto Finish() -> void;
   auto Refuse(refusal why, const std::string& detail) -> void;
   auto RelayKeptFailure() -> void;
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -105,8 +105,8 @@
   /// Cumulative; by services that have a roll-out.
   version_answers_table answers;
   std::map<call_counts_key, std::uint64_t> counts;
-  std::map<std::string, recent_durations> durations;  ///< by route
-  std::map<std::string, std::uint64_t> attempts;  ///< by outcome
+  std::map<std::string, recent_durations> durations;     ///< by route
+  std::map<std::string, std::uint64_t> attempts;         ///< by outcome
   std::map<std::string, latency_histogram> whole_times;  ///< by route
   /// By route and model; empty where the route has no models.
   std::map<std::pair<std::string, std::string>, latency_histogram>
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -77,5 +77,4 @@
   std::map<std::string, zone_reach> zones_;
 };
 
-
 }  // namespace lovagedale
--- a/include/lovagedale/relay/tier_choice.h
+++ b/include/lovagedale/relay/tier_choice.h
@@ -54,12 +54,12 @@
   /// that wait now, which have half of their time behind them. Before the
   /// first ones it is `unknown_ms`: after a restart the servers may be busy.
   auto Expected(monotonic_ms now, double unknown_ms) const -> double {
-    const auto seen = count_ < kFewestSeen ? std::max(mean_ms_, unknown_ms)
-                                           : mean_ms_;
+    const auto seen =
+        count_ < kFewestSeen ? std::max(mean_ms_, unknown_ms) : mean_ms_;
     if (waiting_ < kFewestWaiting) return seen;
-    const auto age = static_cast<double>(now) -
-                     static_cast<double>(waiting_since_) /
-                         static_cast<double>(waiting_);
+    const auto age =
+        static_cast<double>(now) -
+        static_cast<double>(waiting_since_) / static_cast<double>(waiting_);
     return std::max(seen, 2 * age);
   }
 
--- a/include/lovagedale/route_entry/route_entry-inl.h
+++ b/include/lovagedale/route_entry/route_entry-inl.h
@@ -26,8 +26,7 @@
 route_entry<Protocol>::route_entry(boost::asio::io_context& context,
                                    route_entry_settings settings,
                                    Protocol protocol, std::string ready_path,
-                                   server_source source,
-                                   reload_settings reload)
+                                   server_source source, reload_settings reload)
     : context_(context),
       settings_(std::move(settings)),
       reload_(std::move(reload)),
--- a/src/common/bounded_writer.cpp
+++ b/src/common/bounded_writer.cpp
@@ -94,8 +94,9 @@
       queue_.clear();
       queued_bytes_ = 0;
       if (dropped_ != reported_) {
-        bytes += "log_lines_dropped count=" +
-                 std::to_string(dropped_ - reported_) + "\n";
+        bytes +=
+            "log_lines_dropped count=" + std::to_string(dropped_ - reported_) +
+            "\n";
         reported_ = dropped_;
       }
     }
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -7,7 +7,6 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
-
 #include <unistd.h>
 
 #include <memory>
--- a/src/configuration/control_machine.cpp
+++ b/src/configuration/control_machine.cpp
@@ -226,8 +226,8 @@
                 known->IsRunning()) {
               return std::nullopt;
             }
-            return "service: \"" + a.service + "\" has no running roll-out to \"" +
-                   a.target + "\"";
+            return "service: \"" + a.service +
+                   "\" has no running roll-out to \"" + a.target + "\"";
           }},
       item.action);
 }
@@ -335,8 +335,7 @@
 }
 
 auto control_machine::ReplaceRoutes(const set_routes& action) -> void {
-  if (!route_source_.empty() &&
-      action.config.version <= view_.routes.version) {
+  if (!route_source_.empty() && action.config.version <= view_.routes.version) {
     return;
   }
   view_.routes = action.config;
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -59,9 +59,8 @@
   ScheduleTick();
   servers_.Start();
   if (!settings_.seeds.empty()) {
-    SpawnTask(context_, [this](boost::asio::yield_context yield) {
-      JoinLoop(yield);
-    });
+    SpawnTask(context_,
+              [this](boost::asio::yield_context yield) { JoinLoop(yield); });
   }
   log_line(log_level::kInfo, "control_started")
       .With("name", settings_.name)
@@ -129,9 +128,8 @@
     }
     HandleCrashes(held.heartbeat);
   }
-  const bool has_news =
-      held.heartbeat.revision != machine_.view().revision || !tracker_ ||
-      IsListOld(held.heartbeat);
+  const bool has_news = held.heartbeat.revision != machine_.view().revision ||
+                        !tracker_ || IsListOld(held.heartbeat);
   if (has_news || urgent || stopped_) {
     Answer(held);
     return;
@@ -468,25 +466,28 @@
   }
 }
 
-auto control_service::AskToJoin(const std::string& name,
-                                boost::asio::yield_context yield) -> void {
+auto control_service::JoinChannel(const std::string& name) -> rpc_channel* {
   const auto address = AddressOfReplica(name, settings_.rpc_port);
-  if (!address) return;
+  if (!address) return nullptr;
   auto& channel = join_channels_[name];
   if (!channel) channel = std::make_unique<rpc_channel>(context_, *address);
-  const join_request request{settings_.name, node_.core().incarnation()};
+  return channel.get();
+}
+
+auto control_service::AskToJoin(const std::string& name,
+                                boost::asio::yield_context yield) -> void {
+  const auto request = Encode(control_request(
+      join_request{settings_.name, node_.core().incarnation()}));
+  auto* channel = JoinChannel(name);
+  if (channel == nullptr) return;
   try {
-    const auto response = Decode<join_response>(
-        channel->Call(Encode(control_request(request)), kJoinTimeout, yield));
-    const bool is_led_elsewhere = !response.leader.empty() &&
-                                  response.leader != name &&
-                                  response.leader != settings_.name;
-    if (!is_led_elsewhere) return;
-    const auto leader = AddressOfReplica(response.leader, settings_.rpc_port);
-    if (!leader) return;
-    auto& to_leader = join_channels_[response.leader];
-    if (!to_leader) to_leader = std::make_unique<rpc_channel>(context_, *leader);
-    to_leader->Call(Encode(control_request(request)), kJoinTimeout, yield);
+    const auto leader =
+        Decode<join_response>(channel->Call(request, kJoinTimeout, yield))
+            .leader;
+    const bool is_led_elsewhere =
+        !leader.empty() && leader != name && leader != settings_.name;
+    auto* to_leader = is_led_elsewhere ? JoinChannel(leader) : nullptr;
+    if (to_leader != nullptr) to_leader->Call(request, kJoinTimeout, yield);
   } catch (const std::exception& error) {
     log_line(log_level::kDebug, "join_not_answered")
         .With("replica", name)
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -35,9 +35,9 @@
   const auto host_faults = reader.Integer("host_faults", 0, kMaxHostFaults, 0);
   options.target_voters =
       host_faults == 0 ? 0 : static_cast<std::size_t>(2 * host_faults + 1);
-  options.kept_entries = static_cast<std::size_t>(reader.Integer(
-      "kept_entries", 0, kMaxKeptEntries,
-      static_cast<std::int64_t>(options.kept_entries)));
+  options.kept_entries = static_cast<std::size_t>(
+      reader.Integer("kept_entries", 0, kMaxKeptEntries,
+                     static_cast<std::int64_t>(options.kept_entries)));
   return options;
 }
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -112,8 +112,8 @@
 http_connection::http_connection(asio::io_context& context, std::string host,
                                  std::uint16_t port,
                                  std::chrono::milliseconds dead_after)
-    : impl_(std::make_unique<impl>(context, std::move(host), port,
-                                   dead_after)) {}
+    : impl_(
+          std::make_unique<impl>(context, std::move(host), port, dead_after)) {}
 
 http_connection::~http_connection() = default;
 
@@ -173,8 +173,7 @@
                           yield[error]);
   if (error) {
     impl_->failed = true;
-    const bool is_unsent =
-        write->done && write->error && write->written == 0;
+    const bool is_unsent = write->done && write->error && write->written == 0;
     throw http_call_error(is_unsent ? stage::kNotSent : stage::kSent,
                           "no answer: " + error.message(),
                           error == beast::error::timeout);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -96,9 +96,8 @@
           shared->waiting = false;
           if (error || shared->stream == nullptr || !shared->on_gone) return;
           char byte = 0;
-          const auto got =
-              ::recv(shared->stream->socket().native_handle(), &byte, 1,
-                     MSG_PEEK | MSG_DONTWAIT);
+          const auto got = ::recv(shared->stream->socket().native_handle(),
+                                  &byte, 1, MSG_PEEK | MSG_DONTWAIT);
           const bool is_open =
               got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
           if (is_open) return;
@@ -383,8 +382,7 @@
     log_line(log_level::kInfo, "request_refused")
         .With("status", status)
         .With("reason", error.message());
-    beast_exchange exchange(stream_, yield_, state_->limits, {}, false,
-                            watch_);
+    beast_exchange exchange(stream_, yield_, state_->limits, {}, false, watch_);
     try {
       exchange.RespondJson(status, RefusalBody(status, state_->limits),
                            {{"Lovagedale-Ran", "no"}});
--- a/src/process/replica_main.cpp
+++ b/src/process/replica_main.cpp
@@ -26,13 +26,11 @@
 /// Whether this replica is one of those that form a new group by themselves:
 /// a seed at the group's first start, with nothing in its folder yet.
 auto IsFounder(const replica_settings& settings) -> bool {
-  const bool is_seed =
-      std::find(settings.seeds.begin(), settings.seeds.end(), settings.name) !=
-      settings.seeds.end();
+  const bool is_seed = std::find(settings.seeds.begin(), settings.seeds.end(),
+                                 settings.name) != settings.seeds.end();
   std::error_code error;
-  const bool is_blank =
-      !std::filesystem::exists(settings.data_folder, error) ||
-      std::filesystem::is_empty(settings.data_folder, error);
+  const bool is_blank = !std::filesystem::exists(settings.data_folder, error) ||
+                        std::filesystem::is_empty(settings.data_folder, error);
   return settings.bootstrap && is_seed && is_blank && !error;
 }
 
--- a/src/relay/server_choice.cpp
+++ b/src/relay/server_choice.cpp
@@ -79,8 +79,8 @@
   if (near.empty()) return DrawTwo(candidates, usable, input.random);
   const auto local = DrawTwo(candidates, near, input.random);
   const auto any = DrawTwo(candidates, usable, MixBits(input.random + 1));
-  const bool is_far_better = candidates[any].in_flight + kZoneSlack <
-                             candidates[local].in_flight;
+  const bool is_far_better =
+      candidates[any].in_flight + kZoneSlack < candidates[local].in_flight;
   return is_far_better ? any : local;
 }
 
--- a/src/relay/server_table.cpp
+++ b/src/relay/server_table.cpp
@@ -36,9 +36,9 @@
 
 auto server_table::Servers(const std::string& service) const
     -> const std::vector<server_handle>& {
-  static const std::vector<server_handle> kNone;
+  static const std::vector<server_handle> none;
   const auto found = by_service_.find(service);
-  return found == by_service_.end() ? kNone : found->second;
+  return found == by_service_.end() ? none : found->second;
 }
 
 }  // namespace lovagedale
--- a/src/relay/tier_choice.cpp
+++ b/src/relay/tier_choice.cpp
@@ -6,8 +6,9 @@
 
 auto confidence_threshold::Add(double confidence) -> void {
   const auto clamped = std::clamp(confidence, 0.0, 1.0);
-  const auto bin = std::min(
-      kBins - 1, static_cast<std::size_t>(clamped * static_cast<double>(kBins)));
+  const auto bin =
+      std::min(kBins - 1,
+               static_cast<std::size_t>(clamped * static_cast<double>(kBins)));
   ++counts_[bin];
   ++total_;
   if (total_ >= kMinAnswers && total_ % kRecomputeEvery == 0) Recompute();
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -208,8 +208,8 @@
   const replica_member* spare = nullptr;
   for (const auto& member : members_.members) {
     if (!member.voter || member.name == name_) continue;
-    if (spare == nullptr || voters.at(ZoneOf(member.name)) >
-                                voters.at(ZoneOf(spare->name))) {
+    if (spare == nullptr ||
+        voters.at(ZoneOf(member.name)) > voters.at(ZoneOf(spare->name))) {
       spare = &member;
     }
   }
--- a/src/rollout/service_rollout.cpp
+++ b/src/rollout/service_rollout.cpp
@@ -1,6 +1,7 @@
 #include "lovagedale/rollout/service_rollout.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "lovagedale/common/hash.h"
 
@@ -10,7 +11,7 @@
 constexpr std::uint64_t kCanarySalt = 0x63616e617279ULL;
 
 auto Percent(double share) -> std::string {
-  return std::to_string(static_cast<int>(share * 100 + 0.5)) + "%";
+  return std::to_string(std::lround(share * 100)) + "%";
 }
 
 auto FailureShare(const version_answers& answers) -> double {
@@ -64,13 +65,13 @@
 auto CanaryShare(std::uint64_t requests, const service_rollout& rollout,
                  monotonic_ms elapsed_ms, const service_rollout_limits& limits)
     -> double {
-  const auto left = limits.most_after *
-                        static_cast<double>(rollout.duration_ms) -
-                    static_cast<double>(elapsed_ms);
-  const auto expected = static_cast<double>(requests) /
-                        static_cast<double>(std::max<monotonic_ms>(
-                            1, elapsed_ms)) *
-                        std::max(1.0, left);
+  const auto left =
+      limits.most_after * static_cast<double>(rollout.duration_ms) -
+      static_cast<double>(elapsed_ms);
+  const auto expected =
+      static_cast<double>(requests) /
+      static_cast<double>(std::max<monotonic_ms>(1, elapsed_ms)) *
+      std::max(1.0, left);
   if (expected <= 0) return limits.greatest_share;
   return std::clamp(limits.wanted_answers / expected, limits.least_share,
                     limits.greatest_share);
@@ -105,9 +106,8 @@
       if (session.version != nullptr) {
         return is_target == (*session.version == rollout->target);
       }
-      return is_target ==
-             (UnitInterval(MixBits(session.hash ^ kCanarySalt)) <
-              rollout->share);
+      return is_target == (UnitInterval(MixBits(session.hash ^ kCanarySalt)) <
+                           rollout->share);
     case service_rollout_phase::kMost:
     case service_rollout_phase::kCompleted:
       return is_target;
@@ -136,9 +136,10 @@
   // A version may be bad on one route only, which the sum would hide.
   for (const auto& [route, counts] : fresh) {
     const auto fault = FindFault(counts, former[route], limits);
-    if (!fault.empty()) {
-      return service_rollout_decision{phase::kReverted, route + ": " + fault};
-    }
+    if (fault.empty()) continue;
+    std::string reason = route;
+    reason.append(": ").append(fault);
+    return service_rollout_decision{phase::kReverted, std::move(reason)};
   }
   const auto fault = FindFault(fresh_total, former_total, limits);
   if (!fault.empty()) return service_rollout_decision{phase::kReverted, fault};
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -89,9 +89,8 @@
     auto period = kLostPeriod;
     std::string failure;
     try {
-      const auto response = Decode<heartbeat_response>(
-          channel.Call(Encode(control_request(MakeHeartbeat())),
-                       kHeartbeatTimeout, yield));
+      const auto response = Decode<heartbeat_response>(channel.Call(
+          Encode(control_request(MakeHeartbeat())), kHeartbeatTimeout, yield));
       period = response.is_leader ? kLeaderPeriod
                : leader_.empty()  ? kSearchPeriod
                                   : kFollowerPeriod;
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -12,7 +12,8 @@
     AddValue(calls, static_cast<double>(count),
              {{"route", key.route}, {"outcome", key.outcome}});
   }
-  auto attempts = MetricFamily("lovagedale_attempts_total", MetricType::Counter);
+  auto attempts =
+      MetricFamily("lovagedale_attempts_total", MetricType::Counter);
   for (const auto& [result, count] : state.attempts) {
     AddValue(attempts, static_cast<double>(count), {{"result", result}});
   }
@@ -44,9 +45,8 @@
   auto left_out =
       MetricFamily("lovagedale_log_lines_left_out_total", MetricType::Counter);
   AddValue(left_out, static_cast<double>(state.log.left_out()));
-  return prometheus::TextSerializer().Serialize({calls, attempts, whole, first,
-                                                 held, active, revision, list,
-                                                 left_out});
+  return prometheus::TextSerializer().Serialize(
+      {calls, attempts, whole, first, held, active, revision, list, left_out});
 }
 
 }  // namespace lovagedale
--- a/tests/configuration/route_changes_test.cpp
+++ b/tests/configuration/route_changes_test.cpp
@@ -59,17 +59,18 @@
   const begin_service_rollout order{"engines", "v2", 10'000};
   CHECK(driver.Apply("b", order).status == change_status::kApplied);
   CHECK(driver.Apply("b", order).status == change_status::kApplied);
-  driver.Apply("c", move_service_rollout{"engines", "v2",
-                                         service_rollout_phase::kReverted, 0,
-                                         ""});
+  driver.Apply("c",
+               move_service_rollout{"engines", "v2",
+                                    service_rollout_phase::kReverted, 0, ""});
   // The same order under another id.
   CHECK(driver.Apply("d", order).status == change_status::kApplied);
   const auto* rollout = driver.machine().view().RolloutOf("engines");
   REQUIRE(rollout != nullptr);
   CHECK(rollout->phase == service_rollout_phase::kReverted);
-  CHECK(driver.Apply("e", move_service_rollout{
-                              "engines", "v2",
-                              service_rollout_phase::kCompleted, 0, ""})
+  CHECK(driver
+            .Apply("e", move_service_rollout{"engines", "v2",
+                                             service_rollout_phase::kCompleted,
+                                             0, ""})
             .status == change_status::kInvalid);
   CHECK(driver.Apply("f", begin_service_rollout{"nobody", "v2", 1}).status ==
         change_status::kInvalid);
--- a/tests/platform/caller_protocol_test.cpp
+++ b/tests/platform/caller_protocol_test.cpp
@@ -42,8 +42,8 @@
   CHECK(call.time_limit_ms == 8'000);
   CHECK(call.prompt_tokens == 1'460);
   CHECK(call.max_output_tokens == 80);
-  CHECK(call.parts == std::vector<prompt_part>{{0x5c1e07a2, 800},
-                                               {0x91bd3f06, 410}});
+  CHECK(call.parts ==
+        std::vector<prompt_part>{{0x5c1e07a2, 800}, {0x91bd3f06, 410}});
   CHECK_FALSE(call.after_event);
 }
 
--- a/tests/platform/config_document_test.cpp
+++ b/tests/platform/config_document_test.cpp
@@ -67,19 +67,18 @@
     CHECK_THROWS_AS(ParseConfigDocument(whole.substr(0, cut)),
                     document_invalid);
   }
-  CHECK_THROWS_AS(ParseConfigDocument(With(whole, R"("version": 7)",
-                                           R"("version": "7")")),
-                  document_invalid);
   CHECK_THROWS_AS(
-      ParseConfigDocument(With(whole, R"("weight": 90)", R"("weight": -1)")),
+      ParseConfigDocument(With(whole, R"("version": 7)", R"("version": "7")")),
       document_invalid);
   CHECK_THROWS_AS(
-      ParseConfigDocument(With(whole, "non_idempotent", "sometimes")),
+      ParseConfigDocument(With(whole, R"("weight": 90)", R"("weight": -1)")),
       document_invalid);
   CHECK_THROWS_AS(
-      ParseConfigDocument(With(whole, R"("timeout_ms": 1500)",
-                               R"("timeout_ms": 0)")),
+      ParseConfigDocument(With(whole, "non_idempotent", "sometimes")),
       document_invalid);
+  CHECK_THROWS_AS(ParseConfigDocument(With(whole, R"("timeout_ms": 1500)",
+                                           R"("timeout_ms": 0)")),
+                  document_invalid);
 }
 
 }  // namespace lovagedale::testing
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -70,8 +70,9 @@
 
 auto Answer(const std::string& status, const std::string& headers,
             const std::string& body) -> std::string {
-  return "HTTP/1.1 " + status + "\r\nId: r1\r\nConnection: close\r\n" + headers +
-         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 " + status + "\r\nId: r1\r\nConnection: close\r\n" +
+         headers + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 auto Chunk(const std::string& text) -> std::string {
@@ -92,7 +93,7 @@
 class running_relay {
  public:
   running_relay(route item, const std::vector<std::uint16_t>& ports)
-      : state_(context_, {}),
+      : state_(context_, Settings()),
         relay_(state_, {}),
         server_(context_, "127.0.0.1", 0, false, http_limits{},
                 [this](http_exchange& exchange) { relay_.Handle(exchange); }) {
@@ -133,6 +134,13 @@
   }
 
  private:
+  /// Enough retries for a single call.
+  static auto Settings() -> relay_settings {
+    relay_settings settings;
+    settings.retry_floor = 10;
+    return settings;
+  }
+
   asio::io_context context_{1};
   relay_state state_;
   relay<plain_protocol> relay_;
@@ -196,11 +204,30 @@
   CHECK_FALSE(answer.head.Header("Retry-After").empty());
 }
 
+// Load pattern: every server of a small service is full for a moment.
+TEST_CASE("full servers are asked again after a pause, not at once") {
+  std::atomic<int> calls = 0;
+  const auto started = std::chrono::steady_clock::now();
+  const auto script = [&](const std::string&) {
+    ++calls;
+    const auto past = std::chrono::steady_clock::now() - started;
+    return past < std::chrono::milliseconds(100)
+               ? Answer("503 Full", "Not-Run: 1\r\n", "")
+               : Answer("200 OK", "", "done");
+  };
+  scripted_server a(script);
+  scripted_server b(script);
+  const running_relay relay(MakeRoute(route_kind::kOnce), {a.port(), b.port()});
+  CHECK(relay.Call().body == "done");
+  CHECK(calls <= 6);
+}
+
 TEST_CASE("a repeatable request survives a broken answer") {
   std::atomic<int> calls = 0;
   const auto script = [&](const std::string&) {
     if (calls++ > 0) return Answer("200 OK", "", "whole");
-    return std::string("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 9\r\n\r\n") +
+    return std::string(
+               "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 9\r\n\r\n") +
            "half";
   };
   scripted_server a(script);
--- a/tests/relay/server_choice_test.cpp
+++ b/tests/relay/server_choice_test.cpp
@@ -81,7 +81,8 @@
 TEST_CASE("prompts of a hot subject do not queue behind each other") {
   constexpr int kEntries = 6;
   constexpr int kServers = 18;
-  static constexpr double kReadPerStep = 700;  // of each server, in prompt tokens
+  static constexpr double kReadPerStep =
+      700;  // of each server, in prompt tokens
   const auto run = [](bool always_keeper) {
     std::mt19937_64 random(11);
     std::uniform_real_distribution<double> chance(0, 1);
--- a/tests/relay/server_health_test.cpp
+++ b/tests/relay/server_health_test.cpp
@@ -33,7 +33,8 @@
   CHECK(health.IsHeldOut(1'000));
 }
 
-TEST_CASE("one failure in ten, which services have in good order, holds nothing") {
+TEST_CASE(
+    "one failure in ten, which services have in good order, holds nothing") {
   server_health health;
   for (int i = 0; i < 1'000; ++i) {
     i % 10 == 0 ? health.Failed(1'000) : health.Succeeded(1'000);
--- a/tests/relay/tier_choice_test.cpp
+++ b/tests/relay/tier_choice_test.cpp
@@ -74,8 +74,9 @@
       for (int i = 0; i < (is_burst ? 3 : 1); ++i) {
         ++asked;
         const auto least =
-            adaptive ? ThresholdUnderLoad(0.5, larger.Expected(now, 0), kObjective)
-                     : 0.5;
+            adaptive
+                ? ThresholdUnderLoad(0.5, larger.Expected(now, 0), kObjective)
+                : 0.5;
         if (confidence(random) >= least) {
           ++in_time;  // the small model's answer, at once
           continue;
--- a/tests/rollout/service_rollout_test.cpp
+++ b/tests/rollout/service_rollout_test.cpp
@@ -132,7 +132,9 @@
   const auto canary = Running(phase::kCanary);
   int fresh = 0;
   for (std::uint64_t session = 0; session < 10'000; ++session) {
-    if (MayUseVersion(&canary, "v2", {Hash64(std::to_string(session)), nullptr})) ++fresh;
+    if (MayUseVersion(&canary, "v2",
+                      {Hash64(std::to_string(session)), nullptr}))
+      ++fresh;
   }
   CHECK(fresh > 150);
   CHECK(fresh < 250);
