--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -1,3 +1,5 @@
+// How a relayed call goes: admission, the choice of a server, attempts.
+
 #pragma once
 
 #include <algorithm>
@@ -40,11 +42,6 @@
 /// Time for full servers to finish some of their requests: about the time that
 /// one request of a plain service takes.
 inline constexpr std::chrono::milliseconds kFullPause{60};
-/// Answers to other requests that are passed over on one connection.
-inline constexpr int kMaxForeignAnswers = 3;
-/// Time to a larger model's first event, as a multiple of a small one's, that
-/// is assumed before any was seen: a few times its work, beside the same queue.
-inline constexpr double kLargerMultiple = 2;
 /// A stopping process takes a call only if it has time for this multiple of
 /// what the longest recent call of the route took.
 inline constexpr monotonic_ms kDurationMargin = 2;
@@ -362,25 +359,6 @@
   return ReadOwnHead(connection_->Send(request, deadlines, exchange_.yield()));
 }
 
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::ReadOwnHead(http_response_head head)
-    -> http_response_head {
-  for (int i = 0;; ++i) {
-    const auto facts = protocol_.ReadAnswer(head);
-    if (facts.request_id.empty() || facts.request_id == call_.id) return head;
-    log_line(log_level::kWarning, "foreign_answer")
-        .With("request", call_.id)
-        .With("answer_to", facts.request_id);
-    if (i == kMaxForeignAnswers) {
-      throw http_call_error(http_call_error::stage::kSent,
-                            "answers to other requests only");
-    }
-    const auto deadlines = Deadlines(/*for_stream_body=*/false);
-    connection_->ReadAll(deadlines, exchange_.yield());
-    head = connection_->ReadHead(deadlines, exchange_.yield());
-  }
-}
-
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::Attempt(const server_handle& server)
     -> attempt_result {
@@ -416,7 +394,7 @@
     } else {
       may_have_run_ = true;
       result = IsStreamAnswer(head) ? RelayStream(server, head)
-                                    : RelayWhole(server, head, facts);
+                                    : RelayWhole(server, head);
     }
     if (result != attempt_result::kNextModel) {
       state_.pool.Release(server->listed.id, std::move(connection_),
@@ -461,218 +439,4 @@
   return attempt_result::kMaybeRun;
 }
 
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::IsTooUncertain(const answer_facts& facts) -> bool {
-  const auto& item = *match_.matched;
-  if (tier_ + 1 >= item.models.size() || !facts.confidence ||
-      exchange_.HasStarted()) {
-    return false;
-  }
-  auto& threshold = state_.tiers[{item.name, item.models[tier_]}].threshold;
-  threshold.Add(*facts.confidence);
-  const auto& larger = state_.tiers[{item.name, item.models.back()}];
-  const auto objective = static_cast<double>(item.objective_ms);
-  // The answer in hand tells how busy the servers are.
-  const auto guess =
-      static_cast<double>(clock_.Now() - sent_ms_) * kLargerMultiple;
-  const auto least = ThresholdUnderLoad(
-      threshold.Threshold(), larger.first_event.Expected(clock_.Now(), guess),
-      objective);
-  if (*facts.confidence >= least) return false;
-  if (runs_ >= item.max_attempts || !state_.retries.TryRetry(clock_.Now())) {
-    return false;
-  }
-  tier_ = item.models.size() - 1;
-  return true;
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::IsStreamAnswer(
-    const http_response_head& head) const -> bool {
-  return match_.matched->kind == route_kind::kStream && head.status == 200;
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::RelayWhole(const server_handle& server,
-                                        const http_response_head& head,
-                                        const answer_facts& /*facts*/)
-    -> attempt_result {
-  auto body = connection_->ReadAll(Deadlines(false), exchange_.yield());
-  const bool is_failure = head.status >= 500;
-  CountAnswer(server, is_failure);
-  CountFirstByte();
-  if (is_failure || exchange_.HasStarted()) {
-    attempt_reason_ = "answered " + std::to_string(head.status);
-    server->health.Failed(clock_.Now());
-    failure_ = kept_failure{head, std::move(body)};
-    return attempt_result::kFailed;
-  }
-  exchange_.Respond(head.status, head.content_type, body, head.headers);
-  LogOutcome("answered", head.status, "");
-  return attempt_result::kAnswered;
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::RelayStream(const server_handle& server,
-                                         const http_response_head& head)
-    -> attempt_result {
-  events_.Restart();
-  bool is_counted = false;
-  for (;;) {
-    const auto bytes = connection_->ReadSome(
-        Deadlines(/*for_stream_body=*/true), exchange_.yield());
-    if (bytes.empty()) break;
-    const auto events = events_.Feed(bytes);
-    if (events.empty()) continue;
-    if (!is_counted) CountFirstEvent(server);
-    ReleaseWork();
-    is_counted = true;
-    if (!exchange_.HasStarted()) {
-      exchange_.StartStream(head.status, head.content_type, head.headers);
-    }
-    exchange_.Write(events);
-  }
-  if (events_.HasPartialEvent()) {
-    throw http_call_error(http_call_error::stage::kAnswerBroken,
-                          "stream ended in the middle of an event");
-  }
-  if (!exchange_.HasStarted()) {
-    exchange_.StartStream(head.status, head.content_type, head.headers);
-  }
-  exchange_.EndStream();
-  LogOutcome("streamed", head.status, "");
-  return attempt_result::kAnswered;
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::CountAnswer(const server_handle& server,
-                                         bool failed) -> void {
-  if (view_->RolloutOf(service_) == nullptr) return;
-  auto& counts =
-      state_.answers[{service_, server->listed.version, match_.matched->name}];
-  ++counts.requests;
-  if (failed) {
-    ++counts.failures;
-  } else {
-    counts.latency_ms += static_cast<std::uint64_t>(clock_.Now() - sent_ms_);
-  }
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::CountFirstEvent(const server_handle& server)
-    -> void {
-  CountAnswer(server, /*failed=*/false);
-  CountFirstByte();
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::CountFirstByte() -> void {
-  const auto ms = static_cast<double>(clock_.Now() - sent_ms_);
-  state_.tiers[TierKey()].first_event.Began(ms);
-  state_.first_event_times[TierKey()].Add(ms);
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::Finish() -> void {
-  if (exchange_.HasStarted()) {
-    // Part of a stream is with the caller, and it cannot go on.
-    exchange_.CloseAfterwards();
-    LogOutcome("stream_cut", 0, attempt_reason_);
-    return;
-  }
-  if (failure_) {
-    RelayKeptFailure();
-    return;
-  }
-  const bool is_late = LeftMs() < kLeastUsefulMs;
-  if (may_have_run_) {
-    Refuse(is_late ? refusal::kTimeout : refusal::kBadGateway, attempt_reason_);
-  } else if (is_late) {
-    Refuse(refusal::kExpired, attempt_reason_);
-  } else {
-    Refuse(sends_ == 0 ? refusal::kNoServer : refusal::kServersRefuse,
-           attempt_reason_);
-  }
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::RelayKeptFailure() -> void {
-  exchange_.Respond(failure_->head.status, failure_->head.content_type,
-                    failure_->body, failure_->head.headers);
-  LogOutcome("server_failure", failure_->head.status, attempt_reason_);
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::Refuse(refusal why, const std::string& detail)
-    -> void {
-  const auto answer = AnswerFor(why);
-  header_list headers;
-  if (!call_.id.empty()) headers = protocol_.OwnAnswerHeaders(call_);
-  if (answer.retry_after_s) {
-    // Spread, so that callers refused together do not return together.
-    const auto spread = 0.5 + UnitInterval(state_.random());
-    const auto hundredths =
-        static_cast<int>(*answer.retry_after_s * spread * 100);
-    headers.emplace_back("Retry-After",
-                         "0." + std::string(hundredths < 10 ? "0" : "") +
-                             std::to_string(std::min(hundredths, 99)));
-  }
-  exchange_.Respond(
-      answer.status, "application/json",
-      std::string(R"({"error":{"type":")") + answer.reason + R"("}})", headers);
-  LogOutcome(answer.reason, answer.status, detail);
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::LogAttempt(const server_handle& server,
-                                        attempt_result result,
-                                        const std::string& reason) -> void {
-  static constexpr const char* kNames[] = {
-      "answered", "unreached", "not_run", "maybe_run", "failed", "next_model"};
-  const auto* name = kNames[static_cast<std::size_t>(result)];
-  ++state_.attempts[name];
-  if (result == attempt_result::kAnswered ||
-      result == attempt_result::kNextModel ||
-      !state_.log.AllowFailure(clock_.Now())) {
-    return;
-  }
-  log_line(log_level::kInfo, "attempt_failed")
-      .With("request", call_.id)
-      .With("route", match_.matched->name)
-      .With("server", server->listed.id)
-      .With("version", server->listed.version)
-      .With("list", state_.servers.number())
-      .With("result", name)
-      .With("after_ms", clock_.Now() - started_ms_)
-      .With("reason", reason);
-}
-
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::LogOutcome(const char* outcome, unsigned status,
-                                        const std::string& detail) -> void {
-  const std::string route =
-      match_.matched == nullptr ? "" : match_.matched->name;
-  ++state_.counts[{route, outcome}];
-  const bool is_good = status >= 200 && status < 300;
-  const auto now = clock_.Now();
-  if (is_good) {
-    state_.durations[route].Add(now - started_ms_);
-    state_.whole_times[route].Add(static_cast<double>(now - started_ms_));
-  }
-  const bool is_logged = is_good
-                             ? state_.log.AllowSuccess(Hash64(call_.id), now)
-                             : state_.log.AllowFailure(now);
-  if (!is_logged) return;
-  log_line(log_level::kInfo, "call_ended")
-      .With("request", call_.id)
-      .With("route", route)
-      .With("outcome", outcome)
-      .With("status", status)
-      .With("sends", sends_)
-      .With("took_ms", now - started_ms_)
-      .With("limit_ms", deadline_ms_ - started_ms_)
-      .With("revision", view_ ? view_->revision : 0)
-      .With("detail", detail);
-}
-
 }  // namespace lovagedale
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -90,8 +90,8 @@
   auto SendTo(const server_handle& server) -> http_response_head;
   /// Reads past answers to other requests. Throws http_call_error.
   auto ReadOwnHead(http_response_head head) -> http_response_head;
-  auto RelayWhole(const server_handle& server, const http_response_head& head,
-                  const answer_facts& facts) -> attempt_result;
+  auto RelayWhole(const server_handle& server, const http_response_head& head)
+      -> attempt_result;
   auto RelayStream(const server_handle& server, const http_response_head& head)
       -> attempt_result;
   auto IsTooUncertain(const answer_facts& facts) -> bool;
@@ -158,3 +158,4 @@
 }  // namespace lovagedale
 
 #include "lovagedale/relay/relay-inl.h"
+#include "lovagedale/relay/relay_answers-inl.h"
--- a/include/lovagedale/relay/retry_budget.h
+++ b/include/lovagedale/relay/retry_budget.h
@@ -14,7 +14,9 @@
  public:
   /// `ratio` of the requests in a window of `window_ms`, and `floor` beside.
   retry_budget(double ratio, monotonic_ms window_ms, double floor)
-      : ratio_(ratio), slot_ms_(window_ms / static_cast<monotonic_ms>(kSlots)), floor_(floor) {}
+      : ratio_(ratio),
+        slot_ms_(window_ms / static_cast<monotonic_ms>(kSlots)),
+        floor_(floor) {}
 
   auto CountRequest(monotonic_ms now) -> void {
     Advance(now);
