The last server that may be asked has all of the time that is left

The attempt was not counted yet when its time was set. Test: the last server that may be asked (failed before).

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -311,7 +311,8 @@
     -> http_deadlines {
   const auto& item = *match_.matched;
   const auto left = std::max<monotonic_ms>(1, LeftMs());
-  const bool is_last = runs_ >= item.max_attempts || !MayRepeat();
+  const auto with_this_one = runs_ + (was_sent_ ? 0 : 1);
+  const bool is_last = with_this_one >= item.max_attempts || !MayRepeat();
   http_deadlines deadlines;
   deadlines.connect =
       std::min(kServerConnectTime, std::chrono::milliseconds(left));
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -320,6 +320,24 @@
         std::chrono::milliseconds(700));
 }
 
+TEST_CASE("the last server that may be asked has all of the time that is left") {
+  std::atomic<int> calls = 0;
+  const auto script = [&](const std::string&) {
+    // Longer than the patience while another server could be asked.
+    if (calls++ == 1) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    }
+    return calls == 1 ? std::string() : Answer("200 OK", "", "late");
+  };
+  scripted_server a(script);
+  scripted_server b(script);
+  auto item = MakeRoute(route_kind::kRepeatable);
+  item.max_attempts = 2;
+  item.objective_ms = 100;
+  const running_relay relay(item, {a.port(), b.port()});
+  CHECK(relay.Call().body == "late");
+}
+
 TEST_CASE("requests without an id or a route are refused by name") {
   const running_relay relay(MakeRoute(route_kind::kOnce), {});
   http_request request;
