A stopping entry trusts its calls' usual time only once long calls had time to end

Ruled out: a greater margin (nothing is known of calls that have not ended). Test: recent_durations_test.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -133,8 +133,9 @@
 auto relayed_call<Protocol>::CanEndBefore(monotonic_ms stop) const -> bool {
   if (deadline_ms_ <= stop) return true;
   const auto known = state_.durations.find(match_.matched->name);
-  return known != state_.durations.end() &&
-         started_ms_ + known->second.Longest() * kDurationMargin < stop;
+  if (known == state_.durations.end()) return false;
+  const auto longest = known->second.Longest(started_ms_);
+  return longest && started_ms_ + *longest * kDurationMargin < stop;
 }
 
 template <call_protocol Protocol>
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -229,7 +229,7 @@
   const bool is_good = status >= 200 && status < 300;
   const auto now = clock_.Now();
   if (is_good) {
-    state_.durations[route].Add(now - started_ms_);
+    state_.durations[route].Add(now - started_ms_, now);
     state_.whole_times[route].Add(static_cast<double>(now - started_ms_));
   }
   const bool is_logged = is_good
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <algorithm>
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
@@ -14,6 +12,7 @@
 #include "lovagedale/configuration/fleet_view.h"
 #include "lovagedale/relay/connection_pool.h"
 #include "lovagedale/relay/log_budget.h"
+#include "lovagedale/relay/recent_durations.h"
 #include "lovagedale/relay/retry_budget.h"
 #include "lovagedale/relay/server_table.h"
 #include "lovagedale/relay/session_memory.h"
@@ -61,22 +60,6 @@
   auto operator<=>(const call_counts_key&) const = default;
 };
 
-/// The longest of a route's latest calls.
-class recent_durations {
- public:
-  auto Add(monotonic_ms duration) -> void {
-    latest_[next_++ % latest_.size()] = duration;
-  }
-  auto Longest() const -> monotonic_ms {
-    return *std::max_element(latest_.begin(), latest_.end());
-  }
-
- private:
-  /// Enough that a call longer than all of them is rare.
-  std::array<monotonic_ms, 200> latest_{};
-  std::size_t next_ = 0;
-};
-
 /// What all calls of one entry share. One thread only.
 class relay_state {
  public:
--- /dev/null
+++ b/tests/relay/recent_durations_test.cpp
@@ -0,0 +1,29 @@
+#include "lovagedale/relay/recent_durations.h"
+
+#include <doctest/doctest.h>
+
+namespace lovagedale::testing {
+
+TEST_CASE("the longest call is known once calls have ended for long enough") {
+  recent_durations durations;
+  CHECK_FALSE(durations.Longest(1'000));
+  for (int i = 0; i < 60; ++i) durations.Add(i == 7 ? 2'000 : 100, 1'000 + i);
+  // Longer ones may have begun and not ended yet.
+  CHECK_FALSE(durations.Longest(5'000));
+  CHECK(durations.Longest(9'000) == 2'000);
+}
+
+TEST_CASE("a few calls tell nothing") {
+  recent_durations durations;
+  for (int i = 0; i < 49; ++i) durations.Add(100, 1'000);
+  CHECK_FALSE(durations.Longest(100'000));
+}
+
+TEST_CASE("only the latest calls count") {
+  recent_durations durations;
+  durations.Add(9'000, 1'000);
+  for (int i = 0; i < 200; ++i) durations.Add(100, 2'000);
+  CHECK(durations.Longest(60'000) == 100);
+}
+
+}  // namespace lovagedale::testing
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -320,7 +320,8 @@
         std::chrono::milliseconds(700));
 }
 
-TEST_CASE("the last server that may be asked has all of the time that is left") {
+TEST_CASE(
+    "the last server that may be asked has all of the time that is left") {
   std::atomic<int> calls = 0;
   const auto script = [&](const std::string&) {
     // Longer than the patience while another server could be asked.
