A canary starts in the second half of a roll-out, when sessions may move

Four requests ran on the new version in the first half of the roll-out though the request before them in their session had run on the former one. An entry kept the sessions that it had seen on their version; a session that came through another entry was taken for a new one and could be drawn into the canary.

Ruled out: a moved share (it is set once), late routes (adopted within 40 ms), servers missing (18 of 18 were ready).

Change: the canary starts at the half of the duration, with a greater share for a shorter time; the version of a session follows from its hash alone, so all entries agree.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -149,14 +149,13 @@
 auto relayed_call<Protocol>::PickServer() -> server_handle {
   const auto now = clock_.Now();
   const auto* rollout = view_->RolloutOf(service_);
-  const rollout_session session{session_hash_,
-                                state_.sessions.VersionOf(session_hash_, now)};
   const auto collect = [&](bool any_version, bool tried_too) {
     std::vector<server_handle> servers;
     for (const auto& server : state_.servers.Servers(service_)) {
       const auto& listed = server->listed;
       if (listed.leaving || server->gone) continue;
-      if (!any_version && !MayUseVersion(rollout, listed.version, session)) {
+      if (!any_version &&
+          !MayUseVersion(rollout, listed.version, session_hash_)) {
         continue;
       }
       if (!tried_too &&
@@ -353,10 +352,6 @@
       protocol_.ServerRequest(exchange_.request(), call_, dispatch);
   ++runs_;
   was_sent_ = true;
-  if (!call_.session.empty()) {
-    state_.sessions.Remember(session_hash_, server->listed.version,
-                             clock_.Now());
-  }
   sent_ms_ = clock_.Now();
   return ReadOwnHead(connection_->Send(request, deadlines, exchange_.yield()));
 }
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -15,7 +15,6 @@
 #include "lovagedale/relay/recent_durations.h"
 #include "lovagedale/relay/retry_budget.h"
 #include "lovagedale/relay/server_table.h"
-#include "lovagedale/relay/session_memory.h"
 #include "lovagedale/relay/tier_choice.h"
 #include "lovagedale/rollout/service_rollout.h"
 #include "lovagedale/route/route_table.h"
@@ -28,8 +27,6 @@
   double retry_ratio = 0.5;
   monotonic_ms retry_window_ms = 10'000;
   double retry_floor = 3;
-  /// A session ends when it is silent for this long.
-  monotonic_ms session_ms = 5'000;
 
   auto operator==(const relay_settings&) const -> bool = default;
 };
@@ -69,7 +66,6 @@
         pool(context, kDeadServerAfter),
         retries(this->settings.retry_ratio, this->settings.retry_window_ms,
                 this->settings.retry_floor),
-        sessions(this->settings.session_ms),
         random(std::random_device{}()),
         routes_awaited_until_ms(system_monotonic_clock{}.Now() + kStartTimeMs) {
   }
@@ -83,7 +79,6 @@
   connection_pool pool;
   retry_budget retries;
   tier_table tiers;
-  session_memory sessions;
   std::mt19937_64 random;
   /// Cumulative; by services that have a roll-out.
   version_answers_table answers;
--- a/include/lovagedale/rollout/service_rollout.h
+++ b/include/lovagedale/rollout/service_rollout.h
@@ -42,18 +42,10 @@
   }
 };
 
-/// A session as far as a roll-out is concerned.
-struct rollout_session {
-  std::uint64_t hash = 0;
-  const std::string* version = nullptr;  ///< that it used last; null if new
-
-  auto operator==(const rollout_session&) const -> bool = default;
-};
-
-/// Whether a session's requests may go to servers of `version`. During the
-/// canary only new sessions are divided; the others stay where they are.
+/// Whether a session's requests may go to servers of `version`. It depends on
+/// nothing that one entry alone knows: a session comes through any of them.
 auto MayUseVersion(const service_rollout* rollout, const std::string& version,
-                   const rollout_session& session) -> bool;
+                   std::uint64_t session_hash) -> bool;
 
 /// What servers of one version answered on one route.
 struct version_answers {
@@ -98,17 +90,22 @@
   /// Mean latency, as a multiple of the former version's, that is too much.
   double excess_latency = 3.0;
   /// Answers of the new version that the canary should bring, and bounds of
-  /// its share. Entries do not know the sessions that began at other entries
-  /// before the canary, so some that are under way change their version: the
-  /// share is as small as a verdict allows.
+  /// its share of the sessions. The greatest one hurts a fifth of them for
+  /// the second or two that a verdict on a bad version takes.
   double wanted_answers = 60;
   double least_share = 0.002;
-  double greatest_share = 0.08;
+  double greatest_share = 0.2;
   /// Time in which requests are counted before the canary.
   monotonic_ms counting_ms = 1'000;
+  /// Part of the duration before which no session under way may change its
+  /// version; no entry can tell such sessions from new ones.
+  double canary_after = 0.5;
+  /// Part of the duration after which a canary starts though the new version
+  /// has fewer servers than the former one.
+  double canary_on_few_after = 0.55;
   /// Parts of the duration after which all sessions move, and after which the
   /// roll-out is complete.
-  double most_after = 0.55;
+  double most_after = 0.62;
   double complete_after = 0.8;
   /// Answers of the new version without which no other session follows; a
   /// service with little traffic has fewer by the last part of the duration.
--- a/src/rollout/service_rollout.cpp
+++ b/src/rollout/service_rollout.cpp
@@ -49,16 +49,24 @@
   return "";
 }
 
-/// As many servers as before, or some once part of the time has passed.
+auto PassedPart(const service_rollout& rollout, monotonic_ms elapsed_ms)
+    -> double {
+  return rollout.duration_ms <= 0
+             ? 1.0
+             : static_cast<double>(elapsed_ms) /
+                   static_cast<double>(rollout.duration_ms);
+}
+
 auto IsReadyForCanary(const service_rollout& rollout,
                       const service_rollout_facts& facts,
                       const service_rollout_limits& limits) -> bool {
-  constexpr std::int64_t kPatience = 4;
-  if (facts.elapsed_ms < limits.counting_ms || facts.fresh_servers == 0) {
+  const auto part = PassedPart(rollout, facts.elapsed_ms);
+  if (facts.elapsed_ms < limits.counting_ms || facts.fresh_servers == 0 ||
+      part < limits.canary_after) {
     return false;
   }
   return facts.fresh_servers >= facts.former_servers ||
-         facts.elapsed_ms >= rollout.duration_ms / kPatience;
+         part >= limits.canary_on_few_after;
 }
 
 /// The share that brings the wanted answers before the other sessions move.
@@ -96,17 +104,14 @@
 }
 
 auto MayUseVersion(const service_rollout* rollout, const std::string& version,
-                   const rollout_session& session) -> bool {
+                   std::uint64_t session_hash) -> bool {
   if (rollout == nullptr) return true;
   const bool is_target = version == rollout->target;
   switch (rollout->phase) {
     case service_rollout_phase::kWaiting:
       return !is_target;
     case service_rollout_phase::kCanary:
-      if (session.version != nullptr) {
-        return is_target == (*session.version == rollout->target);
-      }
-      return is_target == (UnitInterval(MixBits(session.hash ^ kCanarySalt)) <
+      return is_target == (UnitInterval(MixBits(session_hash ^ kCanarySalt)) <
                            rollout->share);
     case service_rollout_phase::kMost:
     case service_rollout_phase::kCompleted:
@@ -144,10 +149,7 @@
   const auto fault = FindFault(fresh_total, former_total, limits);
   if (!fault.empty()) return service_rollout_decision{phase::kReverted, fault};
 
-  const auto part = rollout.duration_ms <= 0
-                        ? 1.0
-                        : static_cast<double>(facts.elapsed_ms) /
-                              static_cast<double>(rollout.duration_ms);
+  const auto part = PassedPart(rollout, facts.elapsed_ms);
   if (rollout.phase == phase::kWaiting) {
     if (!IsReadyForCanary(rollout, facts, limits)) return std::nullopt;
     const auto share =
--- a/src/route_entry/settings.cpp
+++ b/src/route_entry/settings.cpp
@@ -9,7 +9,6 @@
 constexpr std::int64_t kMaxDrainMs = 600'000;
 constexpr std::int64_t kMaxWindowMs = 600'000;
 constexpr double kMaxRatio = 10;
-constexpr double kMaxSessionSeconds = 86'400;
 constexpr double kMaxFloor = 10'000;
 
 }  // namespace
@@ -40,10 +39,6 @@
       relay.retry_floor =
           reader.Number("floor", 0, kMaxFloor, relay.retry_floor);
     });
-    settings.relay.session_ms = static_cast<monotonic_ms>(
-        root.Number("session_s", 0.001, kMaxSessionSeconds,
-                    static_cast<double>(settings.relay.session_ms) / 1'000) *
-        1'000);
     settings.relay.zone = settings.zone;
     if (settings.seeds.empty()) {
       root.AddError("seeds", "an empty list", "at least one IP:PORT");
