Late answers of a larger model are forgotten by their age

Cause: after a restart under load the entries kept the threshold for larger models low for 10 s, while answers came within 100 ms again: the mean time to the larger model's first event counted its last fifteen answers, and at a tenth of the usual rate these were the late ones of the restart.

Ruled out: the learned threshold itself (0.50 to 0.53 at all times).

Change: an answer counts half after 1.5 s; few recent ones fade, and the time of the answer in hand tells the load.

--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -140,8 +140,9 @@
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::CountFirstByte() -> void {
-  const auto ms = static_cast<double>(clock_.Now() - sent_ms_);
-  state_.tiers[TierKey()].first_event.Began(ms);
+  const auto now = clock_.Now();
+  const auto ms = static_cast<double>(now - sent_ms_);
+  state_.tiers[TierKey()].first_event.Began(ms, now);
   state_.first_event_times[TierKey()].Add(ms);
 }
 
--- a/include/lovagedale/relay/tier_choice.h
+++ b/include/lovagedale/relay/tier_choice.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -46,16 +47,24 @@
     --waiting_;
     waiting_since_ -= sent;
   }
-  auto Began(double ms) -> void {
-    mean_ms_ = count_ == 0 ? ms : mean_ms_ + kWeight * (ms - mean_ms_);
-    ++count_;
+  /// An answer began `ms` after it was asked for.
+  auto Began(double ms, monotonic_ms now) -> void {
+    const auto kept = KeptPart(now) * kKeptPerAnswer;
+    weight_ = weight_ * kept + 1;
+    mean_ms_ += (ms - mean_ms_) / weight_;
+    latest_at_ = now;
   }
   /// What the next answer may take: as long as the latest ones, or as those
-  /// that wait now, which have half of their time behind them. Before the
-  /// first ones it is `unknown_ms`: after a restart the servers may be busy.
+  /// that wait now, which have half of their time behind them. With few recent
+  /// ones it is `unknown_ms`, or what is left of their time as they age: a
+  /// model that is asked less often for its late answers would not be seen to
+  /// become fast again.
   auto Expected(monotonic_ms now, double unknown_ms) const -> double {
+    const auto weight = weight_ * KeptPart(now);
     const auto seen =
-        count_ < kFewestSeen ? std::max(mean_ms_, unknown_ms) : mean_ms_;
+        weight < kFewestSeen
+            ? std::max(unknown_ms, mean_ms_ * weight / kFewestSeen)
+            : mean_ms_;
     if (waiting_ < kFewestWaiting) return seen;
     const auto age =
         static_cast<double>(now) -
@@ -65,12 +74,21 @@
 
  private:
   static constexpr std::int64_t kFewestWaiting = 3;
-  static constexpr std::uint64_t kFewestSeen = 4;
-  /// About the last fifteen answers count.
-  static constexpr double kWeight = 0.07;
+  /// Four answers that have just begun; older ones count less.
+  static constexpr double kFewestSeen = 3.5;
+  /// At a high rate about the last fifteen answers count.
+  static constexpr double kKeptPerAnswer = 0.93;
+  /// An answer of this age counts half: queues at servers grow and end within
+  /// a second or two.
+  static constexpr double kHalfLifeMs = 1'500;
+
+  auto KeptPart(monotonic_ms now) const -> double {
+    return std::exp2(-static_cast<double>(now - latest_at_) / kHalfLifeMs);
+  }
 
   double mean_ms_ = 0;
-  std::uint64_t count_ = 0;
+  double weight_ = 0;  ///< of the answers in the mean, as of latest_at_
+  monotonic_ms latest_at_ = 0;
   std::int64_t waiting_ = 0;
   monotonic_ms waiting_since_ = 0;  ///< sum of when they were sent
 };
--- a/tests/relay/tier_choice_test.cpp
+++ b/tests/relay/tier_choice_test.cpp
@@ -39,7 +39,7 @@
 
 TEST_CASE("requests that wait count before their answers have begun") {
   first_event_time time;
-  for (int i = 0; i < 20; ++i) time.Began(100);
+  for (int i = 0; i < 20; ++i) time.Began(100, 1'000);
   for (int i = 0; i < 5; ++i) time.Sent(1'000);
   CHECK(time.Expected(1'000, 700) == 100);
   CHECK(time.Expected(1'400, 700) == 800);
@@ -51,12 +51,26 @@
 TEST_CASE("a process that has seen no answers assumes that servers are busy") {
   first_event_time time;
   CHECK(time.Expected(1'000, 700) == 700);
-  for (int i = 0; i < 3; ++i) time.Began(100);
+  for (int i = 0; i < 3; ++i) time.Began(100, 1'000);
   CHECK(time.Expected(1'000, 700) == 700);
-  time.Began(100);
+  time.Began(100, 1'000);
   CHECK(time.Expected(1'000, 700) == 100);
 }
 
+// Load pattern: every caller is back at once after a restart, and answers are
+// late for two seconds. Protected: the share of hard requests that get the
+// larger model's answer once the servers are free again.
+TEST_CASE("late answers are forgotten a few seconds after their cause") {
+  constexpr double kObjective = 1'000;
+  first_event_time larger;
+  for (monotonic_ms now = 0; now < 2'000; now += 200) {
+    larger.Began(1'500, now);
+  }
+  CHECK(ThresholdUnderLoad(0.5, larger.Expected(2'000, 150), kObjective) == 0);
+  // The smaller model's answers take half as long as `unknown_ms` says.
+  CHECK(ThresholdUnderLoad(0.5, larger.Expected(6'000, 150), kObjective) > 0.4);
+}
+
 // Load pattern: burst. The largest model costs ten times the smallest, and
 // three times the usual requests arrive for some seconds. Protected: the share
 // of answers within the objective, during the burst and after it.
@@ -92,7 +106,7 @@
         if (work > 0) break;
         if (now - sent <= kObjective) ++in_time;
         larger.Ended(sent);
-        larger.Began(static_cast<double>(now - sent));
+        larger.Began(static_cast<double>(now - sent), now);
         queue.pop_front();
       }
     }
