Servers are probed beside the calls; a lost zone drops its attempts

Ruled out: full servers (no "not_run" in those seconds), late lists.

Change: a server that could not be reached is out until a connection beside the calls succeeds; the first such server of a zone makes its neighbours be tried; three in a row lose the zone, whose attempts under way go on elsewhere if they may be repeated. Calls without a reachable server are refused at once, with a Retry-After of up to 2 s, never more than a third of their time.

--- a/include/lovagedale/relay/connection_pool.h
+++ b/include/lovagedale/relay/connection_pool.h
@@ -13,6 +13,9 @@
 
 namespace lovagedale {
 
+/// A connection to a server of a neighbouring zone takes milliseconds.
+inline constexpr std::chrono::milliseconds kServerConnectTime{250};
+
 /// A connection out of the pool.
 struct pooled_connection {
   std::unique_ptr<http_connection> connection;
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -12,8 +12,6 @@
 
 namespace lovagedale {
 
-/// A connection to a server of a neighbouring zone takes milliseconds.
-inline constexpr std::chrono::milliseconds kServerConnectTime{250};
 /// Below this a server could not finish anything.
 inline constexpr monotonic_ms kLeastUsefulMs = 5;
 /// Part of the remaining time that the first answer may take while another
@@ -144,6 +142,13 @@
          (item.kind == route_kind::kStream && item.resumable);
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::IsReachable(const server_handle& server) const
+    -> bool {
+  return !server->health.IsUnreachable() &&
+         !state_.servers.IsZoneLost(server->listed.zone);
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::PickServer() -> server_handle {
   const auto now = clock_.Now();
@@ -152,7 +157,7 @@
     std::vector<server_handle> servers;
     for (const auto& server : state_.servers.Servers(service_)) {
       const auto& listed = server->listed;
-      if (listed.leaving || server->gone) continue;
+      if (listed.leaving || server->gone || !IsReachable(server)) continue;
       if (!any_version &&
           !MayUseVersion(rollout, listed.version, session_hash_)) {
         continue;
@@ -185,8 +190,7 @@
                      server->listed.capacity, server->work,
                      server->health.failure_share(),
                      server->listed.zone == state_.settings.zone,
-                     server->health.IsHeldOut(now) ||
-                         state_.servers.IsZoneLost(server->listed.zone, now)});
+                     server->health.IsHeldOut(now)});
   }
   choice_input input;
   input.random = state_.random();
@@ -236,7 +240,9 @@
     if (LeftMs() < kLeastUsefulMs) break;
     const auto server = PickServer();
     if (!server) {
-      if (sends_ > 0 || clock_.Now() >= waits_until) break;
+      if (sends_ > 0 || KnownServers() > 0 || clock_.Now() >= waits_until) {
+        break;
+      }
       Pause(state_.context.get_executor(), kServerPoll, exchange_.yield());
       // The list or the routes may have changed meanwhile.
       if (state_.view) view_ = state_.view;
@@ -374,6 +380,14 @@
   }
   std::optional<http_call_error> failure;
   bool is_caller_lost = false;
+  // An attempt that can go on elsewhere ends when the server's zone is lost.
+  auto& droppable = server->droppable;
+  auto dropped_by = droppable.end();
+  if (MayRepeat()) {
+    dropped_by = droppable.insert(droppable.end(), [this] {
+      if (connection_) connection_->Close();
+    });
+  }
   try {
     const auto head = SendTo(server);
     const auto facts = protocol_.ReadAnswer(head);
@@ -402,6 +416,7 @@
     is_caller_lost = true;
   }
   --server->in_flight;
+  if (dropped_by != droppable.end()) droppable.erase(dropped_by);
   ReleaseWork();
   connection_.reset();
   const auto now = clock_.Now();
@@ -416,6 +431,7 @@
       server->health.Succeeded(now);
     }
     state_.servers.Reached(server->listed.zone);
+    server->health.Reached();
     return result;
   }
   if (gone_) return attempt_result::kAnswered;
@@ -423,13 +439,13 @@
   if (failure->at() == http_call_error::stage::kNotSent) {
     // Nothing reached the server, so it was no run.
     if (was_sent_) --runs_;
-    server->health.Unreachable(now);
-    state_.servers.Unreachable(server->listed.zone, now);
+    state_.prober.Unreachable(server);
     state_.pool.Drop(server->listed.id);
     return attempt_result::kUnreached;
   }
   may_have_run_ = true;
   server->health.Failed(now);
+  if (failure->timed_out()) state_.prober.Suspect(server);
   state_.pool.Drop(server->listed.id);
   CountAnswer(server, /*failed=*/true);
   return attempt_result::kMaybeRun;
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -30,6 +30,7 @@
   kUnknownKey,
   kStopping,       ///< this process stops before the call could end
   kNoServer,       ///< no server of the service is known
+  kUnreachable,    ///< no server of the service can be reached
   kServersRefuse,  ///< every server that was asked refused to run it
   kExpired,        ///< the time limit passed before it was sent
   kBadGateway,     ///< it may have run; the answer is lost
@@ -43,6 +44,8 @@
   std::optional<double> retry_after_s;
 };
 auto AnswerFor(refusal why) -> refusal_answer;
+/// With two decimals, as Retry-After takes it.
+auto FormatSeconds(double seconds) -> std::string;
 
 /// Passes callers' requests on to discovered servers, by route, and their
 /// answers back, byte for byte. Requests that may run more than once are sent
@@ -95,7 +98,9 @@
   auto RelayStream(const server_handle& server, const http_response_head& head)
       -> attempt_result;
   auto IsTooUncertain(const answer_facts& facts) -> bool;
+  /// The server for the next attempt; null if none can be reached.
   auto PickServer() -> server_handle;
+  auto IsReachable(const server_handle& server) const -> bool;
   auto MayRepeat() const -> bool;
   /// Whether the call ends before `stop`, as calls of its route usually do.
   auto CanEndBefore(monotonic_ms stop) const -> bool;
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -15,6 +15,9 @@
 /// Time to a larger model's first event, as a multiple of a small one's, that
 /// is assumed before any was seen: a few times its work, beside the same queue.
 inline constexpr double kLargerMultiple = 2;
+/// Part of a caller's time after which it comes back at the latest; without
+/// the rest of it nothing could be done for it.
+inline constexpr double kReturnPart = 1.0 / 3;
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::ReadOwnHead(http_response_head head)
@@ -159,12 +162,18 @@
     return;
   }
   const bool is_late = LeftMs() < kLeastUsefulMs;
+  const auto& servers = state_.servers.Servers(service_);
   if (may_have_run_) {
     Refuse(is_late ? refusal::kTimeout : refusal::kBadGateway, attempt_reason_);
   } else if (is_late) {
     Refuse(refusal::kExpired, attempt_reason_);
   } else {
-    Refuse(sends_ == 0 ? refusal::kNoServer : refusal::kServersRefuse,
+    const bool is_any_reachable =
+        std::any_of(servers.begin(), servers.end(),
+                    [&](const auto& server) { return IsReachable(server); });
+    Refuse(servers.empty()     ? refusal::kNoServer
+           : !is_any_reachable ? refusal::kUnreachable
+                               : refusal::kServersRefuse,
            attempt_reason_);
   }
 }
@@ -185,11 +194,12 @@
   if (answer.retry_after_s) {
     // Spread, so that callers refused together do not return together.
     const auto spread = 0.5 + UnitInterval(state_.random());
-    const auto hundredths =
-        static_cast<int>(*answer.retry_after_s * spread * 100);
-    headers.emplace_back("Retry-After",
-                         "0." + std::string(hundredths < 10 ? "0" : "") +
-                             std::to_string(std::min(hundredths, 99)));
+    auto after_s = *answer.retry_after_s * spread;
+    if (match_.matched != nullptr) {
+      const auto left_s = static_cast<double>(LeftMs()) / 1'000;
+      after_s = std::clamp(left_s * kReturnPart, 0.0, after_s);
+    }
+    headers.emplace_back("Retry-After", FormatSeconds(after_s));
   }
   exchange_.Respond(
       answer.status, "application/json",
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -14,6 +14,7 @@
 #include "lovagedale/relay/log_budget.h"
 #include "lovagedale/relay/recent_durations.h"
 #include "lovagedale/relay/retry_budget.h"
+#include "lovagedale/relay/server_prober.h"
 #include "lovagedale/relay/server_table.h"
 #include "lovagedale/relay/tier_choice.h"
 #include "lovagedale/rollout/service_rollout.h"
@@ -63,6 +64,7 @@
   relay_state(boost::asio::io_context& context, relay_settings settings)
       : context(context),
         settings(std::move(settings)),
+        prober(context, servers),
         pool(context, kDeadServerAfter),
         retries(this->settings.retry_ratio, this->settings.retry_window_ms,
                 this->settings.retry_floor),
@@ -76,6 +78,7 @@
   const relay_settings settings;
   std::shared_ptr<const routing_view> view;  ///< empty: not known yet
   server_table servers;
+  server_prober prober;
   connection_pool pool;
   retry_budget retries;
   tier_table tiers;
--- a/include/lovagedale/relay/server_health.h
+++ b/include/lovagedale/relay/server_health.h
@@ -24,11 +24,20 @@
       HoldOut(now);
     }
   }
-  /// The server could not be reached at all.
+  /// No connection to the server could be made, until one is.
   auto Unreachable(monotonic_ms now) -> void {
     failure_share_ += kWeight * (1 - failure_share_);
+    is_unreachable_ = true;
     HoldOut(now);
   }
+  /// A connection was made. What held the server out before is forgotten, but
+  /// not its failures.
+  auto Reached() -> void {
+    if (!is_unreachable_) return;
+    is_unreachable_ = false;
+    held_until_ = 0;
+  }
+  auto IsUnreachable() const -> bool { return is_unreachable_; }
   auto IsHeldOut(monotonic_ms now) const -> bool { return now < held_until_; }
   /// 0 to 1, recent answers counting most.
   auto failure_share() const -> double { return failure_share_; }
@@ -57,6 +66,7 @@
   std::uint32_t consecutive_ = 0;
   unsigned strikes_ = 0;
   monotonic_ms held_until_ = 0;
+  bool is_unreachable_ = false;
 };
 
 }  // namespace lovagedale
--- /dev/null
+++ b/include/lovagedale/relay/server_prober.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <string>
+
+#include "lovagedale/relay/connection_pool.h"
+#include "lovagedale/relay/server_table.h"
+
+namespace lovagedale {
+
+/// Finds out, beside the calls, which servers can be reached. A server that
+/// could not be reached gets no calls until a connection to it was made; when
+/// it is the first of its zone, others are tried at once. While a zone is lost
+/// one of its servers after the other is tried. One thread only.
+class server_prober {
+ public:
+  server_prober(boost::asio::io_context& context, server_table& servers)
+      : context_(context), servers_(servers) {}
+  server_prober(const server_prober&) = delete;
+  auto operator=(const server_prober&) -> server_prober& = delete;
+
+  /// A call could not connect to the server.
+  auto Unreachable(const server_handle& server) -> void;
+  /// The server has been silent for long: looks whether it can be reached.
+  auto Suspect(const server_handle& server) -> void;
+
+ private:
+  auto StartProbes(const server_handle& server) -> void;
+  /// Until the server is reached or has left the list.
+  auto ProbeLoop(const server_handle& server, boost::asio::yield_context yield)
+      -> void;
+  auto ProbeZone(const std::string& zone, boost::asio::yield_context yield)
+      -> void;
+  /// Connects and notes the result.
+  auto Probe(const server_handle& server, boost::asio::yield_context yield)
+      -> bool;
+  auto IsListed(const server_handle& server) const -> bool;
+
+  boost::asio::io_context& context_;
+  server_table& servers_;
+  system_monotonic_clock clock_;
+};
+
+}  // namespace lovagedale
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -9,6 +11,7 @@
 #include "lovagedale/discovery/server_list.h"
 #include "lovagedale/relay/server_choice.h"
 #include "lovagedale/relay/server_health.h"
+#include "lovagedale/relay/zone_reach.h"
 
 namespace lovagedale {
 
@@ -20,49 +23,36 @@
   std::uint32_t in_flight = 0;
   double work = 0;  ///< see server_candidate
   server_health health;
-  bool gone = false;  ///< its address belongs to another server by now
+  bool gone = false;       ///< its address belongs to another server by now
+  bool is_probed = false;  ///< see server_prober
+  /// Ends attempts under way that can go on at another server.
+  std::list<std::function<void()>> droppable;
 };
 
 using server_handle = std::shared_ptr<server_record>;
 
-/// Whether a zone's servers can be reached at all: after several in a row could
-/// not, the zone gets no work but a trial from time to time.
-class zone_reach {
- public:
-  auto Unreachable(monotonic_ms now) -> void {
-    if (++in_a_row_ < kInARow) return;
-    lost_until_ = now + kTrialPeriodMs;
-  }
-  auto Reached() -> void {
-    in_a_row_ = 0;
-    lost_until_ = 0;
-  }
-  auto IsLost(monotonic_ms now) const -> bool { return now < lost_until_; }
-
- private:
-  /// A single server that is down is no sign of a cut.
-  static constexpr int kInARow = 3;
-  static constexpr monotonic_ms kTrialPeriodMs = 700;
-
-  int in_a_row_ = 0;
-  monotonic_ms lost_until_ = 0;
-};
-
 /// The discovered servers by service. One thread only.
 class server_table {
  public:
   /// Takes the servers of a list; what is known of those that stay is kept.
   auto Update(const server_list& list) -> void;
-  /// A server of the zone could not be reached, or answered.
-  auto Unreachable(const std::string& zone, monotonic_ms now) -> void {
-    zones_[zone].Unreachable(now);
-  }
-  auto Reached(const std::string& zone) -> void { zones_[zone].Reached(); }
+  /// The server could not be reached; true if its zone is lost by this.
+  auto Unreachable(const server_handle& server) -> bool;
+  /// A server of the zone was reached; true if the zone was lost before. Its
+  /// servers may all be tried again.
+  auto Reached(const std::string& zone) -> bool;
   /// Whether the zone is cut off from here, as far as can be told.
-  auto IsZoneLost(const std::string& zone, monotonic_ms now) const -> bool {
+  auto IsZoneLost(const std::string& zone) const -> bool {
+    const auto found = zones_.find(zone);
+    return found != zones_.end() && found->second.IsLost();
+  }
+  /// Whether a server of the zone could not be reached since the last contact.
+  auto IsZoneSuspected(const std::string& zone) const -> bool {
     const auto found = zones_.find(zone);
-    return found != zones_.end() && found->second.IsLost(now);
+    return found != zones_.end() && found->second.IsSuspected();
   }
+  /// Ends the attempts at the zone's servers that can go on elsewhere.
+  auto DropAttempts(const std::string& zone) -> void;
   auto number() const -> std::uint64_t { return number_; }
   auto Servers(const std::string& service) const
       -> const std::vector<server_handle>&;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,5 +1,8 @@
 #include "lovagedale/relay/relay.h"
 
+#include <array>
+#include <cstdio>
+
 namespace lovagedale {
 namespace {
 
@@ -9,9 +12,17 @@
 /// Another entry can take the call at once.
 constexpr double kOtherEntrySeconds = 0.05;
 constexpr double kBusySeconds = 0.5;
+/// Cuts and crashes last for seconds, and callers come back a few times only.
+constexpr double kUnreachableSeconds = 2;
 
 }  // namespace
 
+auto FormatSeconds(double seconds) -> std::string {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.2f", seconds);
+  return text.data();
+}
+
 auto AnswerFor(refusal why) -> refusal_answer {
   switch (why) {
     case refusal::kNoConfiguration:
@@ -26,6 +37,8 @@
       return {503, "stopping", kOtherEntrySeconds};
     case refusal::kNoServer:
       return {503, "no_server", kSoonSeconds};
+    case refusal::kUnreachable:
+      return {503, "servers_unreachable", kUnreachableSeconds};
     case refusal::kServersRefuse:
       return {503, "servers_refuse", kBusySeconds};
     case refusal::kExpired:
--- a/src/relay/server_table.cpp
+++ b/src/relay/server_table.cpp
@@ -1,5 +1,7 @@
 #include "lovagedale/relay/server_table.h"
 
+#include <algorithm>
+
 #include "lovagedale/common/hash.h"
 
 namespace lovagedale {
@@ -34,6 +36,32 @@
   by_id_ = std::move(next);
 }
 
+auto server_table::Unreachable(const server_handle& server) -> bool {
+  const auto& zone = server->listed.zone;
+  const auto in_zone =
+      std::count_if(by_id_.begin(), by_id_.end(), [&](const auto& item) {
+        return item.second->listed.zone == zone && !item.second->listed.leaving;
+      });
+  return zones_[zone].Unreachable(server->listed.id,
+                                  static_cast<std::size_t>(in_zone));
+}
+
+auto server_table::Reached(const std::string& zone) -> bool {
+  const auto found = zones_.find(zone);
+  if (found == zones_.end() || !found->second.Reached()) return false;
+  for (const auto& [id, server] : by_id_) {
+    if (server->listed.zone == zone) server->health.Reached();
+  }
+  return true;
+}
+
+auto server_table::DropAttempts(const std::string& zone) -> void {
+  for (const auto& [id, server] : by_id_) {
+    if (server->listed.zone != zone) continue;
+    for (const auto& drop : server->droppable) drop();
+  }
+}
+
 auto server_table::Servers(const std::string& service) const
     -> const std::vector<server_handle>& {
   static const std::vector<server_handle> none;
