Entries report the work of their prompts; prompts have two keepers

Cause: on the grown sites an entry sees a sixtieth of the traffic.

Change: heartbeats to the leader carry the work of the entry's prompts by server, five times a second; the answers carry the sums. A prompt takes the less busy of the two servers that keep its shared part, or a third one that is less busy by more than the mean. Reports are up to 0.4 s old, so 0.4 of them count. What only the leader uses is left out of heartbeats to others.

--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -9,6 +9,7 @@
 #include "lovagedale/configuration/fleet_view.h"
 #include "lovagedale/discovery/server_list.h"
 #include "lovagedale/quality/evidence.h"
+#include "lovagedale/relay/server_load.h"
 #include "lovagedale/replication/messages.h"
 #include "lovagedale/rollout/service_rollout.h"
 
@@ -35,10 +36,11 @@
   std::uint64_t servers_number = 0;  ///< of the server list it follows
   /// Cumulative; of services under roll-out only.
   version_answers_table answers;
+  std::vector<server_load> loads;  ///< of its requests under way
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(servers_number, answers);
+    archive(servers_number, answers, loads);
   }
 };
 
@@ -47,10 +49,12 @@
   /// From the leader, if the entry follows an older list.
   std::optional<server_list> servers;
   std::vector<std::string> replicas;  ///< names of control's members
+  /// From the leader: of the requests of all entries.
+  std::optional<std::vector<server_load>> loads;
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(servers, replicas);
+    archive(servers, replicas, loads);
   }
 };
 
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -73,6 +73,8 @@
   auto HandleHeartbeat(entry_heartbeat heartbeat, rpc_reply reply) -> void;
   /// Whether the sender relays and follows another list than the present one.
   auto IsListOld(const entry_heartbeat& heartbeat) const -> bool;
+  /// How long the heartbeat of an entry that relays is held.
+  auto LoadPeriod() const -> monotonic_ms;
   auto TrackDemand(const entry_heartbeat& heartbeat) -> void;
   auto RegisterIfNew(const entry_heartbeat& heartbeat) -> void;
   auto HandleCrashes(const entry_heartbeat& heartbeat) -> void;
@@ -119,6 +121,7 @@
   order_service orders_;
   server_feed servers_;
   version_answers_total answers_;
+  server_load_total loads_;
   /// By service: the target, and when its roll-out was first seen here.
   std::map<std::string, std::pair<std::string, monotonic_ms>> rollouts_since_;
   std::map<std::string, std::unique_ptr<rpc_channel>>
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -183,14 +183,20 @@
       return rollout != nullptr && server->listed.version == rollout->target;
     });
   }
+  const bool are_loads_known = state_.servers.AreLoadsKnown(now);
   std::vector<server_candidate> facts;
   facts.reserve(servers.size());
   for (const auto& server : servers) {
-    facts.push_back({server->id_hash, server->in_flight,
-                     server->listed.capacity, server->work,
-                     server->health.failure_share(),
-                     server->listed.zone == state_.settings.zone,
-                     server->health.IsHeldOut(now)});
+    server_candidate candidate;
+    candidate.id_hash = server->id_hash;
+    candidate.in_flight = server->in_flight;
+    candidate.capacity = server->listed.capacity;
+    candidate.work = server->work;
+    if (are_loads_known) candidate.others_work = server->OthersWork();
+    candidate.failure_share = server->health.failure_share();
+    candidate.own_zone = server->listed.zone == state_.settings.zone;
+    candidate.held_out = server->health.IsHeldOut(now);
+    facts.push_back(candidate);
   }
   choice_input input;
   input.random = state_.random();
--- a/include/lovagedale/relay/server_choice.h
+++ b/include/lovagedale/relay/server_choice.h
@@ -15,6 +15,9 @@
   /// What this entry's requests still have to do there before their first
   /// event, in the unit of choice_input.
   double work = 0;
+  /// The other entries' work there, as they last reported; nothing if that is
+  /// not known.
+  std::optional<double> others_work;
   double failure_share = 0;
   bool own_zone = false;
   bool held_out = false;
@@ -42,8 +45,9 @@
 /// Index of the server that gets the request; nothing without candidates.
 /// Servers that are held out get work only where all are. A prompt goes where
 /// the least work is left before its first event: what waits there, and the
-/// shared part unless the server keeps it. All entries take the same server,
-/// by rendezvous hashing, for the one that keeps a part.
+/// shared part unless the server keeps it. Two servers keep a part, the same
+/// for all entries by rendezvous hashing; where loads are reported, others must
+/// be less busy than both by more than the noise in the reports.
 auto ChooseServer(const std::vector<server_candidate>& candidates,
                   const choice_input& input) -> std::optional<std::size_t>;
 
--- /dev/null
+++ b/include/lovagedale/relay/server_load.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lovagedale/common/time.h"
+
+namespace lovagedale {
+
+/// What prompts have left to do at one server before their first events: those
+/// of one entry, or of all.
+struct server_load {
+  /// Identifies the server: a hash of its id. Loads travel often, ids are long.
+  std::uint32_t server = 0;
+  std::uint32_t work = 0;  ///< see server_candidate, rounded
+
+  auto operator==(const server_load&) const -> bool = default;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(server, work);
+  }
+};
+
+/// The key of a server in server_load, from the hash of its id. Two servers of
+/// a few hundred share one about once in 100,000 fleets; both then look busier.
+inline auto LoadKey(std::uint64_t id_hash) -> std::uint32_t {
+  return static_cast<std::uint32_t>(id_hash >> 32U);
+}
+
+/// Sums of the latest loads that each entry has reported.
+class server_load_total {
+ public:
+  /// Replaces what the entry reported before.
+  auto Report(const std::string& entry, std::vector<server_load> loads,
+              monotonic_ms now) -> void;
+  auto Forget(const std::string& entry) -> void { by_entry_.erase(entry); }
+  /// Of entries that were heard of late; servers without load are left out.
+  auto Total(monotonic_ms now) const -> std::vector<server_load>;
+
+ private:
+  /// Requests of an entry that is silent for longer have ended or moved.
+  static constexpr monotonic_ms kForgetMs = 2'000;
+
+  struct entry_loads {
+    std::vector<server_load> loads;
+    monotonic_ms at = 0;
+  };
+  std::map<std::string, entry_loads> by_entry_;
+};
+
+}  // namespace lovagedale
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -11,6 +13,7 @@
 #include "lovagedale/discovery/server_list.h"
 #include "lovagedale/relay/server_choice.h"
 #include "lovagedale/relay/server_health.h"
+#include "lovagedale/relay/server_load.h"
 #include "lovagedale/relay/zone_reach.h"
 
 namespace lovagedale {
@@ -22,11 +25,19 @@
   std::uint64_t id_hash = 0;
   std::uint32_t in_flight = 0;
   double work = 0;  ///< see server_candidate
+  /// Work of all entries when they last told, and of this one when it did.
+  std::uint32_t fleet_work = 0;
+  std::uint32_t reported_work = 0;
   server_health health;
   bool gone = false;       ///< its address belongs to another server by now
   bool is_probed = false;  ///< see server_prober
   /// Ends attempts under way that can go on at another server.
   std::list<std::function<void()>> droppable;
+
+  /// Work of the other entries when they last told.
+  auto OthersWork() const -> double {
+    return fleet_work - std::min(fleet_work, reported_work);
+  }
 };
 
 using server_handle = std::shared_ptr<server_record>;
@@ -51,6 +62,15 @@
     const auto found = zones_.find(zone);
     return found != zones_.end() && found->second.IsSuspected();
   }
+  /// What this entry's prompts have left to do, as it is reported now.
+  auto OwnLoads() -> std::vector<server_load>;
+  /// Takes what the prompts of all entries have left to do.
+  auto UpdateLoads(const std::vector<server_load>& loads, monotonic_ms now)
+      -> void;
+  /// Whether the loads of all entries are known of late.
+  auto AreLoadsKnown(monotonic_ms now) const -> bool {
+    return loads_at_ && now - *loads_at_ < kLoadsKnownMs;
+  }
   /// Ends the attempts at the zone's servers that can go on elsewhere.
   auto DropAttempts(const std::string& zone) -> void;
   auto number() const -> std::uint64_t { return number_; }
@@ -61,7 +81,11 @@
   }
 
  private:
+  /// Queues at servers change within a second or two.
+  static constexpr monotonic_ms kLoadsKnownMs = 1'500;
+
   std::uint64_t number_ = 0;
+  std::optional<monotonic_ms> loads_at_;
   std::unordered_map<std::string, server_handle> by_id_;
   std::map<std::string, std::vector<server_handle>> by_service_;
   std::map<std::string, zone_reach> zones_;
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -35,7 +35,8 @@
   auto HeartbeatLoop(rpc_channel& channel, boost::asio::yield_context yield)
       -> void;
   auto ListLoop(boost::asio::yield_context yield) -> void;
-  auto MakeHeartbeat() const -> entry_heartbeat;
+  /// What only the leader uses is left out of those to others.
+  auto MakeHeartbeat(bool to_leader) -> entry_heartbeat;
   auto Adopt(const heartbeat_response& response) -> void;
 
   boost::asio::io_context& context_;
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -14,7 +14,12 @@
 
 /// A heartbeat is answered at once when there is news, else after this time.
 constexpr monotonic_ms kHoldHeartbeatMs = 1'000;
-constexpr std::chrono::milliseconds kServiceTick{100};
+constexpr std::chrono::milliseconds kServiceTick{50};
+/// Entries that relay exchange the loads of servers at this pace, or slower so
+/// that the leader answers at most 400 heartbeats a second: a hundredth of a
+/// core.
+constexpr monotonic_ms kLoadPeriodMs = 200;
+constexpr monotonic_ms kLoadPeriodPerEntryMs = 3;
 /// Entries heard within this time share the fleet-wide limits.
 constexpr monotonic_ms kLiveEntryMs = 5'000;
 /// Part of an entry's budget for control that the fleet's evidence may take.
@@ -108,16 +113,18 @@
     TrackDemand(heartbeat);
   }
   const bool urgent = !heartbeat.crashes.empty() || heartbeat.leaving;
-  held_heartbeat held{std::move(heartbeat), std::move(reply),
-                      now + kHoldHeartbeatMs};
+  const auto hold = heartbeat.relay ? LoadPeriod() : kHoldHeartbeatMs;
+  held_heartbeat held{std::move(heartbeat), std::move(reply), now + hold};
   if (tracker_) {
     if (held.heartbeat.relay) {
       answers_.Report(held.heartbeat.node, held.heartbeat.incarnation,
                       held.heartbeat.relay->answers);
+      loads_.Report(held.heartbeat.node, held.heartbeat.relay->loads, now);
     }
     if (held.heartbeat.leaving) {
       RemoveNode(held.heartbeat.node, [](propose_status) {});
       tracker_->Forget(held.heartbeat.node);
+      loads_.Forget(held.heartbeat.node);
       limits_->Forget(held.heartbeat.node);
     } else {
       RegisterIfNew(held.heartbeat);
@@ -137,6 +144,12 @@
   held_.push_back(std::move(held));
 }
 
+auto control_service::LoadPeriod() const -> monotonic_ms {
+  return std::clamp(static_cast<monotonic_ms>(machine_.nodes().size()) *
+                        kLoadPeriodPerEntryMs,
+                    kLoadPeriodMs, kHoldHeartbeatMs);
+}
+
 auto control_service::IsListOld(const entry_heartbeat& heartbeat) const
     -> bool {
   return heartbeat.relay && servers_.list().number != 0 &&
@@ -212,8 +225,9 @@
     for (const auto& member : node_.core().members().members) {
       response.relay->replicas.push_back(member.name);
     }
-    if (response.is_leader && IsListOld(held.heartbeat)) {
-      response.relay->servers = servers_.list();
+    if (response.is_leader) {
+      if (IsListOld(held.heartbeat)) response.relay->servers = servers_.list();
+      response.relay->loads = loads_.Total(clock_.Now());
     }
   }
   const bool is_registered = machine_.nodes().contains(held.heartbeat.node);
--- a/src/relay/server_choice.cpp
+++ b/src/relay/server_choice.cpp
@@ -7,9 +7,12 @@
 namespace lovagedale {
 namespace {
 
-/// Other entries see the same busy parts of prompts: what one entry has sent
-/// to a server counts for more than itself.
+/// Without reports: other entries see the same busy parts of prompts, so what
+/// one entry has sent to a server counts for more than itself.
 constexpr double kOthersFactor = 2.0;
+/// Reported work that counts: by the time that a report is used, most of the
+/// prompts in it have begun and others have come.
+constexpr double kReportPart = 0.4;
 /// Work, as a part of the whole prompt's, that a server of another zone must
 /// spare to be chosen: what the transfer between zones costs.
 constexpr double kFarPart = 0.15;
@@ -23,6 +26,12 @@
          static_cast<double>(std::max<std::uint32_t>(1, server.capacity));
 }
 
+/// Work that waits at the server, as far as known.
+auto WaitingWork(const server_candidate& server) -> double {
+  return server.others_work ? server.work + *server.others_work * kReportPart
+                            : server.work * kOthersFactor;
+}
+
 auto ChooseForPrompt(const std::vector<server_candidate>& candidates,
                      const std::vector<std::size_t>& usable,
                      const prompt_work& prompt) -> std::size_t {
@@ -33,10 +42,18 @@
   for (const auto i : usable) {
     if (rank(i) > rank(keeper)) keeper = i;
   }
+  auto second = keeper;
+  double reported = 0;
+  for (const auto i : usable) {
+    if (i != keeper && (second == keeper || rank(i) > rank(second))) second = i;
+    reported += candidates[i].others_work.value_or(0);
+  }
+  const auto noise = reported / static_cast<double>(usable.size());
   const auto left = [&](std::size_t i) {
     const auto& server = candidates[i];
-    auto work = server.work * kOthersFactor;
+    auto work = WaitingWork(server);
     if (i != keeper) work += prompt.shared;
+    if (i != keeper && i != second) work += noise;
     if (!server.own_zone) work += prompt.whole * kFarPart;
     return (work + prompt.whole - prompt.shared) *
            (1 + kFailureWeight * server.failure_share);
--- a/src/relay/server_table.cpp
+++ b/src/relay/server_table.cpp
@@ -55,6 +55,27 @@
   return true;
 }
 
+auto server_table::OwnLoads() -> std::vector<server_load> {
+  std::vector<server_load> loads;
+  for (const auto& [id, server] : by_id_) {
+    server->reported_work = static_cast<std::uint32_t>(server->work);
+    if (server->reported_work == 0) continue;
+    loads.push_back({LoadKey(server->id_hash), server->reported_work});
+  }
+  return loads;
+}
+
+auto server_table::UpdateLoads(const std::vector<server_load>& loads,
+                               monotonic_ms now) -> void {
+  std::unordered_map<std::uint32_t, std::uint32_t> by_key;
+  for (const auto& load : loads) by_key[load.server] = load.work;
+  for (const auto& [id, server] : by_id_) {
+    const auto found = by_key.find(LoadKey(server->id_hash));
+    server->fleet_work = found == by_key.end() ? 0 : found->second;
+  }
+  loads_at_ = now;
+}
+
 auto server_table::DropAttempts(const std::string& zone) -> void {
   for (const auto& [id, server] : by_id_) {
     if (server->listed.zone != zone) continue;
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -71,13 +71,18 @@
   return clock_.Now() - leader_heard_ < kLeaderLostMs;
 }
 
-auto fleet_link::MakeHeartbeat() const -> entry_heartbeat {
+auto fleet_link::MakeHeartbeat(bool to_leader) -> entry_heartbeat {
   entry_heartbeat heartbeat;
   heartbeat.node = settings_.name;
   heartbeat.zone = settings_.zone;
   heartbeat.incarnation = incarnation_;
   heartbeat.revision = state_.view ? state_.view->revision : 0;
-  heartbeat.relay = relay_report{feed_number_, state_.answers};
+  heartbeat.relay.emplace();
+  heartbeat.relay->servers_number = feed_number_;
+  if (to_leader) {
+    heartbeat.relay->answers = state_.answers;
+    heartbeat.relay->loads = state_.servers.OwnLoads();
+  }
   return heartbeat;
 }
 
@@ -89,8 +94,9 @@
     auto period = kLostPeriod;
     std::string failure;
     try {
-      const auto response = Decode<heartbeat_response>(channel.Call(
-          Encode(control_request(MakeHeartbeat())), kHeartbeatTimeout, yield));
+      const auto response = Decode<heartbeat_response>(
+          channel.Call(Encode(control_request(MakeHeartbeat(leader_ == name))),
+                       kHeartbeatTimeout, yield));
       period = response.is_leader ? kLeaderPeriod
                : leader_.empty()  ? kSearchPeriod
                                   : kFollowerPeriod;
@@ -131,6 +137,9 @@
   }
   if (!response.relay) return;
   for (const auto& replica : response.relay->replicas) Follow(replica);
+  if (response.relay->loads) {
+    state_.servers.UpdateLoads(*response.relay->loads, clock_.Now());
+  }
   const auto& servers = response.relay->servers;
   if (servers && servers->number > feed_number_) {
     feed_number_ = servers->number;
@@ -163,7 +172,7 @@
   leaving_ = true;
   const auto leader = replicas_.find(leader_);
   if (leader == replicas_.end()) return;
-  auto heartbeat = MakeHeartbeat();
+  auto heartbeat = MakeHeartbeat(/*to_leader=*/true);
   heartbeat.leaving = true;
   try {
     leader->second->Call(Encode(control_request(heartbeat)), kLeaveTimeout,
--- a/tests/relay/server_choice_test.cpp
+++ b/tests/relay/server_choice_test.cpp
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <deque>
 #include <random>
+#include <set>
 
 #include "lovagedale/common/hash.h"
 
@@ -120,4 +122,94 @@
   CHECK(queued < 30 * kReadPerStep);
 }
 
+TEST_CASE("reported work counts in part, and others than two must spare more") {
+  auto servers = MakeServers(6);
+  for (auto& server : servers) server.others_work = 0;
+  const auto input = Prompt(7, 1'000, 500);
+  const auto keeper = *ChooseServer(servers, input);
+  servers[keeper].others_work = 2'000;  // 800 of it count
+  CHECK(*ChooseServer(servers, input) == keeper);
+  servers[keeper].others_work = 3'000;
+  const auto second = *ChooseServer(servers, input);
+  CHECK(second != keeper);
+  servers[second].others_work = 3'000;
+  CHECK(*ChooseServer(servers, input) == keeper);
+  servers[keeper].others_work = servers[second].others_work = 30'000;
+  const auto third = *ChooseServer(servers, input);
+  CHECK(third != keeper);
+  CHECK(third != second);
+}
+
+// Load pattern: many entries, each of which sees a sixtieth of the prompts; a
+// part of them needs ten times the work of the others. Protected: the share of
+// prompts that find a second of work waiting, against each entry's own view.
+TEST_CASE("reports of loads spread prompts that no entry sees together") {
+  constexpr int kEntries = 60;
+  constexpr int kServers = 48;
+  constexpr int kReportPeriod = 200;    // steps of a millisecond
+  constexpr double kReadPerStep = 200;  // of each server, in work
+  constexpr double kLateWork = 1'000 * kReadPerStep;
+  constexpr double kPromptsPerStep = 0.5;  // 60% of what the servers can read
+  constexpr int kParts = 640;
+  struct prompt_under_way {
+    std::size_t entry = 0;
+    double left = 0;
+    double whole = 0;
+  };
+  const auto run = [](bool reports) {
+    std::mt19937_64 random(17);
+    std::uniform_real_distribution<double> chance(0, 1);
+    std::vector<std::vector<server_candidate>> views(kEntries,
+                                                     MakeServers(kServers));
+    std::vector<std::deque<prompt_under_way>> queues(kServers);
+    std::vector<double> waiting(kServers, 0);
+    std::vector<std::set<std::pair<std::uint64_t, int>>> kept(kServers);
+    int late = 0;
+    int asked = 0;
+    for (int step = 0; step < 20'000; ++step) {
+      if (reports && step % kReportPeriod == 0) {
+        for (std::size_t i = 0; i < kServers; ++i) {
+          double all = 0;
+          for (const auto& view : views) all += view[i].work;
+          for (auto& view : views) view[i].others_work = all - view[i].work;
+        }
+      }
+      if (chance(random) < kPromptsPerStep) {
+        const auto entry = random() % kEntries;
+        const double cost = chance(random) < 0.3 ? 10 : 1;
+        const auto part = random() % kParts;
+        const auto input = Prompt(part, 3'800 * cost, 2'900 * cost);
+        const auto chosen = *ChooseServer(views[entry], input);
+        const bool is_kept =
+            !kept[chosen].emplace(part, cost > 1 ? 1 : 0).second;
+        const auto whole = input.prompt->whole;
+        ++asked;
+        if (waiting[chosen] > kLateWork) ++late;
+        queues[chosen].push_back(
+            {entry, is_kept ? whole - input.prompt->shared : whole, whole});
+        waiting[chosen] += queues[chosen].back().left;
+        views[entry][chosen].work += whole;
+      }
+      for (std::size_t i = 0; i < kServers; ++i) {
+        for (double read = kReadPerStep; read > 0 && !queues[i].empty();) {
+          auto& first = queues[i].front();
+          const auto part = std::min(read, first.left);
+          read -= part;
+          first.left -= part;
+          waiting[i] -= part;
+          if (first.left > 0) break;
+          views[first.entry][i].work -= first.whole;
+          queues[i].pop_front();
+        }
+      }
+    }
+    return static_cast<double>(late) / asked;
+  };
+  const auto late = run(/*reports=*/true);
+  const auto late_alone = run(/*reports=*/false);
+  MESSAGE("late with reports ", late, ", without ", late_alone);
+  CHECK(late < 0.05);  // 95 of 100 answers in time is the goal
+  CHECK(late_alone > 2 * late);
+}
+
 }  // namespace lovagedale::testing
--- /dev/null
+++ b/tests/relay/server_load_test.cpp
@@ -0,0 +1,41 @@
+#include "lovagedale/relay/server_load.h"
+
+#include <doctest/doctest.h>
+
+#include "lovagedale/relay/server_table.h"
+
+namespace lovagedale::testing {
+
+TEST_CASE("loads of entries are summed until they fall silent") {
+  server_load_total total;
+  total.Report("e1", {{7, 100}, {9, 50}}, 1'000);
+  total.Report("e2", {{7, 30}}, 2'000);
+  CHECK(total.Total(2'000) == std::vector<server_load>{{7, 130}, {9, 50}});
+  total.Report("e1", {{9, 20}}, 2'500);
+  CHECK(total.Total(2'500) == std::vector<server_load>{{7, 30}, {9, 20}});
+  CHECK(total.Total(4'100) == std::vector<server_load>{{9, 20}});
+  total.Forget("e1");
+  CHECK(total.Total(4'100).empty());
+}
+
+TEST_CASE("an entry's own work is not counted twice") {
+  server_table table;
+  table.Update(
+      {1, {{"s1", "engines", "10.0.0.1", 80, "a", "v1", 4, false, 5}}});
+  const auto server = table.Servers("engines").front();
+  CHECK_FALSE(table.AreLoadsKnown(1'000));
+  CHECK(table.OwnLoads().empty());
+  server->work = 400;
+  const auto own = table.OwnLoads();
+  REQUIRE(own.size() == 1);
+  CHECK(own.front().work == 400);
+  server->work = 900;  // more has come since the report
+  table.UpdateLoads({{own.front().server, 1'000}}, 1'000);
+  CHECK(server->OthersWork() == 600);
+  CHECK(table.AreLoadsKnown(2'400));
+  CHECK_FALSE(table.AreLoadsKnown(2'500));
+  table.UpdateLoads({}, 3'000);
+  CHECK(server->OthersWork() == 0);
+}
+
+}  // namespace lovagedale::testing
