--- a/include/lovagedale/relay/server_load.h
+++ b/include/lovagedale/relay/server_load.h
@@ -50,9 +50,13 @@
   auto Report(const std::string& entry, std::vector<server_load> loads,
               monotonic_ms now) -> void;
   auto Forget(const std::string& entry) -> void { by_entry_.erase(entry); }
-  /// Of entries that were heard of late; servers without load are left out.
+  /// Of entries that were heard of late; the busiest servers if there are many.
   auto Total(monotonic_ms now) const -> std::vector<server_load>;
 
+  /// Servers in a total: half a kilobyte an answer to a heartbeat, so that
+  /// loads fit into what control may send to an entry.
+  static constexpr std::size_t kMostServers = 64;
+
  private:
   /// Requests of an entry that is silent for longer have ended or moved.
   static constexpr monotonic_ms kForgetMs = 2'000;
--- a/src/relay/server_load.cpp
+++ b/src/relay/server_load.cpp
@@ -1,5 +1,6 @@
 #include "lovagedale/relay/server_load.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lovagedale {
@@ -22,6 +23,13 @@
   std::vector<server_load> total;
   total.reserve(sums.size());
   for (const auto& [server, work] : sums) total.push_back({server, work});
+  if (total.size() > kMostServers) {
+    const auto end = total.begin() + kMostServers;
+    std::nth_element(
+        total.begin(), end, total.end(),
+        [](const auto& a, const auto& b) { return a.work > b.work; });
+    total.erase(end, total.end());
+  }
   return total;
 }
 
--- a/tests/relay/server_load_test.cpp
+++ b/tests/relay/server_load_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include "lovagedale/common/codec.h"
 #include "lovagedale/relay/server_table.h"
 
 namespace lovagedale::testing {
@@ -18,6 +19,24 @@
   CHECK(total.Total(4'100).empty());
 }
 
+TEST_CASE("of many servers the busiest are told, within the budget for bytes") {
+  std::vector<server_load> loads;
+  for (std::uint32_t server = 0; server < 600; ++server) {
+    loads.push_back({server, 1 + server * 7 % 600});
+  }
+  server_load_total total;
+  total.Report("e1", loads, 1'000);
+  const auto told = total.Total(1'000);
+  REQUIRE(told.size() == server_load_total::kMostServers);
+  for (const auto& load : told) {
+    CHECK(load.work > 600 - server_load_total::kMostServers);
+  }
+  // At 360 entries a heartbeat goes to the leader once a second; 100 of the
+  // 4,096 bytes that control may use are free, and evidence (800) is not sent
+  // to entries that relay.
+  CHECK(Encode(told).size() < 900);
+}
+
 TEST_CASE("the less often reports come, the less of them counts") {
   CHECK(ReportPart(0) == ReportPart(200));
   CHECK(ReportPart(200) > ReportPart(400));
