--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -16,8 +16,7 @@
 constexpr monotonic_ms kHoldHeartbeatMs = 1'000;
 constexpr std::chrono::milliseconds kServiceTick{50};
 /// Entries that relay exchange the loads of servers at this pace, or slower so
-/// that the leader answers at most 400 heartbeats a second: a hundredth of a
-/// core.
+/// that the leader answers at most 334 heartbeats a second (docs/CAPACITY.md).
 constexpr monotonic_ms kLoadPeriodMs = 200;
 constexpr monotonic_ms kLoadPeriodPerEntryMs = 3;
 /// Entries heard within this time share the fleet-wide limits.
