Lose a zone for its silence only, not for a congested link of the entry

Cause: three connections that were not made within 250 ms made a zone lost, also while answers from that zone were arriving. Control replicas send a large configuration whole to each entry; it queues on the entry's link, and what servers sent waits behind it. Attempts that were cancelled while they connected ("Operation canceled") counted as further unreachable servers, so the loss of a zone fed itself; a refused connection counted as well.

Now a failed connection is evidence against a zone only if no byte arrived from the zone, and another zone has answered something, since it was begun. If no server has answered at all, one of another zone is probed before the failure is judged; if that fails too, own_link_suspected is logged and no server is marked. A refusal is an answer of the host; a cancelled connection is no evidence; a timeout seen much too late (connect_timeout_late) shows that the process was paused, and the server is probed again. zone_lost says how long the zone was silent and how many attempts were cancelled or kept.

--- a/include/lovagedale/http/client.h
+++ b/include/lovagedale/http/client.h
@@ -23,15 +23,21 @@
     kAnswerBroken  ///< the answer ended before it was complete
   };
   http_call_error(stage failed_at, const std::string& reason,
-                  bool timed_out = false)
-      : std::runtime_error(reason), stage_(failed_at), timed_out_(timed_out) {}
+                  bool timed_out = false, bool was_refused = false)
+      : std::runtime_error(reason),
+        stage_(failed_at),
+        timed_out_(timed_out),
+        was_refused_(was_refused) {}
   auto failure_stage() const -> stage { return stage_; }
   /// True if a deadline passed, false if the connection failed.
   auto timed_out() const -> bool { return timed_out_; }
+  /// True if the peer's host has rejected the connection.
+  auto was_refused() const -> bool { return was_refused_; }
 
  private:
   stage stage_;
   bool timed_out_;
+  bool was_refused_;
 };
 
 /// Time limits of one request, each measured from the start of its own step.
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -368,7 +368,11 @@
       server->listed, is_once ? kMaxIdleOnceMs : kMaxIdleRepeatableMs);
   connection_ = std::move(pooled.connection);
   auto deadlines = Deadlines(/*for_stream_body=*/false);
-  if (pooled.is_fresh) connection_->Connect(deadlines, exchange_.yield());
+  if (pooled.is_fresh) {
+    connect_began_ms_ = clock_.Now();
+    connection_->Connect(deadlines, exchange_.yield());
+    state_.prober.ReportRoundTrip(server, connect_began_ms_);
+  }
   if (caller_disconnected_) {
     throw http_call_error(http_call_error::stage::kNotSent,
                           "caller disconnected");
@@ -387,8 +391,9 @@
   ++runs_;
   was_sent_ = true;
   sent_ms_ = clock_.Now();
-  return ReadMatchingHead(
-      connection_->Send(request, deadlines, exchange_.yield()));
+  auto head = connection_->Send(request, deadlines, exchange_.yield());
+  state_.prober.ReportRoundTrip(server, sent_ms_);
+  return ReadMatchingHead(std::move(head));
 }
 
 template <call_protocol Protocol>
@@ -422,6 +427,7 @@
                                                if (connection_) {
                                                  connection_->Close();
                                                }
+                                               return true;
                                              });
   }
   try {
@@ -468,7 +474,6 @@
     } else if (result != attempt_result::kFailed) {
       server->health.RecordSuccess(now);
     }
-    state_.servers.RecordReached(server->listed.zone);
     server->health.MarkReachable();
     return result;
   }
@@ -477,8 +482,19 @@
   if (failure->failure_stage() == http_call_error::stage::kNotSent) {
     // No byte reached the server, so this does not count as a run.
     if (was_sent_) --runs_;
-    state_.prober.ReportUnreachable(server);
+    if (is_cancelled) {
+      // The cancellation is no evidence against the server or its zone.
+      attempt_reason_ = "the zone of the server is lost";
+      return attempt_result::kNotReached;
+    }
     state_.pool.Drop(server->listed.id);
+    if (was_sent_) {
+      // The server has closed an idle connection.
+      state_.prober.ProbeOnce(server);
+    } else {
+      state_.prober.ReportUnreachable(
+          server, {connect_began_ms_, failure->was_refused()});
+    }
     return attempt_result::kNotReached;
   }
   may_have_run_ = true;
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -161,6 +161,7 @@
   bool may_have_run_ = false;
   bool caller_disconnected_ = false;
   std::unique_ptr<http_connection> connection_;
+  monotonic_ms connect_began_ms_ = 0;
   monotonic_ms sent_ms_ = 0;
   server_handle prompt_server_;  ///< the server that processes the prompt
   double prompt_work_ = 0;
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -102,6 +102,7 @@
     const auto bytes = connection_->ReadSome(
         Deadlines(/*for_stream_body=*/true), exchange_.yield());
     if (bytes.empty()) break;
+    state_.prober.ReportReceived(server);
     const auto events = events_.Feed(bytes);
     if (events.empty()) continue;
     if (!has_first_event) CountFirstEvent(server);
--- a/include/lovagedale/relay/server_prober.h
+++ b/include/lovagedale/relay/server_prober.h
@@ -2,18 +2,32 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "lovagedale/common/time.h"
 #include "lovagedale/relay/connection_pool.h"
 #include "lovagedale/relay/server_table.h"
 
 namespace lovagedale {
 
+/// A connection to a server that could not be made.
+struct failed_connection {
+  monotonic_ms began_ms = 0;
+  bool was_refused = false;  ///< by the server's host, which is an answer
+
+  auto operator==(const failed_connection&) const -> bool = default;
+};
+
 /// Probes in the background which servers can be reached. A server that could
 /// not be reached gets no calls until a connection to it succeeds; if it is the
-/// first of its zone since a connection there succeeded, other servers of the
-/// zone are probed at once. While a zone is lost its servers are probed one
-/// after the other. Not thread-safe.
+/// first of its zone since a byte arrived from there, other servers of the zone
+/// are probed at once. While a zone is lost its servers are probed one after
+/// the other. A failed connection during which no server at all has answered is
+/// judged only after a server of another zone was probed: the cause may be this
+/// entry's own link. Not thread-safe.
 class server_prober {
  public:
   server_prober(boost::asio::io_context& context, server_table& servers)
@@ -21,12 +35,23 @@
   server_prober(const server_prober&) = delete;
   auto operator=(const server_prober&) -> server_prober& = delete;
 
-  /// Called if a connection to the server failed.
-  auto ReportUnreachable(const server_handle& server) -> void;
+  auto ReportUnreachable(const server_handle& server,
+                         const failed_connection& failed) -> void;
+  /// Called when bytes of the server have arrived.
+  auto ReportReceived(const server_handle& server) -> void;
+  /// Called when the server has answered what was sent at `began_ms`.
+  auto ReportRoundTrip(const server_handle& server, monotonic_ms began_ms)
+      -> void;
   /// Probes a server that has not answered in time.
   auto ProbeOnce(const server_handle& server) -> void;
 
  private:
+  /// Marks the server as unreachable and considers whether its zone is lost.
+  auto JudgeUnreachable(const server_handle& server, monotonic_ms began_ms)
+      -> void;
+  /// Probes a server of another zone, then judges the failures reported since.
+  auto StartComparison(const server_handle& server) -> void;
+  auto LogRegained(const server_handle& server) const -> void;
   auto StartProbeLoop(const server_handle& server) -> void;
   /// Probes until the server is reached or has left the list.
   auto ProbeLoop(const server_handle& server, boost::asio::yield_context yield)
@@ -35,12 +60,15 @@
   auto ProbeZone(const std::string& zone, boost::asio::yield_context yield)
       -> void;
   /// Connects; if this succeeds, marks the server and its zone as reachable.
+  /// Otherwise returns how it failed.
   auto Probe(const server_handle& server, boost::asio::yield_context yield)
-      -> bool;
+      -> std::optional<failed_connection>;
   auto IsListed(const server_handle& server) const -> bool;
 
   boost::asio::io_context& context_;
   server_table& servers_;
+  /// Failures that wait for the probe of another zone.
+  std::vector<std::pair<server_handle, monotonic_ms>> unjudged_failures_;
   system_monotonic_clock clock_;
 };
 
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <list>
 #include <map>
@@ -10,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lovagedale/common/time.h"
 #include "lovagedale/discovery/server_list.h"
 #include "lovagedale/relay/server_choice.h"
 #include "lovagedale/relay/server_health.h"
@@ -32,8 +34,9 @@
   server_health health;
   bool address_reassigned = false;  ///< another server has the address now
   bool is_probed = false;           ///< by a running task of server_prober
-  /// Each one cancels an attempt that can be repeated at another server.
-  std::list<std::function<void()>> attempt_cancellers;
+  /// Each one cancels an attempt if it can be repeated at another server now;
+  /// false if the attempt goes on.
+  std::list<std::function<bool()>> attempt_cancellers;
 
   /// Work of the other entries by the last update.
   auto OtherEntriesWork() const -> double {
@@ -43,23 +46,47 @@
 
 using server_handle = std::shared_ptr<server_record>;
 
+/// What became of the attempts of a lost zone.
+struct cancelled_attempts {
+  std::size_t cancelled = 0;
+  std::size_t kept = 0;  ///< they cannot be repeated now, so they wait on
+
+  auto operator==(const cancelled_attempts&) const -> bool = default;
+};
+
 /// The discovered servers by service. Not thread-safe.
 class server_table {
  public:
   /// Replaces the servers by those of a list. Keeps the records of those that
   /// stay.
   auto Update(const server_list& list) -> void;
-  /// Records a failed connection; true if the zone is lost by it.
-  auto RecordUnreachable(const server_handle& server) -> bool;
-  /// Records a connection to a server of the zone; true if the zone was lost
-  /// before. All its servers are then marked as reachable.
-  auto RecordReached(const std::string& zone) -> bool;
+  /// Records a connection that was begun at `began_ms` and got no answer; true
+  /// if the zone is lost by it. It is no evidence against the zone unless
+  /// another zone has answered since: this entry's own link may be congested.
+  auto RecordUnreachable(const server_handle& server, monotonic_ms began_ms)
+      -> bool;
+  /// Records that bytes of a server of the zone arrived; true if the zone was
+  /// lost before. All its servers are then marked as reachable.
+  auto RecordReceived(const std::string& zone, monotonic_ms now) -> bool;
+  /// Like RecordReceived, for an answer to what was sent at `began_ms`.
+  auto RecordRoundTrip(const std::string& zone, monotonic_ms began_ms,
+                       monotonic_ms now) -> bool;
+  /// Whether any server has answered what was sent at `began_ms` or later.
+  auto HasRoundTripSince(monotonic_ms began_ms) const -> bool;
+  /// When bytes of the zone last arrived; nothing if none ever did.
+  auto LastReceivedMs(const std::string& zone) const
+      -> std::optional<monotonic_ms>;
+  /// A server of the other zone that was heard from last; null if there is
+  /// none.
+  auto ServerOfOtherZone(const std::string& zone) const -> server_handle;
+  /// Called if a zone has no servers any more.
+  auto ForgetZone(const std::string& zone) -> void { zones_.erase(zone); }
   /// Whether the zone appears to be unreachable from this entry.
   auto IsZoneLost(const std::string& zone) const -> bool {
     const auto found = zones_.find(zone);
     return found != zones_.end() && found->second.IsLost();
   }
-  /// Whether a connection to the zone has failed since the last successful one.
+  /// Whether a connection to the zone has failed since its last byte arrived.
   auto IsZoneSuspected(const std::string& zone) const -> bool {
     const auto found = zones_.find(zone);
     return found != zones_.end() && found->second.IsSuspected();
@@ -76,7 +103,7 @@
   /// Time between the last two updates of the loads.
   auto loads_period_ms() const -> monotonic_ms { return loads_period_ms_; }
   /// Cancels the attempts at the zone's servers that can be repeated elsewhere.
-  auto CancelAttempts(const std::string& zone) -> void;
+  auto CancelAttempts(const std::string& zone) -> cancelled_attempts;
   /// Number of the latest server list.
   auto number() const -> std::uint64_t { return number_; }
   auto Servers(const std::string& service) const
@@ -86,6 +113,8 @@
   }
 
  private:
+  auto MarkZoneReachable(const std::string& zone) -> void;
+
   /// Queues at servers change within a second or two.
   static constexpr monotonic_ms kLoadsMaxAgeMs = 1'500;
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -128,10 +128,13 @@
   }
   if (error) {
     impl_->failed = true;
-    throw http_call_error(stage::kNotSent, "cannot connect to " + impl_->host +
-                                               ":" +
-                                               std::to_string(impl_->port) +
-                                               ": " + error.message());
+    throw http_call_error(stage::kNotSent,
+                          "cannot connect to " + impl_->host + ":" +
+                              std::to_string(impl_->port) + ": " +
+                              error.message(),
+                          error == beast::error::timeout,
+                          error == asio::error::connection_refused ||
+                              error == asio::error::connection_reset);
   }
   ConfigureSocket(impl_->stream.socket(),
                   static_cast<int>(impl_->ack_timeout.count()));
--- a/src/relay/server_prober.cpp
+++ b/src/relay/server_prober.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds kProbePeriod{300};
 /// Servers of a zone that are probed when another one could not be reached.
 constexpr std::size_t kZoneProbes = 2;
+/// A connection that fails this long after its timeout shows that this process
+/// has been paused.
+constexpr milliseconds kMaxTimerDelay{100};
 
 }  // namespace
 
@@ -23,22 +26,80 @@
   return found != servers_.All().end() && found->second == server;
 }
 
-auto server_prober::ReportUnreachable(const server_handle& server) -> void {
+auto server_prober::ReportUnreachable(const server_handle& server,
+                                      const failed_connection& failed) -> void {
+  if (failed.was_refused) {
+    // Only the server is down: its host has answered.
+    ReportRoundTrip(server, failed.began_ms);
+    server->health.MarkUnreachable(clock_.Now());
+    StartProbeLoop(server);
+    return;
+  }
+  const milliseconds took(clock_.Now() - failed.began_ms);
+  if (took > kServerConnectTimeout + kMaxTimerDelay) {
+    // The answer may have arrived while this process did not run.
+    log_line(log_level::kWarning, "connect_timeout_late")
+        .With("server", server->listed.id)
+        .With("took_ms", took.count());
+    ProbeOnce(server);
+    return;
+  }
+  if (servers_.HasRoundTripSince(failed.began_ms)) {
+    JudgeUnreachable(server, failed.began_ms);
+    return;
+  }
+  unjudged_failures_.emplace_back(server, failed.began_ms);
+  if (unjudged_failures_.size() == 1) StartComparison(server);
+}
+
+auto server_prober::StartComparison(const server_handle& server) -> void {
+  SpawnTask(context_, [this, server](asio::yield_context yield) {
+    const auto other = servers_.ServerOfOtherZone(server->listed.zone);
+    const auto failed =
+        other ? Probe(other, yield) : std::optional<failed_connection>();
+    const bool is_own_link_suspected = failed && !failed->was_refused;
+    if (failed && failed->was_refused) ReportUnreachable(other, *failed);
+    const auto failures = std::exchange(unjudged_failures_, {});
+    if (is_own_link_suspected) {
+      log_line(log_level::kWarning, "own_link_suspected")
+          .With("failures", failures.size())
+          .With("zone", server->listed.zone)
+          .With("other_zone", other->listed.zone);
+    }
+    for (const auto& [failed_server, began_ms] : failures) {
+      if (!IsListed(failed_server)) continue;
+      if (is_own_link_suspected && !servers_.HasRoundTripSince(began_ms)) {
+        StartProbeLoop(failed_server);
+      } else {
+        JudgeUnreachable(failed_server, began_ms);
+      }
+    }
+  });
+}
+
+auto server_prober::JudgeUnreachable(const server_handle& server,
+                                     monotonic_ms began_ms) -> void {
   const auto& zone = server->listed.zone;
-  const bool is_first = !servers_.IsZoneSuspected(zone);
-  server->health.MarkUnreachable(clock_.Now());
-  if (servers_.RecordUnreachable(server)) {
+  const auto now = clock_.Now();
+  const bool was_suspected = servers_.IsZoneSuspected(zone);
+  server->health.MarkUnreachable(now);
+  if (servers_.RecordUnreachable(server, began_ms)) {
+    const auto attempts = servers_.CancelAttempts(zone);
+    const auto received_ms = servers_.LastReceivedMs(zone);
     log_line(log_level::kWarning, "zone_lost")
         .With("zone", zone)
         .With("server", server->listed.id)
-        .With("list", servers_.number());
+        .With("list", servers_.number())
+        .With("connect_ms", now - began_ms)
+        .With("silent_ms", received_ms ? now - *received_ms : -1)
+        .With("cancelled", attempts.cancelled)
+        .With("kept", attempts.kept);
     SpawnTask(context_, [this, zone](asio::yield_context yield) {
       ProbeZone(zone, yield);
     });
-    servers_.CancelAttempts(zone);
   }
   StartProbeLoop(server);
-  if (!is_first) return;
+  if (was_suspected || !servers_.IsZoneSuspected(zone)) return;
   std::size_t started = 0;
   for (const auto& [id, other] : servers_.All()) {
     if (started == kZoneProbes) break;
@@ -48,13 +109,32 @@
   }
 }
 
+auto server_prober::ReportReceived(const server_handle& server) -> void {
+  if (servers_.RecordReceived(server->listed.zone, clock_.Now())) {
+    LogRegained(server);
+  }
+}
+
+auto server_prober::ReportRoundTrip(const server_handle& server,
+                                    monotonic_ms began_ms) -> void {
+  if (servers_.RecordRoundTrip(server->listed.zone, began_ms, clock_.Now())) {
+    LogRegained(server);
+  }
+}
+
+auto server_prober::LogRegained(const server_handle& server) const -> void {
+  log_line(log_level::kInfo, "zone_regained")
+      .With("zone", server->listed.zone)
+      .With("server", server->listed.id);
+}
+
 auto server_prober::ProbeOnce(const server_handle& server) -> void {
   if (server->is_probed) return;
   server->is_probed = true;
   SpawnTask(context_, [this, server](asio::yield_context yield) {
-    const bool is_reached = Probe(server, yield);
+    const auto failed = Probe(server, yield);
     server->is_probed = false;
-    if (!is_reached) ReportUnreachable(server);
+    if (failed && IsListed(server)) ReportUnreachable(server, *failed);
   });
 }
 
@@ -69,13 +149,17 @@
 
 auto server_prober::ProbeLoop(const server_handle& server,
                               asio::yield_context yield) -> void {
+  bool was_marked = false;
   for (;;) {
     Pause(context_.get_executor(), kProbePeriod, yield);
-    if (!IsListed(server) || !server->health.IsUnreachable()) return;
+    const bool is_marked = server->health.IsUnreachable();
+    if (!IsListed(server) || (was_marked && !is_marked)) return;
+    was_marked = is_marked;
     // While the zone is lost, ProbeZone probes its servers.
     if (servers_.IsZoneLost(server->listed.zone)) continue;
-    if (Probe(server, yield)) return;
-    ReportUnreachable(server);
+    const auto failed = Probe(server, yield);
+    if (!failed) return;
+    ReportUnreachable(server, *failed);
   }
 }
 
@@ -88,14 +172,15 @@
     }
     if (in_zone.empty()) {
       // A zone without servers is no longer lost: there is nothing to probe.
-      servers_.RecordReached(zone);
+      servers_.ForgetZone(zone);
       return;
     }
     for (const auto& server : in_zone) {
       if (!servers_.IsZoneLost(zone)) break;
       if (!IsListed(server)) continue;
       const auto began = clock_.Now();
-      Probe(server, yield);
+      const auto failed = Probe(server, yield);
+      if (failed && failed->was_refused) ReportUnreachable(server, *failed);
       const milliseconds took(clock_.Now() - began);
       if (took < kProbePeriod) {
         Pause(context_.get_executor(), kProbePeriod - took, yield);
@@ -105,23 +190,22 @@
 }
 
 auto server_prober::Probe(const server_handle& server,
-                          asio::yield_context yield) -> bool {
+                          asio::yield_context yield)
+    -> std::optional<failed_connection> {
   http_connection connection(context_, server->listed.host,
                              server->listed.port);
   http_deadlines deadlines;
   deadlines.connect = kServerConnectTimeout;
+  const auto began_ms = clock_.Now();
   try {
     connection.Connect(deadlines, yield);
-  } catch (const http_call_error&) {
-    return false;  // the caller reports it, if necessary
+  } catch (const http_call_error& error) {
+    // The caller reports it, if necessary.
+    return failed_connection{began_ms, error.was_refused()};
   }
   server->health.MarkReachable();
-  if (servers_.RecordReached(server->listed.zone)) {
-    log_line(log_level::kInfo, "zone_regained")
-        .With("zone", server->listed.zone)
-        .With("server", server->listed.id);
-  }
-  return true;
+  ReportRoundTrip(server, began_ms);
+  return std::nullopt;
 }
 
 }  // namespace lovagedale
--- a/src/relay/server_table.cpp
+++ b/src/relay/server_table.cpp
@@ -37,23 +37,72 @@
   by_id_ = std::move(next);
 }
 
-auto server_table::RecordUnreachable(const server_handle& server) -> bool {
+auto server_table::RecordUnreachable(const server_handle& server,
+                                     monotonic_ms began_ms) -> bool {
   const auto& zone = server->listed.zone;
+  const bool has_other_zone_answered =
+      std::any_of(zones_.begin(), zones_.end(), [&](const auto& item) {
+        return item.first != zone && item.second.HasRoundTripSince(began_ms);
+      });
+  if (!has_other_zone_answered) return false;
   const auto in_zone =
       std::count_if(by_id_.begin(), by_id_.end(), [&](const auto& item) {
         return item.second->listed.zone == zone && !item.second->listed.leaving;
       });
-  return zones_[zone].RecordUnreachable(server->listed.id,
-                                        static_cast<std::size_t>(in_zone));
+  return zones_[zone].RecordUnreachable(
+      server->listed.id, static_cast<std::size_t>(in_zone), began_ms);
 }
 
-auto server_table::RecordReached(const std::string& zone) -> bool {
-  const auto found = zones_.find(zone);
-  if (found == zones_.end() || !found->second.RecordReached()) return false;
+auto server_table::RecordReceived(const std::string& zone, monotonic_ms now)
+    -> bool {
+  if (!zones_[zone].RecordReceived(now)) return false;
+  MarkZoneReachable(zone);
+  return true;
+}
+
+auto server_table::RecordRoundTrip(const std::string& zone,
+                                   monotonic_ms began_ms, monotonic_ms now)
+    -> bool {
+  if (!zones_[zone].RecordRoundTrip(began_ms, now)) return false;
+  MarkZoneReachable(zone);
+  return true;
+}
+
+auto server_table::MarkZoneReachable(const std::string& zone) -> void {
   for (const auto& [id, server] : by_id_) {
     if (server->listed.zone == zone) server->health.MarkReachable();
   }
-  return true;
+}
+
+auto server_table::HasRoundTripSince(monotonic_ms began_ms) const -> bool {
+  return std::any_of(zones_.begin(), zones_.end(), [&](const auto& item) {
+    return item.second.HasRoundTripSince(began_ms);
+  });
+}
+
+auto server_table::LastReceivedMs(const std::string& zone) const
+    -> std::optional<monotonic_ms> {
+  const auto found = zones_.find(zone);
+  if (found == zones_.end()) return std::nullopt;
+  return found->second.last_received_ms();
+}
+
+auto server_table::ServerOfOtherZone(const std::string& zone) const
+    -> server_handle {
+  server_handle best;
+  std::optional<monotonic_ms> best_received_ms;
+  for (const auto& [id, server] : by_id_) {
+    const auto& listed = server->listed;
+    if (listed.zone == zone || listed.leaving ||
+        server->health.IsUnreachable() || IsZoneLost(listed.zone)) {
+      continue;
+    }
+    const auto received_ms = LastReceivedMs(listed.zone);
+    if (best && received_ms <= best_received_ms) continue;
+    best = server;
+    best_received_ms = received_ms;
+  }
+  return best;
 }
 
 auto server_table::OwnLoads() -> std::vector<server_load> {
@@ -78,11 +127,16 @@
   loads_at_ = now;
 }
 
-auto server_table::CancelAttempts(const std::string& zone) -> void {
+auto server_table::CancelAttempts(const std::string& zone)
+    -> cancelled_attempts {
+  cancelled_attempts result;
   for (const auto& [id, server] : by_id_) {
     if (server->listed.zone != zone) continue;
-    for (const auto& cancel : server->attempt_cancellers) cancel();
+    for (const auto& cancel : server->attempt_cancellers) {
+      ++(cancel() ? result.cancelled : result.kept);
+    }
   }
+  return result;
 }
 
 auto server_table::Servers(const std::string& service) const
