Give up a silent attempt only if another attempt may replace it

Cause: the loss of a zone, the limit on the first byte and the limit between two reads ended an attempt at once; only then was asked whether another one was allowed. With the retry budget spent, no attempt left or no other server reachable, the call ended with the attempt.

Now an attempt is given up for silence only after the next one was granted: attempts left, another server reachable, and the retry counted in the budget beforehand, once. The limits are watched by silence_timer instead of the connection's deadlines, which close it. A stream of which the caller has a part waits for a reachable server instead of being cut when there is none or connections fail; its time limit bounds that.

Existing tests are unchanged; their set-up takes the size of the retry budget and can send the rest of an answer later.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -154,8 +154,8 @@
 }
 
 template <call_protocol Protocol>
-auto relayed_call<Protocol>::PickServer() -> server_handle {
-  const auto now = clock_.Now();
+auto relayed_call<Protocol>::CollectServers() const
+    -> std::vector<server_handle> {
   const auto* rollout = view_->RolloutOf(service_);
   const auto collect = [&](bool include_all_versions, bool include_tried) {
     std::vector<server_handle> servers;
@@ -192,6 +192,13 @@
       return rollout != nullptr && server->listed.version == rollout->target;
     });
   }
+  return servers;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::PickServer() -> server_handle {
+  const auto now = clock_.Now();
+  const auto servers = CollectServers();
   const bool are_loads_fresh = state_.servers.AreLoadsFresh(now);
   std::vector<server_candidate> candidates;
   candidates.reserve(servers.size());
@@ -260,6 +267,12 @@
     if (RemainingMs() < kMinUsefulMs) break;
     const auto server = PickServer();
     if (!server) {
+      if (exchange_.HasStarted()) {
+        // The rest of the stream waits for a server until the time limit.
+        Pause(state_.context.get_executor(), kServerPollInterval,
+              exchange_.yield());
+        continue;
+      }
       if (sends_ > 0 || CountAvailableServers() > 0 ||
           clock_.Now() >= server_wait_deadline_ms) {
         break;
@@ -277,6 +290,10 @@
     LogAttempt(server, result, attempt_reason_);
     if (result == attempt_result::kAnswered || caller_disconnected_) return;
     if (!AllowsAnotherAttempt(result)) break;
+    if (result == attempt_result::kNotReached && exchange_.HasStarted()) {
+      Pause(state_.context.get_executor(), kServerPollInterval,
+            exchange_.yield());
+    }
     if (result == attempt_result::kNotRun &&
         tried_servers_.size() >= CountAvailableServers()) {
       // All servers are full and would refuse an immediate retry.
@@ -301,6 +318,12 @@
 auto relayed_call<Protocol>::AllowsAnotherAttempt(attempt_result result)
     -> bool {
   const auto& item = *match_.matched_route;
+  const bool is_reserved = std::exchange(has_reserved_attempt_, false);
+  if (result == attempt_result::kNotReached && exchange_.HasStarted()) {
+    // Not counted: the rest of the stream waits for a server that is reached.
+    --sends_;
+    return true;
+  }
   if (sends_ >= kMaxSends) return false;
   // A failed connection adds no load to the servers.
   if (result == attempt_result::kNotReached) return true;
@@ -309,7 +332,36 @@
   const bool was_run = result != attempt_result::kNotRun;
   if (was_run && !MayRepeat()) return false;
   if (runs_ >= item.max_attempts) return false;
-  return state_.retries.TryRetry(clock_.Now());
+  return is_reserved || state_.retries.TryRetry(clock_.Now());
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::ReserveAttempt(const server_handle& server)
+    -> bool {
+  if (has_reserved_attempt_) return true;
+  if (!MayRepeat() || sends_ >= kMaxSends || RemainingMs() < kMinUsefulMs ||
+      (was_sent_ && runs_ >= match_.matched_route->max_attempts)) {
+    return false;
+  }
+  const auto servers = CollectServers();
+  if (std::all_of(servers.begin(), servers.end(),
+                  [&](const auto& other) { return other == server; })) {
+    return false;
+  }
+  // A connection that is being made adds no load to the servers.
+  if (!was_sent_) return true;
+  has_reserved_attempt_ = state_.retries.TryRetry(clock_.Now());
+  return has_reserved_attempt_;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::GiveUpAttempt(const server_handle& server,
+                                           give_up_reason why) -> bool {
+  if (given_up_ != give_up_reason::kNone) return true;
+  if (!connection_ || !ReserveAttempt(server)) return false;
+  given_up_ = why;
+  connection_->Close();
+  return true;
 }
 
 template <call_protocol Protocol>
@@ -339,24 +391,19 @@
 }
 
 template <call_protocol Protocol>
-auto relayed_call<Protocol>::Deadlines(bool for_stream_body) const
-    -> http_deadlines {
-  const auto& item = *match_.matched_route;
-  const auto remaining_ms = std::max<monotonic_ms>(1, RemainingMs());
-  const auto runs_with_this_attempt = runs_ + (was_sent_ ? 0 : 1);
-  const bool is_last =
-      runs_with_this_attempt >= item.max_attempts || !MayRepeat();
+auto relayed_call<Protocol>::StallTimeoutMs() const -> monotonic_ms {
+  return std::max(kMinStallMs,
+                  match_.matched_route->pause_ms * kStallPauseFactor);
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::Deadlines() const -> http_deadlines {
+  const std::chrono::milliseconds remaining(
+      std::max<monotonic_ms>(1, RemainingMs()));
   http_deadlines deadlines;
-  deadlines.connect =
-      std::min(kServerConnectTimeout, std::chrono::milliseconds(remaining_ms));
-  deadlines.first_byte = std::chrono::milliseconds(
-      is_last ? remaining_ms : FirstByteTimeoutMs(remaining_ms));
-  auto between_reads_ms = remaining_ms;
-  if (for_stream_body && !is_last) {
-    between_reads_ms = std::min(
-        remaining_ms, std::max(kMinStallMs, item.pause_ms * kStallPauseFactor));
-  }
-  deadlines.between_reads = std::chrono::milliseconds(between_reads_ms);
+  deadlines.connect = std::min(kServerConnectTimeout, remaining);
+  deadlines.first_byte = remaining;
+  deadlines.between_reads = remaining;
   return deadlines;
 }
 
@@ -367,7 +414,7 @@
   auto pooled = state_.pool.Acquire(
       server->listed, is_once ? kMaxIdleOnceMs : kMaxIdleRepeatableMs);
   connection_ = std::move(pooled.connection);
-  auto deadlines = Deadlines(/*for_stream_body=*/false);
+  const auto deadlines = Deadlines();
   if (pooled.is_fresh) {
     connect_began_ms_ = clock_.Now();
     connection_->Connect(deadlines, exchange_.yield());
@@ -391,9 +438,12 @@
   ++runs_;
   was_sent_ = true;
   sent_ms_ = clock_.Now();
+  if (silence_) silence_->Begin(FirstByteTimeoutMs(RemainingMs()));
   auto head = connection_->Send(request, deadlines, exchange_.yield());
   state_.prober.ReportRoundTrip(server, sent_ms_);
-  return ReadMatchingHead(std::move(head));
+  head = ReadMatchingHead(std::move(head));
+  if (silence_) silence_->End();
+  return head;
 }
 
 template <call_protocol Protocol>
@@ -416,19 +466,18 @@
   std::optional<http_call_error> failure;
   bool has_caller_write_failed = false;
   // An attempt that can be repeated elsewhere is cancelled when the server's
-  // zone is lost.
+  // zone is lost or the server is silent.
   auto& attempt_cancellers = server->attempt_cancellers;
   auto cancel_entry = attempt_cancellers.end();
-  bool is_cancelled = false;
+  given_up_ = give_up_reason::kNone;
   if (MayRepeat()) {
-    cancel_entry = attempt_cancellers.insert(attempt_cancellers.end(),
-                                             [this, &is_cancelled] {
-                                               is_cancelled = true;
-                                               if (connection_) {
-                                                 connection_->Close();
-                                               }
-                                               return true;
-                                             });
+    cancel_entry =
+        attempt_cancellers.insert(attempt_cancellers.end(), [this, server] {
+          return GiveUpAttempt(server, give_up_reason::kZoneLost);
+        });
+    silence_ = std::make_unique<silence_timer>(
+        state_.context.get_executor(),
+        [this, server] { GiveUpAttempt(server, give_up_reason::kSilent); });
   }
   try {
     const auto head = SendTo(server);
@@ -438,7 +487,7 @@
       attempt_reason_ = "refused with " + std::to_string(head.status);
       result = attempt_result::kNotRun;
       if (metadata.address_reassigned) server->address_reassigned = true;
-      connection_->ReadAll(Deadlines(false), exchange_.yield());
+      connection_->ReadAll(Deadlines(), exchange_.yield());
     } else if (EscalateIfUncertain(metadata)) {
       result = attempt_result::kEscalated;
       may_have_run_ = true;
@@ -461,6 +510,7 @@
   if (cancel_entry != attempt_cancellers.end()) {
     attempt_cancellers.erase(cancel_entry);
   }
+  silence_.reset();
   ReleasePromptWork();
   connection_.reset();
   const auto now = clock_.Now();
@@ -482,7 +532,7 @@
   if (failure->failure_stage() == http_call_error::stage::kNotSent) {
     // No byte reached the server, so this does not count as a run.
     if (was_sent_) --runs_;
-    if (is_cancelled) {
+    if (given_up_ == give_up_reason::kZoneLost) {
       // The cancellation is no evidence against the server or its zone.
       attempt_reason_ = "the zone of the server is lost";
       return attempt_result::kNotReached;
@@ -498,13 +548,15 @@
     return attempt_result::kNotReached;
   }
   may_have_run_ = true;
-  if (is_cancelled) {
+  if (given_up_ == give_up_reason::kZoneLost) {
     // The cancellation is no evidence against the server or its version.
     attempt_reason_ = "the zone of the server is lost";
     return attempt_result::kMaybeRun;
   }
+  const bool is_silent = given_up_ == give_up_reason::kSilent;
+  if (is_silent) attempt_reason_ = "the server is silent";
   server->health.RecordFailure(now);
-  if (failure->timed_out()) state_.prober.ProbeOnce(server);
+  if (failure->timed_out() || is_silent) state_.prober.ProbeOnce(server);
   state_.pool.Drop(server->listed.id);
   CountAnswer(server, /*failed=*/true);
   return attempt_result::kMaybeRun;
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -9,6 +9,7 @@
 #include "lovagedale/relay/call.h"
 #include "lovagedale/relay/event_splitter.h"
 #include "lovagedale/relay/relay_state.h"
+#include "lovagedale/relay/silence_timer.h"
 
 namespace lovagedale {
 
@@ -63,6 +64,9 @@
   Protocol protocol_;
 };
 
+/// Why an attempt was given up in favour of another one.
+enum class give_up_reason { kNone, kZoneLost, kSilent };
+
 /// One caller's request. Used only by the fiber that handles it.
 template <call_protocol Protocol>
 class relayed_call {
@@ -102,6 +106,15 @@
   /// model is selected for the next attempt, which is counted in the retry
   /// budget.
   auto EscalateIfUncertain(const server_answer_metadata& metadata) -> bool;
+  /// Gives up the attempt at a server that runs, if another attempt may replace
+  /// it now; false if it goes on. A silent server is no reason to end a call
+  /// before its time limit.
+  auto GiveUpAttempt(const server_handle& server, give_up_reason why) -> bool;
+  /// Whether an attempt at another server may follow now. If the current one
+  /// was sent, the next one is counted in the retry budget.
+  auto ReserveAttempt(const server_handle& server) -> bool;
+  /// The reachable servers that the next attempt may go to.
+  auto CollectServers() const -> std::vector<server_handle>;
   /// The server for the next attempt; null if none can be reached.
   auto PickServer() -> server_handle;
   auto IsReachable(const server_handle& server) const -> bool;
@@ -131,7 +144,9 @@
   auto FirstByteTimeoutMs(monotonic_ms remaining_ms) const -> monotonic_ms;
   /// Key of the route and the current model in tier_table.
   auto TierKey() const -> std::pair<std::string, std::string>;
-  auto Deadlines(bool for_stream_body) const -> http_deadlines;
+  /// Longest time without bytes of a stream while another server may be tried.
+  auto StallTimeoutMs() const -> monotonic_ms;
+  auto Deadlines() const -> http_deadlines;
   auto CountFirstEvent(const server_handle& server) -> void;
   /// Records the time from the request to the first event, or to the complete
   /// answer if it is not a stream.
@@ -157,6 +172,12 @@
   std::uint32_t runs_ = 0;   ///< attempts that a server may have run
   std::uint32_t sends_ = 0;  ///< all attempts; see kMaxSends
   bool was_sent_ = false;    ///< the current attempt has begun to send
+  give_up_reason given_up_ = give_up_reason::kNone;  ///< the current attempt
+  /// The retry budget has counted the next attempt already.
+  bool has_reserved_attempt_ = false;
+  /// Runs while the current attempt waits for bytes; null if the call must not
+  /// be repeated.
+  std::unique_ptr<silence_timer> silence_;
   std::vector<std::string> tried_servers_;
   bool may_have_run_ = false;
   bool caller_disconnected_ = false;
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -34,7 +34,7 @@
       throw http_call_error(http_call_error::stage::kSent,
                             "received only answers to other requests");
     }
-    const auto deadlines = Deadlines(/*for_stream_body=*/false);
+    const auto deadlines = Deadlines();
     connection_->ReadAll(deadlines, exchange_.yield());
     head = connection_->ReadHead(deadlines, exchange_.yield());
   }
@@ -59,7 +59,9 @@
       threshold.Threshold(),
       larger.first_event.ExpectedMs(clock_.Now(), assumed_ms), objective);
   if (*metadata.confidence >= min_confidence) return false;
-  if (runs_ >= item.max_attempts || !state_.retries.TryRetry(clock_.Now())) {
+  if (runs_ >= item.max_attempts) return false;
+  if (!std::exchange(has_reserved_attempt_, false) &&
+      !state_.retries.TryRetry(clock_.Now())) {
     return false;
   }
   tier_ = item.models.size() - 1;
@@ -77,7 +79,7 @@
 auto relayed_call<Protocol>::RelayFullAnswer(const server_handle& server,
                                              const http_response_head& head)
     -> attempt_result {
-  auto body = connection_->ReadAll(Deadlines(false), exchange_.yield());
+  auto body = connection_->ReadAll(Deadlines(), exchange_.yield());
   const bool is_failure = head.status >= 500;
   CountAnswer(server, is_failure);
   RecordAnswerTime();
@@ -99,8 +101,9 @@
   events_.Restart();
   bool has_first_event = false;
   for (;;) {
-    const auto bytes = connection_->ReadSome(
-        Deadlines(/*for_stream_body=*/true), exchange_.yield());
+    if (silence_) silence_->Begin(StallTimeoutMs());
+    const auto bytes = connection_->ReadSome(Deadlines(), exchange_.yield());
+    if (silence_) silence_->End();
     if (bytes.empty()) break;
     state_.prober.ReportReceived(server);
     const auto events = events_.Feed(bytes);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -2,9 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <atomic>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 #include <thread>
 
 #include "support/plain_protocol.h"
@@ -16,13 +19,18 @@
 using tcp = asio::ip::tcp;
 
 /// A server whose script maps a request's head to the raw bytes of the answer;
-/// empty closes the connection at once.
+/// empty closes the connection at once. `rest` follows after `pause`.
 class scripted_server {
  public:
   using script = std::function<std::string(const std::string& request)>;
 
-  explicit scripted_server(script answers)
+  explicit scripted_server(
+      script answers,
+      std::chrono::milliseconds pause = std::chrono::milliseconds(0),
+      std::string rest = "")
       : answers_(std::move(answers)),
+        pause_(pause),
+        rest_(std::move(rest)),
         acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
         thread_([this] { Run(); }) {}
   ~scripted_server() {
@@ -58,9 +66,14 @@
     if (error) return;
     ++requests_;
     asio::write(socket, asio::buffer(answers_(request)), error);
+    if (rest_.empty()) return;
+    std::this_thread::sleep_for(pause_);
+    asio::write(socket, asio::buffer(rest_), error);
   }
 
   script answers_;
+  std::chrono::milliseconds pause_;
+  std::string rest_;
   asio::io_context context_;
   tcp::acceptor acceptor_;
   std::atomic<bool> stopped_ = false;
@@ -89,11 +102,43 @@
     "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n"
     "Transfer-Encoding: chunked\r\n";
 
+/// A port whose listener accepts nothing and has a full queue: connections to
+/// it are neither made nor refused.
+class silent_port {
+ public:
+  silent_port() {
+    acceptor_.open(tcp::v4());
+    acceptor_.bind({asio::ip::make_address("127.0.0.1"), 0});
+    acceptor_.listen(0);
+    auto endpoint = acceptor_.local_endpoint();
+    for (auto& socket : fillers_) {
+      socket.non_blocking(true);
+      // Connects without waiting, unlike socket.connect().
+      ::connect(socket.native_handle(), endpoint.data(),
+                static_cast<socklen_t>(endpoint.size()));
+    }
+  }
+  auto port() const -> std::uint16_t {
+    return acceptor_.local_endpoint().port();
+  }
+
+ private:
+  asio::io_context context_;
+  tcp::acceptor acceptor_{context_};
+  std::array<tcp::socket, 3> fillers_{tcp::socket(context_, tcp::v4()),
+                                      tcp::socket(context_, tcp::v4()),
+                                      tcp::socket(context_, tcp::v4())};
+};
+
+/// Enough retries for a single call.
+constexpr double kSomeRetries = 10;
+
 /// An entry's relay on a thread of its own.
 class running_relay {
  public:
-  running_relay(route item, const std::vector<std::uint16_t>& ports)
-      : state_(context_, Settings()),
+  running_relay(route item, const std::vector<std::uint16_t>& ports,
+                double retries = kSomeRetries)
+      : state_(context_, Settings(retries)),
         relay_(state_, {}),
         server_(context_, "127.0.0.1", 0, false, http_limits{},
                 [this](http_exchange& exchange) { relay_.Handle(exchange); }) {
@@ -132,12 +177,31 @@
     request.body = "body";
     return BlockingHttpCall("127.0.0.1", server_.port(), request, {});
   }
+  /// Cancels the attempts that can be repeated, as when their zone is lost.
+  auto CancelAttempts() -> cancelled_attempts {
+    return OnItsThread([this] { return state_.servers.CancelAttempts(""); });
+  }
+  auto CountUnreachableServers() -> std::ptrdiff_t {
+    return OnItsThread([this] {
+      const auto& servers = state_.servers.Servers("engines");
+      return std::count_if(
+          servers.begin(), servers.end(),
+          [](const auto& server) { return server->health.IsUnreachable(); });
+    });
+  }
 
  private:
-  /// Enough retries for a single call.
-  static auto Settings() -> relay_settings {
+  template <typename Function>
+  auto OnItsThread(Function function) -> decltype(function()) {
+    std::promise<decltype(function())> result;
+    asio::post(context_, [&] { result.set_value(function()); });
+    return result.get_future().get();
+  }
+
+  static auto Settings(double retries) -> relay_settings {
     relay_settings settings;
-    settings.retry_floor = 10;
+    settings.retry_ratio = 0;
+    settings.retry_floor = retries;
     return settings;
   }
 
@@ -281,6 +345,90 @@
   CHECK_THROWS_AS(relay.Call(), http_call_error);
 }
 
+// Guards against streams that were cut because their server was silent for a
+// while and no retry was left: they must go on until the time limit.
+TEST_CASE("a stream whose server pauses goes on if no retry is left") {
+  const auto script = [](const std::string&) {
+    return kStreamHead + "\r\n" + Chunk(Event(1));
+  };
+  const std::string rest = Chunk(Event(2)) + "0\r\n\r\n";
+  const std::chrono::milliseconds pause(kMinStallMs + 200);
+  scripted_server a(script, pause, rest);
+  scripted_server b(script, pause, rest);
+  const running_relay relay(MakeRoute(route_kind::kStream, true),
+                            {a.port(), b.port()}, /*retries=*/0);
+  CHECK(relay.Call().body == Event(1) + Event(2));
+}
+
+// Guards against answers given up for a slow first byte although nothing could
+// replace the attempt.
+TEST_CASE("a slow first byte is awaited if no retry is left") {
+  scripted_server slow([](const std::string&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    return Answer("200 OK", "", "late");
+  });
+  auto item = MakeRoute(route_kind::kRepeatable);
+  item.objective_ms = 100;
+  SUBCASE("the retry budget is spent") {
+    scripted_server same([](const std::string&) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(600));
+      return Answer("200 OK", "", "late");
+    });
+    const running_relay relay(item, {slow.port(), same.port()}, /*retries=*/0);
+    CHECK(relay.Call().body == "late");
+  }
+  SUBCASE("there is no other server") {
+    const running_relay relay(item, {slow.port()});
+    CHECK(relay.Call().body == "late");
+    CHECK(slow.requests() == 1);
+  }
+}
+
+// Guards against the loss of a zone ending streams that nothing can replace.
+TEST_CASE("the loss of a zone ends only attempts that can be replaced") {
+  const auto script = [](const std::string& request) {
+    if (request.find("After: 1") != std::string::npos) {
+      return kStreamHead + "\r\n" + Chunk(Event(2) + Event(3)) + "0\r\n\r\n";
+    }
+    return kStreamHead + "\r\n" + Chunk(Event(1));
+  };
+  const std::string rest = Chunk(Event(2)) + "0\r\n\r\n";
+  const std::chrono::milliseconds pause(500);
+  scripted_server a(script, pause, rest);
+  scripted_server b(script, pause, rest);
+  double retries = 0;
+  SUBCASE("no retry is left") { retries = 0; }
+  SUBCASE("a retry is left") { retries = kSomeRetries; }
+  running_relay relay(MakeRoute(route_kind::kStream, true),
+                      {a.port(), b.port()}, retries);
+  auto call = std::async([&] { return relay.Call().body; });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  const auto attempts = relay.CancelAttempts();
+  CHECK(attempts ==
+        (retries > 0 ? cancelled_attempts{1, 0} : cancelled_attempts{0, 1}));
+  CHECK(call.get() ==
+        (retries > 0 ? Event(1) + Event(2) + Event(3) : Event(1) + Event(2)));
+}
+
+// Guards against the loss of a zone that marks its servers as unreachable by
+// cancelling connections to them, and so feeds itself.
+TEST_CASE("a cancelled connection is no evidence against its server") {
+  const silent_port silent;
+  scripted_server good(
+      [](const std::string&) { return Answer("200 OK", "", "done"); });
+  running_relay relay(MakeRoute(route_kind::kRepeatable),
+                      {silent.port(), good.port()});
+  std::size_t cancelled = 0;
+  for (int i = 0; i < 20; ++i) {
+    auto call = std::async([&] { return relay.Call().body; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    cancelled += relay.CancelAttempts().cancelled;
+    CHECK(call.get() == "done");
+    CHECK(relay.CountUnreachableServers() == 0);
+  }
+  CHECK(cancelled > 0);
+}
+
 TEST_CASE("an answer without a length ends with its connection") {
   scripted_server unframed([](const std::string&) {
     return std::string("HTTP/1.1 200 OK\r\nId: r1\r\n\r\nall of it");
