--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -98,9 +98,18 @@
     auto period = kUnreachablePeriod;
     std::string failure;
     try {
-      const auto response = Decode<heartbeat_response>(
+      const auto body =
           channel.Call(Encode(control_request(MakeHeartbeat(leader_ == name))),
-                       kHeartbeatTimeout, yield));
+                       kHeartbeatTimeout, yield);
+      const auto response = Decode<heartbeat_response>(body);
+      if (response.view) {
+        log_line(log_level::kInfo, "configuration_received")
+            .With("replica", name)
+            .With("leader", response.is_leader)
+            .With("revision", response.view->revision)
+            .With("held", state_.view ? state_.view->revision : 0)
+            .With("bytes", body.size());
+      }
       period = response.is_leader ? kLeaderPeriod
                : leader_.empty()  ? kSearchPeriod
                                   : kFollowerPeriod;
