Send configurations as changes and from one control replica at a time

Cause: each control replica put the whole configuration into its response to an entry that followed an older revision, also if only a roll-out or a quarantine had changed. Answers and handshakes waited behind them, and entries declared zones lost that were not.

Now an entry asks one replica: the leader; or one follower that told of a newer revision, while no leader is known or the leader has not sent it within a second (update_sender_choice). Its heartbeat says by hashes what it holds, and the response has only the parts that differ: routes as changes from one of the last 8 configurations, or complete if the one held is not known (view_update_source). The entry checks the hash of the result; on a mismatch it logs update_refused and asks for everything (held_view). An unchanged route table is shared with the view before.

budget_test fills the new field in place of the old one, and also counts what an entry tells about the configuration it holds; its bound is unchanged.

--- a/benchmark/capacity/capacity_main.cpp
+++ b/benchmark/capacity/capacity_main.cpp
@@ -155,7 +155,8 @@
 
 auto ViewBytes(std::size_t servers) -> double {
   heartbeat_response response;
-  response.view = MakeFleetView({servers, 13, 10});
+  response.update =
+      view_update_source().UpdateFor(MakeFleetView({servers, 13, 10}), {});
   return static_cast<double>(Encode(response).size());
 }
 
--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -7,7 +7,7 @@
 
 #include "lovagedale/admission/limit_shares.h"
 #include "lovagedale/common/hash.h"
-#include "lovagedale/configuration/fleet_view.h"
+#include "lovagedale/configuration/view_update.h"
 #include "lovagedale/discovery/server_list.h"
 #include "lovagedale/quality/evidence.h"
 #include "lovagedale/relay/server_load.h"
@@ -76,7 +76,10 @@
   std::string zone;
   process_incarnation incarnation = 0;
   config_revision revision = 0;  ///< configuration that the entry follows
-  bool leaving = false;          ///< last heartbeat before a planned stop
+  /// What the entry holds of it; present if it asks this replica for a newer
+  /// one. An entry asks one replica at a time (see update_sender_choice).
+  std::optional<view_position> position;
+  bool leaving = false;  ///< last heartbeat before a planned stop
   /// Cumulative counts; empty if nothing has changed.
   evidence_table evidence;
   std::vector<crash_report> crashes;
@@ -89,17 +92,17 @@
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(node, zone, incarnation, revision, leaving, evidence, crashes,
-            cleared_fingerprints, limits, limits_complete, relay);
+    archive(node, zone, incarnation, revision, position, leaving, evidence,
+            crashes, cleared_fingerprints, limits, limits_complete, relay);
   }
 };
 
 struct heartbeat_response {
   bool is_leader = false;
-  std::string leader;  ///< name of the leader, if known
-  config_revision revision = 0;
-  /// Configuration at `revision`; sent if the entry follows an older one.
-  std::optional<fleet_view> view;
+  std::string leader;            ///< name of the leader, if known
+  config_revision revision = 0;  ///< of the replica's configuration
+  /// Leads to `revision`; sent if the entry follows an older one and asks.
+  std::optional<view_update> update;
   /// Permit: how long the entry may use versions that need one (under roll-out,
   /// or cut_off_policy::kRefuse), from when it sent the heartbeat, provided
   /// that it follows `revision`. 0: no permit.
@@ -115,7 +118,7 @@
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(is_leader, leader, revision, view, permit_ms, evidence,
+    archive(is_leader, leader, revision, update, permit_ms, evidence,
             live_entries, registered_entries, shares, needs_limits, relay);
   }
 };
--- a/include/lovagedale/entry/control_link.h
+++ b/include/lovagedale/entry/control_link.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "lovagedale/configuration/update_sender_choice.h"
+#include "lovagedale/configuration/view_update.h"
 #include "lovagedale/control/messages.h"
 #include "lovagedale/entry/entry_state.h"
 #include "lovagedale/rpc/channel.h"
@@ -42,12 +44,17 @@
       -> void;
   auto FetchPeerView(rpc_channel& channel, boost::asio::yield_context yield)
       -> void;
+  /// Whether the next heartbeat to `replica`, whose last response had
+  /// `told_revision`, asks for a newer configuration.
+  auto MayAsk(const std::string& replica, config_revision told_revision) const
+      -> bool;
   auto MakeHeartbeat(bool with_evidence) -> entry_heartbeat;
   auto AddLimits(entry_heartbeat& heartbeat) -> void;
   auto ApplyLimits(const heartbeat_response& response, monotonic_ms sent_at)
       -> void;
   auto HandleResponse(const heartbeat_response& response, monotonic_ms sent_at)
       -> void;
+  auto ApplyUpdate(const view_update& update) -> void;
   auto ApplyView(const fleet_view& view) -> void;
   auto PublishPlans() -> void;
   /// Stops using versions under roll-out that the evidence known to this entry
@@ -78,6 +85,8 @@
   /// Whether the next heartbeat must list all of this entry's demands on
   /// customer limits, not only those that changed.
   bool leader_needs_all_limits_ = true;
+  held_view held_;
+  update_sender_choice sender_choice_;
   evidence_table own_evidence_;
   evidence_table fleet_evidence_;
   evidence_table planned_evidence_;  // What the published plans are based on.
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -36,8 +36,13 @@
 /// The routes and roll-outs of one configuration revision.
 struct routing_view {
   explicit routing_view(const fleet_view& view)
+      : routing_view(view, std::make_shared<const route_table>(view.routes)) {}
+  /// `route_table` must be that of the view's routes.
+  routing_view(const fleet_view& view,
+               std::shared_ptr<const route_table> route_table)
       : revision(view.revision),
-        routes(view.routes),
+        table(std::move(route_table)),
+        routes(*table),
         rollouts(view.service_rollouts) {}
   auto RolloutOf(const std::string& service) const -> const service_rollout* {
     for (const auto& rollout : rollouts) {
@@ -47,7 +52,8 @@
   }
 
   config_revision revision;
-  route_table routes;
+  std::shared_ptr<const route_table> table;
+  const route_table& routes;  ///< `*table`
   std::vector<service_rollout> rollouts;
 };
 
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <string>
 
+#include "lovagedale/configuration/update_sender_choice.h"
+#include "lovagedale/configuration/view_update.h"
 #include "lovagedale/control/messages.h"
 #include "lovagedale/discovery/server_feed.h"
 #include "lovagedale/relay/relay_state.h"
@@ -39,8 +41,15 @@
   auto FallbackListLoop(boost::asio::yield_context yield) -> void;
   /// Heartbeats to followers omit what only the leader uses.
   auto MakeHeartbeat(bool to_leader) -> entry_heartbeat;
+  /// Whether the next heartbeat to `replica`, whose last response had
+  /// `told_revision`, asks for a newer configuration.
+  auto MayAsk(const std::string& replica, config_revision told_revision) const
+      -> bool;
   /// Applies the routes, control replicas, loads and servers of a response.
-  auto Adopt(const heartbeat_response& response) -> void;
+  auto Adopt(const heartbeat_response& response, const std::string& replica)
+      -> void;
+  auto AdoptUpdate(const view_update& update, const std::string& replica)
+      -> void;
 
   boost::asio::io_context& context_;
   const route_entry_settings& settings_;
@@ -49,6 +58,8 @@
   std::function<void()> on_routes_changed_;
   system_monotonic_clock clock_;
   process_incarnation incarnation_;
+  held_view held_;
+  update_sender_choice sender_choice_;
   /// Channels are never removed, as fibers use them.
   std::map<std::string, std::unique_ptr<rpc_channel>> replicas_;
   std::string leader_;
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -226,8 +226,9 @@
   response.is_leader = tracker_.has_value() && node_.HasLease();
   response.leader = node_.core().leader();
   response.revision = machine_.view().revision;
-  if (due.heartbeat.revision < response.revision) {
-    response.view = machine_.view();
+  if (due.heartbeat.position && due.heartbeat.revision < response.revision) {
+    response.update =
+        updates_.UpdateFor(machine_.view(), *due.heartbeat.position);
   }
   if (due.heartbeat.relay) {
     response.relay.emplace();
@@ -309,6 +310,7 @@
 
 auto control_service::Tick() -> void {
   TrackLeadership();
+  updates_.Observe(machine_.view());
   const bool has_new_revision = answered_revision_ != machine_.view().revision;
   answered_revision_ = machine_.view().revision;
   AnswerDeferred(/*all=*/has_new_revision || !tracker_);
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -106,6 +106,8 @@
   try {
     const auto view = Decode<fleet_view>(channel.Call(
         Encode(view_request{state_.settings.name}), kHeartbeatTimeout, yield));
+    if (view.revision <= held_.view().revision) return;
+    held_.Replace(view);
     ApplyView(view);
   } catch (const std::exception&) {
     // The peer is down or also starting.
@@ -144,16 +146,21 @@
 auto control_link::HeartbeatLoop(rpc_channel& channel,
                                  asio::yield_context yield) -> void {
   const auto& name = channel.address().name;
+  config_revision told_revision = 0;
   while (!leaving_) {
     const auto sent_at = clock_.Now();
     bool is_leader = false;
+    const bool is_for_leader = leader_ == name;
+    const bool asks = MayAsk(name, told_revision);
+    if (asks && !is_for_leader) sender_choice_.RecordFollowerAsked();
     try {
-      const bool is_for_leader = leader_ == name;
       auto heartbeat = MakeHeartbeat(is_for_leader);
+      if (asks) heartbeat.position = held_.position();
       if (is_for_leader) AddLimits(heartbeat);
       const auto response = Decode<heartbeat_response>(channel.Call(
           Encode(control_request(heartbeat)), kHeartbeatTimeout, yield));
       is_leader = response.is_leader;
+      told_revision = response.revision;
       if (is_leader && leader_ != name) {
         leader_ = name;
         leader_needs_all_limits_ = true;
@@ -172,14 +179,19 @@
             .With("reason", error.what());
       }
     }
-    Pause(context_.get_executor(), is_leader ? kLeaderPeriod : kFollowerPeriod,
+    if (asks && !is_for_leader) sender_choice_.RecordFollowerEnded();
+    const bool is_soon =
+        is_leader || (leader_ != name && MayAsk(name, told_revision));
+    Pause(context_.get_executor(), is_soon ? kLeaderPeriod : kFollowerPeriod,
           yield);
   }
 }
 
 auto control_link::HandleResponse(const heartbeat_response& response,
                                   monotonic_ms sent_at) -> void {
-  if (response.view) ApplyView(*response.view);
+  if (response.update) ApplyUpdate(*response.update);
+  sender_choice_.RecordTold(response.revision, state_.table.load()->revision(),
+                            clock_.Now());
   if (!response.is_leader) return;
   if (response.live_entries > 0) state_.live_entries = response.live_entries;
   if (!response.evidence.empty()) fleet_evidence_ = response.evidence;
@@ -193,6 +205,24 @@
   }
 }
 
+auto control_link::ApplyUpdate(const view_update& update) -> void {
+  if (update.revision <= state_.table.load()->revision()) return;
+  if (const auto problem = held_.Apply(update)) {
+    log_line(log_level::kWarning, "update_refused")
+        .With("revision", update.revision)
+        .With("form", ToString(update.form))
+        .With("reason", *problem);
+    return;
+  }
+  ApplyView(held_.view());
+}
+
+auto control_link::MayAsk(const std::string& replica,
+                          config_revision told_revision) const -> bool {
+  return sender_choice_.MayAsk(replica, leader_, told_revision,
+                               state_.table.load()->revision(), clock_.Now());
+}
+
 auto control_link::ApplyView(const fleet_view& view) -> void {
   const auto current = state_.table.load();
   if (current && view.revision <= current->revision()) return;
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds kFollowerPeriod{500};
 constexpr milliseconds kLeaderPeriod{20};
 constexpr milliseconds kUnreachablePeriod{200};
+/// The same before a heartbeat that asks for a newer configuration.
+constexpr milliseconds kAskPeriod{20};
 /// The same while no leader is known: an election ends within a few of these.
 constexpr milliseconds kSearchPeriod{60};
 constexpr milliseconds kLeaveTimeout{300};
@@ -79,7 +81,7 @@
   heartbeat.node = settings_.name;
   heartbeat.zone = settings_.zone;
   heartbeat.incarnation = incarnation_;
-  heartbeat.revision = state_.view ? state_.view->revision : 0;
+  heartbeat.revision = held_.view().revision;
   heartbeat.relay.emplace();
   heartbeat.relay->server_list_number = list_number_;
   heartbeat.relay->replicas_hash = replicas_hash_;
@@ -90,44 +92,50 @@
   return heartbeat;
 }
 
+auto fleet_link::MayAsk(const std::string& replica,
+                        config_revision told_revision) const -> bool {
+  return sender_choice_.MayAsk(replica, leader_, told_revision,
+                               held_.view().revision, clock_.Now());
+}
+
 auto fleet_link::HeartbeatLoop(rpc_channel& channel, asio::yield_context yield)
     -> void {
   const auto& name = channel.address().name;
   bool is_lost = false;
+  config_revision told_revision = 0;
   while (!leaving_) {
     auto period = kUnreachablePeriod;
     std::string failure;
+    bool is_leader = false;
+    auto heartbeat = MakeHeartbeat(leader_ == name);
+    const bool asks = MayAsk(name, told_revision);
+    const bool asks_follower = asks && leader_ != name;
+    if (asks) heartbeat.position = held_.position();
+    if (asks_follower) sender_choice_.RecordFollowerAsked();
     try {
-      const auto body =
-          channel.Call(Encode(control_request(MakeHeartbeat(leader_ == name))),
-                       kHeartbeatTimeout, yield);
-      const auto response = Decode<heartbeat_response>(body);
-      if (response.view) {
-        log_line(log_level::kInfo, "configuration_received")
-            .With("replica", name)
-            .With("leader", response.is_leader)
-            .With("revision", response.view->revision)
-            .With("held", state_.view ? state_.view->revision : 0)
-            .With("bytes", body.size());
-      }
-      period = response.is_leader ? kLeaderPeriod
-               : leader_.empty()  ? kSearchPeriod
-                                  : kFollowerPeriod;
-      if (response.is_leader) {
+      const auto response = Decode<heartbeat_response>(
+          channel.Call(Encode(control_request(std::move(heartbeat))),
+                       kHeartbeatTimeout, yield));
+      told_revision = response.revision;
+      is_leader = response.is_leader;
+      period = is_leader         ? kLeaderPeriod
+               : leader_.empty() ? kSearchPeriod
+                                 : kFollowerPeriod;
+      if (is_leader) {
         if (leader_ != name) {
           log_line(log_level::kInfo, "control_leader").With("replica", name);
         }
         leader_ = name;
         leader_response_ms_ = clock_.Now();
       }
-      Adopt(response);
+      Adopt(response, name);
     } catch (const std::exception& error) {
       failure = error.what();
     }
-    if (leader_ == name && (!failure.empty() || period != kLeaderPeriod)) {
-      leader_.clear();
-    }
+    if (asks_follower) sender_choice_.RecordFollowerEnded();
+    if (leader_ == name && (!failure.empty() || !is_leader)) leader_.clear();
     if (leader_.empty() && !failure.empty()) period = kSearchPeriod;
+    if (failure.empty() && MayAsk(name, told_revision)) period = kAskPeriod;
     if (!failure.empty() != is_lost) {
       is_lost = !failure.empty();
       log_line(log_level::kInfo, is_lost ? "control_lost" : "control_regained")
@@ -138,16 +146,48 @@
   }
 }
 
-auto fleet_link::Adopt(const heartbeat_response& response) -> void {
-  const auto revision = state_.view ? state_.view->revision : 0;
-  if (response.view && response.view->revision > revision) {
-    state_.view = std::make_shared<const routing_view>(*response.view);
-    log_line(log_level::kInfo, "routes_adopted")
-        .With("revision", state_.view->revision)
-        .With("version", state_.view->routes.version())
-        .With("routes", state_.view->routes.config().routes.size());
-    on_routes_changed_();
+auto fleet_link::AdoptUpdate(const view_update& update,
+                             const std::string& replica) -> void {
+  if (update.revision <= held_.view().revision) {
+    log_line(log_level::kInfo, "update_discarded")
+        .With("revision", update.revision)
+        .With("held", held_.view().revision)
+        .With("replica", replica)
+        .With("bytes", update.routes.size());
+    return;
   }
+  const auto started_ms = clock_.Now();
+  if (const auto problem = held_.Apply(update)) {
+    log_line(log_level::kWarning, "update_refused")
+        .With("revision", update.revision)
+        .With("held", held_.view().revision)
+        .With("replica", replica)
+        .With("form", ToString(update.form))
+        .With("reason", *problem);
+    return;
+  }
+  const bool keeps_routes =
+      state_.view && update.form == routes_form::kUnchanged;
+  state_.view = keeps_routes
+                    ? std::make_shared<const routing_view>(held_.view(),
+                                                           state_.view->table)
+                    : std::make_shared<const routing_view>(held_.view());
+  log_line(log_level::kInfo, "routes_adopted")
+      .With("revision", state_.view->revision)
+      .With("version", state_.view->routes.version())
+      .With("routes", state_.view->routes.config().routes.size())
+      .With("replica", replica)
+      .With("form", ToString(update.form))
+      .With("bytes", update.routes.size())
+      .With("took_ms", clock_.Now() - started_ms);
+  on_routes_changed_();
+}
+
+auto fleet_link::Adopt(const heartbeat_response& response,
+                       const std::string& replica) -> void {
+  if (response.update) AdoptUpdate(*response.update, replica);
+  sender_choice_.RecordTold(response.revision, held_.view().revision,
+                            clock_.Now());
   if (!response.relay) return;
   const auto& replicas = response.relay->replicas;
   if (!replicas.empty()) replicas_hash_ = HashReplicas(replicas);
--- a/tests/configuration/budget_test.cpp
+++ b/tests/configuration/budget_test.cpp
@@ -29,8 +29,8 @@
   constexpr std::size_t kBytesPerServer = 230;
   constexpr std::size_t kServers = 600;
   heartbeat_response response;
-  response.view = fleet_view{};
-  response.view->document = std::string(kServers * kBytesPerServer, 'x');
+  response.update = view_update{};
+  response.update->document = std::string(kServers * kBytesPerServer, 'x');
   return Encode(response).size();
 }
 
@@ -54,11 +54,13 @@
   constexpr double kEvidenceUpBytesPerSecond = 400;
   const auto heartbeats =
       static_cast<double>(kControlReplicas * HeartbeatBytes());
+  // An entry tells only the replica that it asks what it holds.
+  const auto position = static_cast<double>(Encode(view_position{}).size());
   const auto views =
       static_cast<double>(ViewBytes()) * kChangesPerDay / kSecondsPerDay;
   // Limits are exchanged with the leader only.
   const auto limits = static_cast<double>(LimitBytes());
-  CHECK(heartbeats + views + kEvidenceDownBytesPerSecond +
+  CHECK(heartbeats + position + views + kEvidenceDownBytesPerSecond +
             kEvidenceUpBytesPerSecond + limits <=
         kBudgetBytesPerSecond);
 }
