Bound every answer of a server in time and memory

What callers saw: a server whose answer never ends held its caller beyond the time limit, for as long as bytes came; a trickling body left no time for another server; an interim response (1xx) was passed on as the answer, and the real one was left on the connection; a refusal whose body did not end was no longer taken as "not run", so that the call got 502 or 504 instead of another server.

Cause: the end of the answer was the peer's to choose. Deadlines applied to each read of a body and started anew with every read; a stream that always had bytes ready was never checked against its call's deadline; an incomplete event grew up to the 64 MB limit of a body, which also cut long well-formed streams; each plain answer could hold 64 MB, with no limit on all of them together.

Fix: ReadAll has a deadline for the whole body and a byte limit. A stream has no byte limit but ends by its call's deadline, and resumes elsewhere when no event is completed in time, bytes or not. An incomplete event is limited (kMaxEventBytes) and searched once per byte. Plain answers and incomplete events share answer_memory; small ones pass while large ones hold all of it. The body of a refusal or of an answer to another request is discarded within limits (SkipRest), and the connection closed if it exceeds them. Interim responses are skipped, 32 at most, and statuses that no final answer has are failures. A failed read closes its connection.

--- a/include/lovagedale/http/client.h
+++ b/include/lovagedale/http/client.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "lovagedale/common/byte_budget.h"
 #include "lovagedale/http/server.h"
 
 namespace lovagedale {
@@ -34,13 +35,18 @@
   bool timed_out_;
 };
 
-/// Time limits of one request, each measured from the start of its own step.
+/// Time limits of one request, each measured from the start of its own step. A
+/// server can send bytes without end, so no step is limited by the time of its
+/// reads alone, except a body that is read with ReadSome: its reader decides
+/// how long it may take.
 struct http_deadlines {
   std::chrono::milliseconds connect{500};
   /// From sending the request until the head of the answer has been read.
   std::chrono::milliseconds first_byte{30'000};
   /// For each read of the answer's body.
   std::chrono::milliseconds between_reads{10'000};
+  /// For reading the whole body with ReadAll or SkipRest.
+  std::chrono::milliseconds body{60'000};
 
   auto operator==(const http_deadlines&) const -> bool = default;
 };
@@ -57,6 +63,10 @@
   auto Header(std::string_view name) const -> std::string_view;
 };
 
+/// Default limit of a body that is read as a whole: the documents that
+/// processes exchange have a few megabytes at most.
+inline constexpr std::size_t kMaxAnswerBytes = 8UL << 20U;
+
 /// How long sent data may stay unacknowledged before the connection fails.
 inline constexpr std::chrono::milliseconds kServerAckTimeout{10'000};
 
@@ -78,6 +88,7 @@
                boost::asio::yield_context yield) -> void;
   /// Sends the request and reads the head of the answer, which may arrive while
   /// the body is still being written. Adds a Host header if there is none.
+  /// Interim responses (1xx) are skipped.
   auto Send(const http_request& request, const http_deadlines& deadlines,
             boost::asio::yield_context yield) -> http_response_head;
   /// Reads the head of the next answer, when the previous one was not an answer
@@ -88,9 +99,17 @@
   /// the next call.
   auto ReadSome(const http_deadlines& deadlines,
                 boost::asio::yield_context yield) -> std::string_view;
-  /// Reads the rest of the answer's body.
+  /// Reads the rest of the answer's body. Fails as kAnswerBroken if the body
+  /// exceeds `max_bytes`, or `memory` if there is one.
   auto ReadAll(const http_deadlines& deadlines,
-               boost::asio::yield_context yield) -> std::string;
+               boost::asio::yield_context yield,
+               std::size_t max_bytes = kMaxAnswerBytes,
+               byte_reservation* memory = nullptr) -> std::string;
+  /// Reads and discards the rest of a short body, so that the connection can be
+  /// reused. Closes the connection and returns false if that fails or the body
+  /// exceeds `max_bytes`.
+  auto SkipRest(const http_deadlines& deadlines, std::size_t max_bytes,
+                boost::asio::yield_context yield) -> bool;
   /// Whether the answer has been read completely and another request may
   /// follow.
   auto IsReusable() const -> bool;
@@ -101,7 +120,19 @@
  private:
   struct impl;
 
+  /// Reads the head of the next final answer.
   auto ReadNextHead(boost::asio::yield_context yield) -> http_response_head;
+  /// Reads one head, of an interim response too.
+  auto ReadOneHead(boost::asio::yield_context yield) -> void;
+  /// Reads the rest of the body within `deadlines.body`, and calls `take` with
+  /// each part.
+  template <typename Take>
+  auto ReadBody(const http_deadlines& deadlines, const Take& take,
+                boost::asio::yield_context yield) -> void;
+  /// Closes the connection and throws http_call_error.
+  [[noreturn]] auto FailRead(http_call_error::stage failed_at,
+                             const std::string& reason, bool timed_out = false)
+      -> void;
 
   std::unique_ptr<impl> impl_;
 };
@@ -116,12 +147,14 @@
 /// operator calls, ratings and orders.
 auto HttpCall(boost::asio::io_context& context, const std::string& host,
               std::uint16_t port, const http_request& request,
-              const http_deadlines& deadlines, boost::asio::yield_context yield)
-    -> http_answer;
+              const http_deadlines& deadlines, boost::asio::yield_context yield,
+              std::size_t max_body_bytes = kMaxAnswerBytes) -> http_answer;
 
 /// Like HttpCall, but blocks the calling thread.
 auto BlockingHttpCall(const std::string& host, std::uint16_t port,
                       const http_request& request,
-                      const http_deadlines& deadlines) -> http_answer;
+                      const http_deadlines& deadlines,
+                      std::size_t max_body_bytes = kMaxAnswerBytes)
+    -> http_answer;
 
 }  // namespace lovagedale
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -17,15 +17,22 @@
 /// Fraction of the remaining time that a server may take to its first byte
 /// while another one may still be tried.
 inline constexpr double kFirstByteRemainingFraction = 0.6;
+/// Fraction of the remaining time that a plain answer's body may take after its
+/// head while another server may still be tried.
+inline constexpr double kBodyRemainingFraction = 0.6;
 /// While another server may be tried, an attempt ends if no byte arrives for
 /// kFirstByteLatencyFactor times the usual time to the first byte, but not
 /// before kFirstByteMinObjectiveFraction of the route's objective.
 inline constexpr double kFirstByteLatencyFactor = 4;
 inline constexpr double kFirstByteMinObjectiveFraction = 0.5;
-/// A stream resumes at another server if no bytes arrive for kStallPauseFactor
+/// A stream resumes at another server if no event arrives for kStallPauseFactor
 /// times the route's `pause_ms`, and for at least kMinStallMs.
 inline constexpr monotonic_ms kStallPauseFactor = 2;
 inline constexpr monotonic_ms kMinStallMs = 1'500;
+/// A refusal's body is read only so that its connection can be reused: up to
+/// this time and size.
+inline constexpr std::chrono::milliseconds kMaxRefusalBodyTime{100};
+inline constexpr std::size_t kMaxSkippedBytes = 64UL << 10U;
 /// Longest idle time of a connection that is reused. The server may be closing
 /// one that has been idle for long: the limit is lower for a request that must
 /// not run twice.
@@ -339,24 +346,29 @@
 }
 
 template <call_protocol Protocol>
-auto relayed_call<Protocol>::Deadlines(bool for_stream_body) const
-    -> http_deadlines {
-  const auto& item = *match_.matched_route;
-  const auto remaining_ms = std::max<monotonic_ms>(1, RemainingMs());
+auto relayed_call<Protocol>::IsLastRun() const -> bool {
   const auto runs_with_this_attempt = runs_ + (was_sent_ ? 0 : 1);
-  const bool is_last =
-      runs_with_this_attempt >= item.max_attempts || !MayRepeat();
+  return runs_with_this_attempt >= match_.matched_route->max_attempts ||
+         !MayRepeat();
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::Deadlines() const -> http_deadlines {
+  const auto remaining_ms = std::max<monotonic_ms>(1, RemainingMs());
+  const bool is_last = IsLastRun();
   http_deadlines deadlines;
   deadlines.connect =
       std::min(kServerConnectTimeout, std::chrono::milliseconds(remaining_ms));
   deadlines.first_byte = std::chrono::milliseconds(
       is_last ? remaining_ms : FirstByteTimeoutMs(remaining_ms));
-  auto between_reads_ms = remaining_ms;
-  if (for_stream_body && !is_last) {
-    between_reads_ms = std::min(
-        remaining_ms, std::max(kMinStallMs, item.pause_ms * kStallPauseFactor));
+  auto body_ms = remaining_ms;
+  if (!is_last) {
+    body_ms = std::max<monotonic_ms>(
+        1, static_cast<monotonic_ms>(static_cast<double>(remaining_ms) *
+                                     kBodyRemainingFraction));
   }
-  deadlines.between_reads = std::chrono::milliseconds(between_reads_ms);
+  deadlines.between_reads = std::chrono::milliseconds(body_ms);
+  deadlines.body = deadlines.between_reads;
   return deadlines;
 }
 
@@ -367,7 +379,7 @@
   auto pooled = state_.pool.Acquire(
       server->listed, is_once ? kMaxIdleOnceMs : kMaxIdleRepeatableMs);
   connection_ = std::move(pooled.connection);
-  auto deadlines = Deadlines(/*for_stream_body=*/false);
+  const auto deadlines = Deadlines();
   if (pooled.is_fresh) connection_->Connect(deadlines, exchange_.yield());
   if (caller_disconnected_) {
     throw http_call_error(http_call_error::stage::kNotSent,
@@ -388,7 +400,7 @@
   was_sent_ = true;
   sent_ms_ = clock_.Now();
   return ReadMatchingHead(
-      connection_->Send(request, deadlines, exchange_.yield()));
+      connection_->Send(request, deadlines, exchange_.yield()), deadlines);
 }
 
 template <call_protocol Protocol>
@@ -432,7 +444,10 @@
       attempt_reason_ = "refused with " + std::to_string(head.status);
       result = attempt_result::kNotRun;
       if (metadata.address_reassigned) server->address_reassigned = true;
-      connection_->ReadAll(Deadlines(false), exchange_.yield());
+      // The head states that the request was not run, however the body ends.
+      auto deadlines = Deadlines();
+      deadlines.body = std::min(deadlines.body, kMaxRefusalBodyTime);
+      connection_->SkipRest(deadlines, kMaxSkippedBytes, exchange_.yield());
     } else if (EscalateIfUncertain(metadata)) {
       result = attempt_result::kEscalated;
       may_have_run_ = true;
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -82,6 +82,7 @@
   struct kept_failure {
     http_response_head head;
     std::string body;
+    std::unique_ptr<byte_reservation> memory;  ///< of the body
   };
 
   /// Waits for the first routes while the process is starting.
@@ -92,8 +93,10 @@
   auto Attempt(const server_handle& server) -> attempt_result;
   /// Connects and sends; throws http_call_error.
   auto SendTo(const server_handle& server) -> http_response_head;
-  /// Skips answers to other requests. Throws http_call_error.
-  auto ReadMatchingHead(http_response_head head) -> http_response_head;
+  /// Skips answers to other requests; `deadlines` are those of the request.
+  /// Throws http_call_error.
+  auto ReadMatchingHead(http_response_head head,
+                        const http_deadlines& deadlines) -> http_response_head;
   auto RelayFullAnswer(const server_handle& server,
                        const http_response_head& head) -> attempt_result;
   auto RelayStream(const server_handle& server, const http_response_head& head)
@@ -131,7 +134,13 @@
   auto FirstByteTimeoutMs(monotonic_ms remaining_ms) const -> monotonic_ms;
   /// Key of the route and the current model in tier_table.
   auto TierKey() const -> std::pair<std::string, std::string>;
-  auto Deadlines(bool for_stream_body) const -> http_deadlines;
+  /// Whether no other server may run the call after the current one.
+  auto IsLastRun() const -> bool;
+  auto Deadlines() const -> http_deadlines;
+  /// Reads the next bytes of a stream whose latest event, or head, arrived at
+  /// `last_event_ms`; empty at its end. Throws http_call_error, also if bytes
+  /// keep arriving but the next event is late.
+  auto ReadStream(monotonic_ms last_event_ms) -> std::string_view;
   auto CountFirstEvent(const server_handle& server) -> void;
   /// Records the time from the request to the first event, or to the complete
   /// answer if it is not a stream.
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -12,6 +12,9 @@
 
 /// Answers to other requests that are skipped on one connection.
 inline constexpr int kMaxMismatchedAnswers = 3;
+/// Largest plain answer that is relayed. It is held as a whole, so that another
+/// server can be tried if it breaks off.
+inline constexpr std::size_t kMaxPlainAnswerBytes = 16UL << 20U;
 /// Ratio of a larger model's time to the first event to a small one's that is
 /// assumed before any was seen: a few times the work, but the same queue.
 inline constexpr double kLargerModelLatencyFactor = 2;
@@ -20,8 +23,17 @@
 inline constexpr double kMaxRetryAfterFraction = 1.0 / 3;
 
 template <call_protocol Protocol>
-auto relayed_call<Protocol>::ReadMatchingHead(http_response_head head)
+auto relayed_call<Protocol>::ReadMatchingHead(http_response_head head,
+                                              const http_deadlines& deadlines)
     -> http_response_head {
+  // Answers to other requests do not extend the time to this one's head.
+  const auto remaining = [&] {
+    const auto left =
+        std::max(std::chrono::milliseconds(1),
+                 deadlines.first_byte -
+                     std::chrono::milliseconds(clock_.Now() - sent_ms_));
+    return http_deadlines{deadlines.connect, left, left, left};
+  };
   for (int i = 0;; ++i) {
     const auto metadata = protocol_.ReadAnswer(head);
     if (metadata.request_id.empty() || metadata.request_id == call_.id) {
@@ -34,9 +46,12 @@
       throw http_call_error(http_call_error::stage::kSent,
                             "received only answers to other requests");
     }
-    const auto deadlines = Deadlines(/*for_stream_body=*/false);
-    connection_->ReadAll(deadlines, exchange_.yield());
-    head = connection_->ReadHead(deadlines, exchange_.yield());
+    if (!connection_->SkipRest(remaining(), kMaxSkippedBytes,
+                               exchange_.yield())) {
+      throw http_call_error(http_call_error::stage::kSent,
+                            "an answer to another request did not end");
+    }
+    head = connection_->ReadHead(remaining(), exchange_.yield());
   }
 }
 
@@ -77,14 +92,16 @@
 auto relayed_call<Protocol>::RelayFullAnswer(const server_handle& server,
                                              const http_response_head& head)
     -> attempt_result {
-  auto body = connection_->ReadAll(Deadlines(false), exchange_.yield());
+  auto memory = std::make_unique<byte_reservation>(state_.answer_memory);
+  auto body = connection_->ReadAll(Deadlines(), exchange_.yield(),
+                                   kMaxPlainAnswerBytes, memory.get());
   const bool is_failure = head.status >= 500;
   CountAnswer(server, is_failure);
   RecordAnswerTime();
   if (is_failure || exchange_.HasStarted()) {
     attempt_reason_ = "answered " + std::to_string(head.status);
     server->health.RecordFailure(clock_.Now());
-    kept_failure_ = kept_failure{head, std::move(body)};
+    kept_failure_ = kept_failure{head, std::move(body), std::move(memory)};
     return attempt_result::kFailed;
   }
   exchange_.Respond(head.status, head.content_type, body, head.headers);
@@ -92,17 +109,49 @@
   return attempt_result::kAnswered;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::ReadStream(monotonic_ms last_event_ms)
+    -> std::string_view {
+  const auto& item = *match_.matched_route;
+  auto wait_ms = RemainingMs();
+  if (!IsLastRun()) {
+    const auto stall_ms =
+        std::max(kMinStallMs, item.pause_ms * kStallPauseFactor);
+    wait_ms = std::min(wait_ms, last_event_ms + stall_ms - clock_.Now());
+  }
+  if (wait_ms <= 0) {
+    throw http_call_error(http_call_error::stage::kAnswerBroken,
+                          RemainingMs() <= 0
+                              ? "the stream lasts beyond the time limit"
+                              : "no event was completed in time",
+                          /*timed_out=*/true);
+  }
+  http_deadlines deadlines;
+  deadlines.between_reads = std::chrono::milliseconds(wait_ms);
+  return connection_->ReadSome(deadlines, exchange_.yield());
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::RelayStream(const server_handle& server,
                                          const http_response_head& head)
     -> attempt_result {
   events_.Restart();
   bool has_first_event = false;
+  byte_reservation memory(state_.answer_memory);
+  auto last_event_ms = clock_.Now();
   for (;;) {
-    const auto bytes = connection_->ReadSome(
-        Deadlines(/*for_stream_body=*/true), exchange_.yield());
+    const auto bytes = ReadStream(last_event_ms);
     if (bytes.empty()) break;
+    const auto event_count = events_.event_count();
     const auto events = events_.Feed(bytes);
+    if (events_.partial_bytes() > kMaxEventBytes ||
+        !memory.Resize(events_.partial_bytes())) {
+      throw http_call_error(http_call_error::stage::kAnswerBroken,
+                            "an event of " +
+                                std::to_string(events_.partial_bytes()) +
+                                " bytes is not complete");
+    }
+    if (events_.event_count() > event_count) last_event_ms = clock_.Now();
     if (events.empty()) continue;
     if (!has_first_event) CountFirstEvent(server);
     ReleasePromptWork();
@@ -111,6 +160,8 @@
       exchange_.StartStream(head.status, head.content_type, head.headers);
     }
     exchange_.Write(events);
+    // The caller's reading takes no time from the server.
+    last_event_ms = clock_.Now();
   }
   if (events_.HasPartialEvent()) {
     throw http_call_error(http_call_error::stage::kAnswerBroken,
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 
+#include "lovagedale/common/byte_budget.h"
 #include "lovagedale/common/latency_histogram.h"
 #include "lovagedale/configuration/fleet_view.h"
 #include "lovagedale/relay/connection_pool.h"
@@ -84,6 +85,8 @@
   retry_budget retries;
   tier_table tiers;
   std::mt19937_64 random;
+  /// Plain answers and incomplete events that are held until they are complete.
+  byte_budget answer_memory{kMaxHeldAnswerBytes, kSmallAnswerBytes};
   /// Answers by service, version and route, of services that have a roll-out.
   /// The counts are cumulative.
   version_answers_table answers;
@@ -110,6 +113,11 @@
   /// A dead server acknowledges no packets; packet loss is recovered within a
   /// few hundred milliseconds.
   static constexpr std::chrono::milliseconds kServerDeadAfter{1'500};
+  /// Leaves most of a small host's memory to the process itself.
+  static constexpr std::size_t kMaxHeldAnswerBytes = 32UL << 20U;
+  /// Answers up to this size pass while large ones hold all of the memory; the
+  /// calls in progress are at most some thousands.
+  static constexpr std::size_t kSmallAnswerBytes = 16UL << 10U;
 };
 
 }  // namespace lovagedale
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -18,8 +18,12 @@
 using stage = http_call_error::stage;
 
 constexpr std::size_t kReadBufferBytes = 16UL << 10U;
-constexpr std::uint64_t kMaxAnswerBytes = 64ULL << 20U;
 constexpr std::size_t kMaxParseBufferBytes = 64UL << 10U;
+constexpr std::uint32_t kMaxHeadBytes = 16UL << 10U;
+/// Interim responses before one answer; servers send one or two.
+constexpr int kMaxInterimResponses = 32;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 auto IsHopByHop(std::string_view name) -> bool {
   return beast::iequals(name, "Connection") ||
@@ -80,6 +84,22 @@
   return std::chrono::seconds(seconds);
 }
 
+/// The fields of a head that are passed on.
+auto CopyHead(const http::response_header<>& head) -> http_response_head {
+  http_response_head result;
+  result.status = head.result_int();
+  result.content_type = std::string(head[http::field::content_type]);
+  result.keep_alive_timeout =
+      ParseKeepAliveTimeout(head[http::field::keep_alive]);
+  for (const auto& field : head) {
+    const auto name = field.name_string();
+    if (!IsHopByHop(name) && field.name() != http::field::content_type) {
+      result.headers.emplace_back(name, field.value());
+    }
+  }
+  return result;
+}
+
 }  // namespace
 
 auto http_response_head::Header(std::string_view name) const
@@ -165,33 +185,37 @@
 
 auto http_connection::ReadNextHead(asio::yield_context yield)
     -> http_response_head {
+  for (int i = 0; i <= kMaxInterimResponses; ++i) {
+    ReadOneHead(yield);
+    const auto& head = impl_->parser->get();
+    const auto status = head.result_int();
+    const bool is_interim = status >= 100 && status < kFirstFinalStatus &&
+                            head.result() != http::status::switching_protocols;
+    if (is_interim) continue;
+    if (status < kFirstFinalStatus || status > kLastStatus) {
+      FailRead(stage::kSent, "no answer: status " + std::to_string(status));
+    }
+    return CopyHead(head);
+  }
+  FailRead(stage::kSent, "no answer: only interim responses");
+}
+
+auto http_connection::ReadOneHead(asio::yield_context yield) -> void {
   const auto write = impl_->write;
   beast::error_code error;
   impl_->parser.emplace();
-  impl_->parser->body_limit(kMaxAnswerBytes);
+  impl_->parser->header_limit(kMaxHeadBytes);
+  // Limits on the body are those of the methods that read it.
+  impl_->parser->body_limit(boost::none);
   if (impl_->is_head_request) impl_->parser->skip(true);
+  // The time limit was set by the caller and is not extended here.
   http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
                           yield[error]);
   if (error) {
-    impl_->failed = true;
     const bool is_unsent = write->done && write->error && write->written == 0;
-    throw http_call_error(is_unsent ? stage::kNotSent : stage::kSent,
-                          "no answer: " + error.message(),
-                          error == beast::error::timeout);
+    FailRead(is_unsent ? stage::kNotSent : stage::kSent,
+             "no answer: " + error.message(), error == beast::error::timeout);
   }
-  const auto& head = impl_->parser->get();
-  http_response_head result;
-  result.status = head.result_int();
-  result.content_type = std::string(head[http::field::content_type]);
-  result.keep_alive_timeout =
-      ParseKeepAliveTimeout(head[http::field::keep_alive]);
-  for (const auto& field : head) {
-    const auto name = field.name_string();
-    if (!IsHopByHop(name) && field.name() != http::field::content_type) {
-      result.headers.emplace_back(name, field.value());
-    }
-  }
-  return result;
 }
 
 auto http_connection::ReadSome(const http_deadlines& deadlines,
@@ -206,10 +230,8 @@
     http::async_read_some(impl_->stream, impl_->buffer, parser, yield[error]);
     if (error == http::error::need_buffer) error = {};
     if (error) {
-      impl_->failed = true;
-      throw http_call_error(stage::kAnswerBroken,
-                            "answer broke off: " + error.message(),
-                            error == beast::error::timeout);
+      FailRead(stage::kAnswerBroken, "answer broke off: " + error.message(),
+               error == beast::error::timeout);
     }
     const auto bytes = impl_->read_buffer.size() - parser.get().body().size;
     if (bytes > 0) return {impl_->read_buffer.data(), bytes};
@@ -217,14 +239,82 @@
   return {};
 }
 
+template <typename Take>
+auto http_connection::ReadBody(const http_deadlines& deadlines,
+                               const Take& take, asio::yield_context yield)
+    -> void {
+  const auto deadline = std::chrono::steady_clock::now() + deadlines.body;
+  auto read_deadlines = deadlines;
+  for (;;) {
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            deadline - std::chrono::steady_clock::now());
+    if (remaining <= std::chrono::milliseconds(0)) {
+      FailRead(stage::kAnswerBroken, "answer did not end in time",
+               /*timed_out=*/true);
+    }
+    read_deadlines.between_reads = std::min(deadlines.between_reads, remaining);
+    const auto part = ReadSome(read_deadlines, yield);
+    if (part.empty()) return;
+    take(part);
+  }
+}
+
 auto http_connection::ReadAll(const http_deadlines& deadlines,
-                              asio::yield_context yield) -> std::string {
+                              asio::yield_context yield, std::size_t max_bytes,
+                              byte_reservation* memory) -> std::string {
   std::string body;
-  for (;;) {
-    const auto part = ReadSome(deadlines, yield);
-    if (part.empty()) return body;
-    body += part;
+  const auto fail = [this](std::size_t bytes, const char* limit) {
+    FailRead(stage::kAnswerBroken, "answer of " + std::to_string(bytes) +
+                                       " bytes or more exceeds " + limit);
+  };
+  const auto rest = impl_->parser->content_length_remaining();
+  if (rest && *rest > max_bytes) fail(*rest, "the limit of an answer");
+  ReadBody(
+      deadlines,
+      [&](std::string_view part) {
+        const auto bytes = body.size() + part.size();
+        if (bytes > max_bytes) fail(bytes, "the limit of an answer");
+        if (memory != nullptr && !memory->Resize(bytes)) {
+          fail(bytes, "the memory for answers");
+        }
+        body += part;
+      },
+      yield);
+  return body;
+}
+
+auto http_connection::SkipRest(const http_deadlines& deadlines,
+                               std::size_t max_bytes, asio::yield_context yield)
+    -> bool {
+  std::size_t bytes = 0;
+  const auto rest = impl_->parser->content_length_remaining();
+  if (rest && *rest > max_bytes) {
+    Close();
+    return false;
+  }
+  try {
+    ReadBody(
+        deadlines,
+        [&](std::string_view part) {
+          bytes += part.size();
+          if (bytes > max_bytes) {
+            FailRead(stage::kAnswerBroken, "skipped answer is too long");
+          }
+        },
+        yield);
+  } catch (const http_call_error&) {
+    // The caller is told by the result.
+    Close();
+    return false;
   }
+  return true;
+}
+
+auto http_connection::FailRead(stage failed_at, const std::string& reason,
+                               bool timed_out) -> void {
+  Close();
+  throw http_call_error(failed_at, reason, timed_out);
 }
 
 auto http_connection::IsReusable() const -> bool {
@@ -250,26 +340,28 @@
 
 auto HttpCall(asio::io_context& context, const std::string& host,
               std::uint16_t port, const http_request& request,
-              const http_deadlines& deadlines, asio::yield_context yield)
-    -> http_answer {
+              const http_deadlines& deadlines, asio::yield_context yield,
+              std::size_t max_body_bytes) -> http_answer {
   http_connection connection(context, host, port);
   connection.Connect(deadlines, yield);
   http_answer answer;
   answer.head = connection.Send(request, deadlines, yield);
-  answer.body = connection.ReadAll(deadlines, yield);
+  answer.body = connection.ReadAll(deadlines, yield, max_body_bytes);
   return answer;
 }
 
 auto BlockingHttpCall(const std::string& host, std::uint16_t port,
                       const http_request& request,
-                      const http_deadlines& deadlines) -> http_answer {
+                      const http_deadlines& deadlines,
+                      std::size_t max_body_bytes) -> http_answer {
   asio::io_context context(1);
   std::optional<http_answer> answer;
   std::exception_ptr failure;
   asio::spawn(
       context,
       [&](asio::yield_context yield) {
-        answer = HttpCall(context, host, port, request, deadlines, yield);
+        answer = HttpCall(context, host, port, request, deadlines, yield,
+                          max_body_bytes);
       },
       [&](std::exception_ptr error) { failure = error; });
   context.run();
--- a/src/relay/event_splitter.cpp
+++ b/src/relay/event_splitter.cpp
@@ -3,24 +3,6 @@
 #include <charconv>
 
 namespace lovagedale {
-namespace {
-
-/// Position after the blank line that ends the first event; npos if the event
-/// is incomplete.
-auto EventEnd(std::string_view text) -> std::size_t {
-  auto line_start = std::size_t{0};
-  for (;;) {
-    const auto newline = text.find('\n', line_start);
-    if (newline == std::string_view::npos) return newline;
-    const auto line = text.substr(line_start, newline - line_start);
-    const bool is_blank = line.empty() || line == "\r";
-    if (is_blank && newline > 0) return newline + 1;
-    line_start = newline + 1;
-  }
-}
-
-}  // namespace
-
 auto EventNumber(std::string_view event) -> std::optional<std::uint64_t> {
   std::size_t start = 0;
   while (start < event.size()) {
@@ -52,15 +34,24 @@
 auto event_splitter::Feed(std::string_view bytes) -> std::string_view {
   complete_.clear();
   partial_ += bytes;
-  std::size_t consumed = 0;
+  const std::string_view text(partial_);
+  std::size_t event_start = 0;
   for (;;) {
-    const auto text = std::string_view(partial_).substr(consumed);
-    const auto end = EventEnd(text);
-    if (end == std::string_view::npos) break;
-    AppendEvent(text.substr(0, end));
-    consumed += end;
+    const auto newline = text.find('\n', searched_bytes_);
+    if (newline == std::string_view::npos) break;
+    const auto line = text.substr(line_start_, newline - line_start_);
+    searched_bytes_ = newline + 1;
+    line_start_ = searched_bytes_;
+    // A blank line ends an event. One right at the start belongs to it.
+    const bool is_blank = line.empty() || line == "\r";
+    if (!is_blank || newline == event_start) continue;
+    AppendEvent(text.substr(event_start, searched_bytes_ - event_start));
+    ++event_count_;
+    event_start = searched_bytes_;
   }
-  partial_.erase(0, consumed);
+  searched_bytes_ = partial_.size() - event_start;
+  line_start_ -= event_start;
+  partial_.erase(0, event_start);
   return complete_;
 }
 
--- /dev/null
+++ b/tests/http/client_test.cpp
@@ -0,0 +1,227 @@
+#include "lovagedale/http/client.h"
+
+#include <doctest/doctest.h>
+
+#include "support/raw_server.h"
+
+namespace lovagedale::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using stage = http_call_error::stage;
+
+/// Well above every deadline in kShort, and well below the time that the
+/// endless answers of the tests would take.
+constexpr milliseconds kSoon{3'000};
+
+auto ShortDeadlines() -> http_deadlines {
+  http_deadlines deadlines;
+  deadlines.first_byte = milliseconds(400);
+  deadlines.between_reads = milliseconds(300);
+  deadlines.body = milliseconds(400);
+  return deadlines;
+}
+
+/// The end of a call to a server: its answer, or how it failed.
+struct call_end {
+  std::optional<http_answer> answer;
+  std::optional<stage> failed_at;
+  bool timed_out = false;
+  milliseconds took{0};
+};
+
+auto Call(const raw_server& server,
+          std::size_t max_body_bytes = kMaxAnswerBytes) -> call_end {
+  call_end end;
+  const auto started = std::chrono::steady_clock::now();
+  try {
+    end.answer =
+        BlockingHttpCall("127.0.0.1", server.port(), {"GET", "/", {}, ""},
+                         ShortDeadlines(), max_body_bytes);
+  } catch (const http_call_error& error) {
+    end.failed_at = error.failure_stage();
+    end.timed_out = error.timed_out();
+  }
+  end.took = std::chrono::duration_cast<milliseconds>(
+      std::chrono::steady_clock::now() - started);
+  return end;
+}
+
+const std::string kOkLine = "HTTP/1.1 200 OK\r\n";
+
+}  // namespace
+
+// Guards against a head that arrives without end holding a call for ever.
+TEST_CASE("a head without end fails the call by its deadline") {
+  const std::pair<std::string, std::string> heads[] = {
+      {"", std::string(1'000, 'x')},               // no end of line
+      {kOkLine, "Field: value\r\n"},               // no end of the fields
+      {kOkLine + "A: ", std::string(4'096, 'x')},  // no end of a value
+  };
+  for (const auto& [start, repeated] : heads) {
+    for (const auto pause : {milliseconds(0), milliseconds(20)}) {
+      CAPTURE(start);
+      CAPTURE(pause.count());
+      raw_server server([&](raw_server::peer& client, const std::string&) {
+        client.Send(start);
+        client.SendForever(repeated, pause);
+      });
+      const auto end = Call(server);
+      CHECK(end.failed_at == stage::kSent);
+      CHECK(end.took < kSoon);
+      CHECK(server.AreScriptsEnded());
+    }
+  }
+}
+
+// Guards against an interim response being taken for the answer.
+TEST_CASE("interim responses are skipped") {
+  raw_server server([](raw_server::peer& client, const std::string&) {
+    client.Send("HTTP/1.1 100 Continue\r\n\r\n");
+    client.Send("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+    client.Send(kOkLine + "Content-Length: 2\r\n\r\nok");
+  });
+  const auto end = Call(server);
+  REQUIRE(end.answer);
+  CHECK(end.answer->head.status == 200);
+  CHECK(end.answer->body == "ok");
+}
+
+// Guards against interim responses without end holding a call for ever.
+TEST_CASE("interim responses without end fail the call by its deadline") {
+  for (const auto pause : {milliseconds(0), milliseconds(50)}) {
+    raw_server server([&](raw_server::peer& client, const std::string&) {
+      client.SendForever("HTTP/1.1 102 Processing\r\n\r\n", pause);
+    });
+    const auto end = Call(server);
+    CHECK(end.failed_at == stage::kSent);
+    CHECK(end.took < kSoon);
+    CHECK(server.AreScriptsEnded());
+  }
+}
+
+// Guards against a status that no final answer can have being passed on.
+TEST_CASE("a status that is no final one is no answer") {
+  for (const auto* status : {"000", "099", "101", "600", "999"}) {
+    CAPTURE(status);
+    raw_server server([&](raw_server::peer& client, const std::string&) {
+      client.Send("HTTP/1.1 " + std::string(status) +
+                  " X\r\nContent-Length: 2\r\n\r\nno");
+    });
+    CHECK(Call(server).failed_at == stage::kSent);
+  }
+}
+
+// Guards against a body of which each read is in time but which never ends.
+TEST_CASE("a body that trickles without end fails the call by its deadline") {
+  const std::pair<std::string, std::string> bodies[] = {
+      {"\r\n", "x"},
+      {"Content-Length: 1000000\r\n\r\n", "x"},
+      {"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+      // An extension of a chunk without end.
+      {"Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+      // Trailer fields without end.
+      {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+  };
+  for (const auto& [start, repeated] : bodies) {
+    CAPTURE(start);
+    raw_server server([&](raw_server::peer& client, const std::string&) {
+      client.Send(kOkLine + start);
+      client.SendForever(repeated, milliseconds(20));
+    });
+    const auto end = Call(server);
+    CHECK(end.failed_at == stage::kAnswerBroken);
+    CHECK(end.timed_out);
+    CHECK(end.took < kSoon);
+    CHECK(server.AreScriptsEnded());
+  }
+}
+
+// Guards against a body that arrives without end filling the memory.
+TEST_CASE("a body above the byte limit fails the call at once") {
+  constexpr std::size_t kLimit = 100'000;
+  const auto block = std::string(10'000, 'x');
+  const std::pair<std::string, std::string> bodies[] = {
+      {"\r\n", block},
+      {"Content-Length: 1000000000000\r\n\r\n", block},
+      {"Transfer-Encoding: chunked\r\n\r\n", "2710\r\n" + block + "\r\n"},
+      {"Transfer-Encoding: chunked\r\n\r\n1;", block},
+      {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + block + "\r\n"},
+  };
+  for (const auto& [start, repeated] : bodies) {
+    CAPTURE(start);
+    raw_server server([&](raw_server::peer& client, const std::string&) {
+      client.Send(kOkLine + start);
+      client.SendForever(repeated);
+    });
+    const auto end = Call(server, kLimit);
+    CHECK(end.failed_at == stage::kAnswerBroken);
+    CHECK_FALSE(end.timed_out);
+    CHECK(end.took < kSoon);
+    CHECK(server.AreScriptsEnded());
+  }
+}
+
+TEST_CASE("a body of exactly the byte limit is an answer") {
+  constexpr std::size_t kLimit = 100'000;
+  for (const auto bytes : {kLimit, kLimit + 1}) {
+    const auto body = std::string(bytes, 'x');
+    for (const auto& framing :
+         {std::string(), "Content-Length: " + std::to_string(bytes) + "\r\n"}) {
+      raw_server server([&](raw_server::peer& client, const std::string&) {
+        client.Send(kOkLine + framing + "\r\n" + body);
+      });
+      CHECK(Call(server, kLimit).answer.has_value() == (bytes == kLimit));
+    }
+  }
+}
+
+// Guards against a reset answer without a length being taken for a whole one.
+TEST_CASE("an answer without a length is whole at an orderly end only") {
+  for (const bool is_reset : {false, true}) {
+    raw_server server([&](raw_server::peer& client, const std::string&) {
+      client.Send(kOkLine + "\r\nall of it");
+      // A reset would discard bytes that the client has not read.
+      std::this_thread::sleep_for(milliseconds(100));
+      if (is_reset) client.Reset();
+    });
+    const auto end = Call(server);
+    CHECK(end.answer.has_value() == !is_reset);
+    if (is_reset) CHECK(end.failed_at == stage::kAnswerBroken);
+  }
+}
+
+// Guards against bytes after an answer being read as part of the next one.
+TEST_CASE("a connection with bytes after its answer is not reused") {
+  for (const bool is_later : {false, true}) {
+    raw_server server([&](raw_server::peer& client, const std::string&) {
+      const auto answer = kOkLine + "Content-Length: 2\r\n\r\nok";
+      if (is_later) {
+        client.Send(answer);
+        std::this_thread::sleep_for(milliseconds(50));
+        client.SendForever("more");
+      } else {
+        client.Send(answer + "more");
+        client.AwaitClose();
+      }
+    });
+    boost::asio::io_context context(1);
+    bool is_usable = true;
+    boost::asio::spawn(
+        context,
+        [&](boost::asio::yield_context yield) {
+          http_connection connection(context, "127.0.0.1", server.port());
+          connection.Connect({}, yield);
+          connection.Send({"GET", "/", {}, ""}, {}, yield);
+          CHECK(connection.ReadAll({}, yield) == "ok");
+          std::this_thread::sleep_for(milliseconds(200));
+          is_usable = connection.IsReusable() && !connection.IsStale();
+        },
+        [](std::exception_ptr error) { CHECK_FALSE(error); });
+    context.run();
+    CHECK_FALSE(is_usable);
+    CHECK(server.AreScriptsEnded());
+  }
+}
+
+}  // namespace lovagedale::testing
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "support/plain_protocol.h"
+#include "support/raw_server.h"
 
 namespace lovagedale::testing {
 namespace {
@@ -148,6 +149,33 @@
   std::thread thread_;
 };
 
+/// The end of a call whose caller waits for `limit_ms`.
+struct call_end {
+  std::optional<http_answer> answer;  ///< nothing if it broke off
+  monotonic_ms took_ms = 0;
+};
+
+auto CallWithin(const running_relay& relay, int limit_ms) -> call_end {
+  http_request request;
+  request.method = "GET";
+  request.target = "/";
+  request.headers = {
+      {"Host", "h"}, {"Id", "r1"}, {"Limit", std::to_string(limit_ms)}};
+  const system_monotonic_clock clock;
+  const auto started_ms = clock.Now();
+  call_end end;
+  try {
+    end.answer = BlockingHttpCall("127.0.0.1", relay.port(), request, {});
+  } catch (const http_call_error& error) {
+    CHECK_FALSE(error.timed_out());
+  }
+  end.took_ms = clock.Now() - started_ms;
+  return end;
+}
+
+/// How late a call may end after its time limit.
+constexpr monotonic_ms kMaxLateMs = 500;
+
 auto MakeRoute(route_kind kind, bool resumable = false) -> route {
   route item;
   item.kind = kind;
@@ -289,6 +317,250 @@
   CHECK(relay.Call().body == "all of it");
 }
 
+// The four tests below guard against a server's endless bytes holding a call
+// beyond its time limit, or being passed on.
+TEST_CASE("a plain answer without end fails its call by the time limit") {
+  const std::pair<std::string, std::string> answers[] = {
+      {"HTTP/1.1 200 OK\r\nId: r1\r\n", "A: b\r\n"},
+      {"HTTP/1.1 200 OK\r\nId: r1\r\n\r\n", "x"},
+      {"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 9999999\r\n\r\n", "x"},
+      {"HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "1\r\nx\r\n"},
+      // A failure, which would be kept for the caller.
+      {"HTTP/1.1 500 Error\r\nId: r1\r\n\r\n", "x"},
+      // Answers to another request, one without an end and many whole ones.
+      {"HTTP/1.1 200 OK\r\nId: r0\r\n\r\n", "x"},
+      {"", "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 1\r\n\r\nx"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+  };
+  for (const auto& [start, repeated] : answers) {
+    CAPTURE(start);
+    CAPTURE(repeated);
+    raw_server server([&](raw_server::peer& client, const std::string&) {
+      client.Send(start);
+      client.SendForever(repeated, std::chrono::milliseconds(20));
+    });
+    const running_relay relay(MakeRoute(route_kind::kOnce), {server.port()});
+    const auto end = CallWithin(relay, 500);
+    REQUIRE(end.answer);
+    const auto status = end.answer->head.status;
+    CHECK((status == 502 || status == 504));
+    CHECK(end.answer->body.find("error") != std::string::npos);
+    CHECK(end.took_ms < 500 + kMaxLateMs);
+    CHECK(server.AreScriptsEnded());
+  }
+}
+
+TEST_CASE("a flood of bytes fails its call at once, or is retried elsewhere") {
+  const auto block = std::string(1 << 20, 'x');
+  const std::pair<std::string, std::string> answers[] = {
+      {"", block},
+      {"HTTP/1.1 200 OK\r\nId: r1\r\n\r\n", block},
+      {"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 99999999999\r\n\r\n",
+       block},
+      {"HTTP/1.1 500 Error\r\nId: r1\r\n\r\n", block},
+      {"HTTP/1.1 200 OK\r\nId: r0\r\n\r\n", block},
+  };
+  for (const auto& [start, repeated] : answers) {
+    CAPTURE(start);
+    std::atomic<int> calls = 0;
+    const auto script = [&](raw_server::peer& client, const std::string&) {
+      if (calls++ > 0) {
+        client.Send(Answer("200 OK", "", "whole"));
+        return;
+      }
+      client.Send(start);
+      client.SendForever(repeated);
+    };
+    raw_server a(script);
+    raw_server b(script);
+    {
+      const running_relay relay(MakeRoute(route_kind::kOnce), {a.port()});
+      const auto end = CallWithin(relay, 20'000);
+      REQUIRE(end.answer);
+      CHECK(end.answer->head.status == 502);
+      CHECK(end.took_ms < 2'000);
+      CHECK(a.AreScriptsEnded());
+    }
+    calls = 0;
+    const running_relay relay(MakeRoute(route_kind::kRepeatable),
+                              {a.port(), b.port()});
+    const auto end = CallWithin(relay, 20'000);
+    REQUIRE(end.answer);
+    CHECK(end.answer->body == "whole");
+    CHECK(end.took_ms < 2'000);
+  }
+}
+
+TEST_CASE("a body that trickles leaves time for another server") {
+  std::atomic<int> calls = 0;
+  const auto script = [&](raw_server::peer& client, const std::string&) {
+    if (calls++ > 0) {
+      client.Send(Answer("200 OK", "", "whole"));
+      return;
+    }
+    client.Send("HTTP/1.1 200 OK\r\nId: r1\r\n\r\n");
+    client.SendForever("x", std::chrono::milliseconds(20));
+  };
+  raw_server a(script);
+  raw_server b(script);
+  const running_relay relay(MakeRoute(route_kind::kRepeatable),
+                            {a.port(), b.port()});
+  const auto end = CallWithin(relay, 1'000);
+  REQUIRE(end.answer);
+  CHECK(end.answer->body == "whole");
+}
+
+TEST_CASE("a refusal stands, and costs little time, if its body has no end") {
+  for (const auto& repeated : {std::string("x"), std::string(1 << 20, 'x')}) {
+    for (const auto* framing : {"", "Content-Length: 99999999\r\n"}) {
+      raw_server full([&](raw_server::peer& client, const std::string&) {
+        client.Send("HTTP/1.1 503 Full\r\nId: r1\r\nNot-Run: 1\r\n" +
+                    std::string(framing) + "\r\n");
+        client.SendForever(repeated, std::chrono::milliseconds(20));
+      });
+      scripted_server good(
+          [](const std::string&) { return Answer("200 OK", "", "done"); });
+      const running_relay relay(MakeRoute(route_kind::kOnce),
+                                {full.port(), good.port()});
+      for (int i = 0; i < 4; ++i) {
+        const auto end = CallWithin(relay, 2'000);
+        REQUIRE(end.answer);
+        CHECK(end.answer->body == "done");
+        CHECK(end.took_ms < 1'000);
+      }
+      CHECK(full.requests() > 0);
+      CHECK(full.AreScriptsEnded());
+    }
+  }
+}
+
+// Guards against large answers at the same time exhausting the memory, and
+// against their failing the calls that have small answers.
+TEST_CASE("large answers share a limit of memory, small ones are let through") {
+  constexpr int kCalls = 8;
+  constexpr std::size_t kLargeBytes = 12UL << 20U;
+  const auto script = [](raw_server::peer& client, const std::string&) {
+    client.Send("HTTP/1.1 200 OK\r\nId: r1\r\n\r\n" +
+                std::string(kLargeBytes, 'x'));
+    client.AwaitClose();
+  };
+  raw_server large(script);
+  const running_relay relay(MakeRoute(route_kind::kOnce), {large.port()});
+  std::atomic<int> failed_at_once = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCalls; ++i) {
+    callers.emplace_back([&] {
+      const auto end = CallWithin(relay, 2'500);
+      if (end.answer && end.answer->head.status == 502) ++failed_at_once;
+    });
+  }
+  for (auto& caller : callers) caller.join();
+  // Of 96 MB, at most 32 MB are held.
+  CHECK(failed_at_once >= 5);
+  CHECK(failed_at_once < kCalls);
+}
+
+// Guards against an event that is never complete growing without a limit.
+TEST_CASE("an event without end cuts a stream, or it resumes elsewhere") {
+  for (const auto& repeated : {std::string("x"), std::string(1 << 20, 'x'),
+                               std::string("data: x\n")}) {
+    const std::chrono::milliseconds pause(repeated.size() > 100 ? 0 : 20);
+    const auto script = [&](raw_server::peer& client,
+                            const std::string& request) {
+      if (request.find("After: 1") != std::string::npos) {
+        client.Send(kStreamHead + "\r\n" + Chunk(Event(2)) + "0\r\n\r\n");
+        return;
+      }
+      client.Send(kStreamHead + "\r\n" + Chunk(Event(1) + "id: 2\ndata: "));
+      client.SendForever(Chunk(repeated), pause);
+    };
+    raw_server a(script);
+    raw_server b(script);
+    CAPTURE(repeated.size());
+    {
+      const running_relay relay(MakeRoute(route_kind::kStream, false),
+                                {a.port()});
+      const auto end = CallWithin(relay, 1'000);
+      CHECK_FALSE(end.answer);
+      CHECK(end.took_ms < 1'000 + kMaxLateMs);
+      CHECK(a.AreScriptsEnded());
+    }
+    const running_relay relay(MakeRoute(route_kind::kStream, true),
+                              {a.port(), b.port()});
+    const auto end = CallWithin(relay, 2'900);
+    REQUIRE(end.answer);
+    CHECK(end.answer->body == Event(1) + Event(2));
+    CHECK(a.AreScriptsEnded());
+    CHECK(b.AreScriptsEnded());
+  }
+}
+
+// Guards against a stream that goes on after its caller's time limit.
+TEST_CASE("well-formed events without end are cut at the time limit") {
+  for (const auto pause :
+       {std::chrono::milliseconds(0), std::chrono::milliseconds(5)}) {
+    for (const bool is_numbered : {false, true}) {
+      raw_server server([&](raw_server::peer& client, const std::string&) {
+        client.Send(kStreamHead + "\r\n");
+        // Numbered alike: all but the first are dropped as duplicates.
+        client.SendForever(Chunk(is_numbered ? Event(1) : "data: x\n\n"),
+                           pause);
+      });
+      CAPTURE(pause.count());
+      CAPTURE(is_numbered);
+      const running_relay relay(MakeRoute(route_kind::kStream, true),
+                                {server.port()});
+      const auto end = CallWithin(relay, 600);
+      CHECK_FALSE(end.answer);
+      CHECK(end.took_ms < 600 + kMaxLateMs);
+      CHECK(server.AreScriptsEnded());
+    }
+  }
+}
+
+// Guards against a stream without a length or chunks looking complete although
+// it was reset or ended inside an event.
+TEST_CASE("a stream that ends with its connection is complete after an event") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n\r\n";
+  struct stream_end {
+    std::string events;
+    bool is_reset;
+    bool is_complete;
+  };
+  const stream_end ends[] = {{Event(1) + Event(2), false, true},
+                             {Event(1) + Event(2), true, false},
+                             {Event(1) + "id: 2\ndata: x\n", false, false},
+                             {Event(1) + "i", false, false}};
+  for (const auto& item : ends) {
+    raw_server server([&](raw_server::peer& client, const std::string&) {
+      client.Send(head + item.events);
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      if (item.is_reset) client.Reset();
+    });
+    CAPTURE(item.events);
+    CAPTURE(item.is_reset);
+    const running_relay relay(MakeRoute(route_kind::kStream, false),
+                              {server.port()});
+    const auto end = CallWithin(relay, 1'000);
+    CHECK(end.answer.has_value() == item.is_complete);
+    if (end.answer) CHECK(end.answer->body == item.events);
+  }
+}
+
+TEST_CASE("a plain answer without a length is incomplete if it is reset") {
+  raw_server server([](raw_server::peer& client, const std::string&) {
+    client.Send("HTTP/1.1 200 OK\r\nId: r1\r\n\r\npart of it");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    client.Reset();
+  });
+  const running_relay relay(MakeRoute(route_kind::kOnce), {server.port()});
+  const auto end = CallWithin(relay, 1'000);
+  REQUIRE(end.answer);
+  CHECK(end.answer->head.status == 502);
+}
+
 TEST_CASE("an uncertain answer is dropped for the largest model's") {
   const auto script = [](const std::string& request) {
     const bool is_large = request.find("Model: large") != std::string::npos;
