Bound the other reads whose end the peer decides

What callers saw, or could have seen: a server list that trickled stopped the leader's reading of lists for as long as it lasted, so that servers that leave kept getting requests; a chat stream that went on after its final event held its caller; an incomplete event of an engine grew without a limit and was searched from its start with every read.

The small calls between processes (loads, orders, ratings, forwarded operator calls) had a limit for each read alone, and a list of pages none for all of them.

Fix: each of these calls states its limit for the whole body, the operator client a larger one in bytes for a ledger's report. A chat stream ends at its final event; an incomplete event is limited as in the relay. Settings name the new limit of an entry `body_ms`. lovagedale_answer_memory_bytes shows the memory that answers hold.

--- a/include/lovagedale/entry/event_relay.h
+++ b/include/lovagedale/entry/event_relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -16,6 +17,8 @@
   auto Feed(std::string_view bytes) -> std::string_view;
   /// Whether the final `[DONE]` event was received.
   auto IsDone() const -> bool { return done_; }
+  /// Bytes of the event that is incomplete so far.
+  auto pending_bytes() const -> std::size_t { return pending_.size(); }
   /// Discards an incomplete event before the stream is resumed.
   auto DropIncomplete() -> void { pending_.clear(); }
   /// Number of complete events so far, without `[DONE]`.
--- a/src/engine/order_service.cpp
+++ b/src/engine/order_service.cpp
@@ -13,9 +13,9 @@
 namespace json = boost::json;
 using std::chrono::milliseconds;
 
-constexpr http_deadlines kDeadlines{milliseconds(kOrderTimeoutMs),
-                                    milliseconds(kOrderTimeoutMs),
-                                    milliseconds(kOrderTimeoutMs)};
+constexpr http_deadlines kDeadlines{
+    milliseconds(kOrderTimeoutMs), milliseconds(kOrderTimeoutMs),
+    milliseconds(kOrderTimeoutMs), milliseconds(kOrderTimeoutMs)};
 
 auto ReadVersions(const catalog& config, const json::value& names)
     -> std::set<version_id> {
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -4,6 +4,7 @@
 
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
+#include "lovagedale/relay/event_splitter.h"
 
 namespace lovagedale {
 namespace {
@@ -16,6 +17,10 @@
 constexpr std::size_t kMaxTaskClassBytes = 64;
 /// A request chooses versions again if one becomes unavailable before dispatch.
 constexpr int kMaxVersionChoices = 5;
+/// After a stream's final event its end is read only so that the connection can
+/// be reused: up to this time and size.
+constexpr milliseconds kMaxStreamEndTime{100};
+constexpr std::size_t kMaxStreamEndBytes = 1'024;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kFirstClientError = 400;
 /// Minimum rating, from 0 to 1, of a good answer.
@@ -318,6 +323,20 @@
       if (bytes.empty()) break;
       const auto events = run.relay.Feed(bytes);
       if (!events.empty()) deliver(events);
+      if (run.relay.IsDone()) {
+        // The answer is complete; what follows its final event is not part of
+        // it.
+        auto end_deadlines = deadlines;
+        end_deadlines.body = std::min(deadlines.body, kMaxStreamEndTime);
+        connection.SkipRest(end_deadlines, kMaxStreamEndBytes, yield);
+        break;
+      }
+      if (run.relay.pending_bytes() > kMaxEventBytes) {
+        throw http_call_error(http_call_error::stage::kAnswerBroken,
+                              "an event of " +
+                                  std::to_string(run.relay.pending_bytes()) +
+                                  " bytes is not complete");
+      }
     }
     if (!run.relay.IsDone()) {
       throw http_call_error(http_call_error::stage::kAnswerBroken,
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -329,7 +329,8 @@
   http_request request;
   request.method = "GET";
   request.target = "/hosts";
-  const http_deadlines deadlines{kLoadTimeout, kLoadTimeout, kLoadTimeout};
+  const http_deadlines deadlines{kLoadTimeout, kLoadTimeout, kLoadTimeout,
+                                 kLoadTimeout};
   for (; !leaving_; Pause(context_.get_executor(), kLoadPeriod, yield)) {
     const auto table = state_.table.load();
     const auto& config = table->config();
@@ -380,7 +381,8 @@
   http_request request;
   request.method = "GET";
   request.target = "/load";
-  const http_deadlines deadlines{kLoadTimeout, kLoadTimeout, kLoadTimeout};
+  const http_deadlines deadlines{kLoadTimeout, kLoadTimeout, kLoadTimeout,
+                                 kLoadTimeout};
   const auto in_flight = state.in_flight.load();
   try {
     const auto answer =
--- a/src/entry/rating_client.cpp
+++ b/src/entry/rating_client.cpp
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr http_deadlines kDeadlines{milliseconds(300), milliseconds(5'000),
-                                    milliseconds(5'000)};
+                                    milliseconds(5'000), milliseconds(5'000)};
 constexpr double kBurstSeconds = 2;
 
 auto MakeRequest(const rating_request& item) -> http_request {
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -37,6 +37,7 @@
   deadlines.first_byte = ReadMs(reader, "first_byte_ms", deadlines.first_byte);
   deadlines.between_reads =
       ReadMs(reader, "between_reads_ms", deadlines.between_reads);
+  deadlines.body = ReadMs(reader, "body_ms", deadlines.body);
 }
 
 }  // namespace
--- a/src/operator_client/operator_client.cpp
+++ b/src/operator_client/operator_client.cpp
@@ -11,10 +11,13 @@
 using std::chrono::milliseconds;
 
 constexpr http_deadlines kDeadlines{milliseconds(500), milliseconds(6'000),
-                                    milliseconds(6'000)};
+                                    milliseconds(6'000), milliseconds(6'000)};
 /// A ledger reads its files to answer a report, which takes longer.
 constexpr http_deadlines kLedgerDeadlines{
-    milliseconds(500), milliseconds(65'000), milliseconds(6'000)};
+    milliseconds(500), milliseconds(65'000), milliseconds(6'000),
+    milliseconds(65'000)};
+/// A ledger's report lists all bills of the period.
+constexpr std::size_t kMaxReportBytes = 64UL << 20U;
 constexpr milliseconds kRetryPause{100};
 constexpr unsigned kStatusMisdirected = 421;
 constexpr unsigned kStatusUnavailable = 503;
@@ -29,7 +32,8 @@
   request.body = body;
   if (!body.empty()) request.headers = {{"Content-Type", "application/json"}};
   try {
-    return BlockingHttpCall(address.host, address.port, request, deadlines);
+    return BlockingHttpCall(address.host, address.port, request, deadlines,
+                            kMaxReportBytes);
   } catch (const http_call_error&) {
     return std::nullopt;
   }
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -41,6 +41,10 @@
   }
   auto active = MakeMetricFamily("lovagedale_calls_active", MetricType::Gauge);
   AddMetricValue(active, static_cast<double>(state.active_calls));
+  auto answer_memory =
+      MakeMetricFamily("lovagedale_answer_memory_bytes", MetricType::Gauge);
+  AddMetricValue(answer_memory,
+                 static_cast<double>(state.answer_memory.used_bytes()));
   auto revision = MakeMetricFamily("lovagedale_revision", MetricType::Gauge);
   AddMetricValue(revision,
                  static_cast<double>(state.view ? state.view->revision : 0));
@@ -50,9 +54,9 @@
   auto suppressed = MakeMetricFamily("lovagedale_log_lines_left_out_total",
                                      MetricType::Counter);
   AddMetricValue(suppressed, static_cast<double>(state.log.suppressed()));
-  return prometheus::TextSerializer().Serialize({calls, attempts, durations,
-                                                 first_events, ejected, active,
-                                                 revision, list, suppressed});
+  return prometheus::TextSerializer().Serialize(
+      {calls, attempts, durations, first_events, ejected, active, answer_memory,
+       revision, list, suppressed});
 }
 
 }  // namespace lovagedale
--- a/tests/platform/server_directory_test.cpp
+++ b/tests/platform/server_directory_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include "lovagedale/http/client.h"
+#include "support/raw_server.h"
+
 namespace lovagedale::testing {
 namespace {
 
@@ -61,4 +64,26 @@
   CHECK_THROWS(ParseServerListPage(R"({"instances":3})"));
 }
 
+// Guards against a list that never ends stopping all later reads of it.
+TEST_CASE("a server list without end fails the read") {
+  for (const auto& repeated : {std::string("x"), std::string(1 << 20, 'x')}) {
+    raw_server provider([&](raw_server::peer& client, const std::string&) {
+      client.Send("HTTP/1.1 200 OK\r\n\r\n");
+      client.SendForever(repeated, std::chrono::milliseconds(20));
+    });
+    boost::asio::io_context context(1);
+    const auto source =
+        platform::MakeDirectorySource(context, {"127.0.0.1", provider.port()});
+    const auto started = std::chrono::steady_clock::now();
+    std::exception_ptr failure;
+    boost::asio::spawn(
+        context, [&](boost::asio::yield_context yield) { source(yield); },
+        [&](std::exception_ptr error) { failure = error; });
+    context.run();
+    CHECK_THROWS_AS(std::rethrow_exception(failure), http_call_error);
+    CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds(3));
+    CHECK(provider.AreScriptsEnded());
+  }
+}
+
 }  // namespace lovagedale::testing
