Merge the bounds on answers

An attempt whose body or event does not end is given up like a silent one: only if another attempt may replace it. Its deadlines are the call's.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -17,15 +17,22 @@
 /// Fraction of the remaining time that a server may take to its first byte
 /// while another one may still be tried.
 inline constexpr double kFirstByteRemainingFraction = 0.6;
+/// Fraction of the remaining time that a plain answer's body may take after its
+/// head while another server may still be tried.
+inline constexpr double kBodyRemainingFraction = 0.6;
 /// While another server may be tried, an attempt ends if no byte arrives for
 /// kFirstByteLatencyFactor times the usual time to the first byte, but not
 /// before kFirstByteMinObjectiveFraction of the route's objective.
 inline constexpr double kFirstByteLatencyFactor = 4;
 inline constexpr double kFirstByteMinObjectiveFraction = 0.5;
-/// A stream resumes at another server if no bytes arrive for kStallPauseFactor
+/// A stream resumes at another server if no event arrives for kStallPauseFactor
 /// times the route's `pause_ms`, and for at least kMinStallMs.
 inline constexpr monotonic_ms kStallPauseFactor = 2;
 inline constexpr monotonic_ms kMinStallMs = 1'500;
+/// A refusal's body is read only so that its connection can be reused: up to
+/// this time and size.
+inline constexpr std::chrono::milliseconds kMaxRefusalBodyTime{100};
+inline constexpr std::size_t kMaxSkippedBytes = 64UL << 10U;
 /// Longest idle time of a connection that is reused. The server may be closing
 /// one that has been idle for long: the limit is lower for a request that must
 /// not run twice.
@@ -404,6 +411,7 @@
   deadlines.connect = std::min(kServerConnectTimeout, remaining);
   deadlines.first_byte = remaining;
   deadlines.between_reads = remaining;
+  deadlines.body = remaining;
   return deadlines;
 }
 
@@ -441,7 +449,7 @@
   if (silence_) silence_->Begin(FirstByteTimeoutMs(RemainingMs()));
   auto head = connection_->Send(request, deadlines, exchange_.yield());
   state_.prober.ReportRoundTrip(server, sent_ms_);
-  head = ReadMatchingHead(std::move(head));
+  head = ReadMatchingHead(std::move(head), deadlines);
   if (silence_) silence_->End();
   return head;
 }
@@ -487,7 +495,10 @@
       attempt_reason_ = "refused with " + std::to_string(head.status);
       result = attempt_result::kNotRun;
       if (metadata.address_reassigned) server->address_reassigned = true;
-      connection_->ReadAll(Deadlines(), exchange_.yield());
+      // The head states that the request was not run, however the body ends.
+      auto deadlines = Deadlines();
+      deadlines.body = std::min(deadlines.body, kMaxRefusalBodyTime);
+      connection_->SkipRest(deadlines, kMaxSkippedBytes, exchange_.yield());
     } else if (EscalateIfUncertain(metadata)) {
       result = attempt_result::kEscalated;
       may_have_run_ = true;
