Revert a version that is slow by ranks of first events and pauses

Cause: the leader compared the mean time to the first event only. In the canary the new version's servers have little load, so the median first event of the slow version equals the former one's (112 ms); only the pauses between events differ (102 ms against 58 ms; a good version 23 ms). Later the answers that stay fast keep the mean ratio below 3.

Entries now count first events and the first pause of each stream in bins, by version, route and model, also of answers that are dropped for a larger model. The leader ranks the new version's durations among the former version's of the same route and model and reverts by a sequential test with a stated false-alarm rate. The log line rollout_answers shows the ranks. Entries report changed counters only, and both sides drop them when the roll-out ends; before, all counters went into each heartbeat, for ever.

--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -37,7 +37,8 @@
 struct relay_report {
   std::uint64_t server_list_number = 0;  ///< of the server list it follows
   std::uint64_t replicas_hash = 0;       ///< of the names of control's members
-  /// Cumulative answer counts, only of services under roll-out.
+  /// Cumulative answer counts, only of services under roll-out, and only those
+  /// that changed since the leader received them.
   version_answers_table answers;
   std::vector<server_load> loads;  ///< from its requests in progress
 
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -127,6 +127,7 @@
   order_service orders_;
   server_feed feed_;
   version_answers_total answers_;
+  monotonic_ms answer_ranks_logged_at_ = 0;
   server_load_total loads_;
   /// By service: the target version, and when this replica first saw the
   /// roll-out to it.
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -433,7 +433,7 @@
       result = attempt_result::kNotRun;
       if (metadata.address_reassigned) server->address_reassigned = true;
       connection_->ReadAll(Deadlines(false), exchange_.yield());
-    } else if (EscalateIfUncertain(metadata)) {
+    } else if (EscalateIfUncertain(server, metadata)) {
       result = attempt_result::kEscalated;
       may_have_run_ = true;
       connection_->Close();
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -101,7 +101,8 @@
   /// Whether the answer is dropped for its low confidence. If so, the largest
   /// model is selected for the next attempt, which is counted in the retry
   /// budget.
-  auto EscalateIfUncertain(const server_answer_metadata& metadata) -> bool;
+  auto EscalateIfUncertain(const server_handle& server,
+                           const server_answer_metadata& metadata) -> bool;
   /// The server for the next attempt; null if none can be reached.
   auto PickServer() -> server_handle;
   auto IsReachable(const server_handle& server) const -> bool;
@@ -137,6 +138,12 @@
   /// answer if it is not a stream.
   auto RecordAnswerTime() -> void;
   auto CountAnswer(const server_handle& server, bool failed) -> void;
+  /// `pause_ms`: between the first and the second event of a stream.
+  auto CountFirstPause(const server_handle& server, monotonic_ms pause_ms)
+      -> void;
+  /// The counters for an answer of the server; null unless the service is being
+  /// rolled out.
+  auto VersionAnswers(const server_handle& server) -> version_answers*;
   auto LogAttempt(const server_handle& server, attempt_result result,
                   const std::string& reason) -> void;
   auto LogOutcome(const char* outcome, unsigned status,
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -42,7 +42,8 @@
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::EscalateIfUncertain(
-    const server_answer_metadata& metadata) -> bool {
+    const server_handle& server, const server_answer_metadata& metadata)
+    -> bool {
   const auto& item = *match_.matched_route;
   if (tier_ + 1 >= item.models.size() || !metadata.confidence ||
       exchange_.HasStarted()) {
@@ -62,6 +63,7 @@
   if (runs_ >= item.max_attempts || !state_.retries.TryRetry(clock_.Now())) {
     return false;
   }
+  CountAnswer(server, /*failed=*/false);
   tier_ = item.models.size() - 1;
   return true;
 }
@@ -97,16 +99,22 @@
                                          const http_response_head& head)
     -> attempt_result {
   events_.Restart();
-  bool has_first_event = false;
+  std::uint64_t reads_with_events = 0;
+  monotonic_ms first_event_ms = 0;
   for (;;) {
     const auto bytes = connection_->ReadSome(
         Deadlines(/*for_stream_body=*/true), exchange_.yield());
     if (bytes.empty()) break;
     const auto events = events_.Feed(bytes);
     if (events.empty()) continue;
-    if (!has_first_event) CountFirstEvent(server);
+    ++reads_with_events;
+    if (reads_with_events == 1) {
+      CountFirstEvent(server);
+      first_event_ms = clock_.Now();
+    } else if (reads_with_events == 2) {
+      CountFirstPause(server, clock_.Now() - first_event_ms);
+    }
     ReleasePromptWork();
-    has_first_event = true;
     if (!exchange_.HasStarted()) {
       exchange_.StartStream(head.status, head.content_type, head.headers);
     }
@@ -127,18 +135,35 @@
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::CountAnswer(const server_handle& server,
                                          bool failed) -> void {
-  if (view_->RolloutOf(service_) == nullptr) return;
-  auto& counts = state_.answers[{service_, server->listed.version,
-                                 match_.matched_route->name}];
-  ++counts.requests;
+  auto* counts = VersionAnswers(server);
+  if (counts == nullptr) return;
+  ++counts->requests;
   if (failed) {
-    ++counts.failures;
+    ++counts->failures;
   } else {
-    counts.latency_sum_ms +=
-        static_cast<std::uint64_t>(clock_.Now() - sent_ms_);
+    const auto ms = clock_.Now() - sent_ms_;
+    counts->latency_sum_ms += static_cast<std::uint64_t>(ms);
+    counts->first_events.Add(static_cast<double>(ms));
   }
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::CountFirstPause(const server_handle& server,
+                                             monotonic_ms pause_ms) -> void {
+  auto* counts = VersionAnswers(server);
+  if (counts == nullptr) return;
+  counts->first_pauses.Add(static_cast<double>(pause_ms));
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::VersionAnswers(const server_handle& server)
+    -> version_answers* {
+  const auto* rollout = view_->RolloutOf(service_);
+  if (rollout == nullptr || !rollout->IsRunning()) return nullptr;
+  const auto& [route, model] = TierKey();
+  return &state_.answers[{service_, server->listed.version, route, model}];
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::CountFirstEvent(const server_handle& server)
     -> void {
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -84,8 +84,9 @@
   retry_budget retries;
   tier_table tiers;
   std::mt19937_64 random;
-  /// Answers by service, version and route, of services that have a roll-out.
-  /// The counts are cumulative.
+  /// Answers by service, version, route and model, of services under roll-out.
+  /// The counts are cumulative; those of a service are dropped when its
+  /// roll-out ends.
   version_answers_table answers;
   std::map<call_counts_key, std::uint64_t> call_counts;
   std::map<std::string, recent_durations> recent_call_durations;  ///< by route
--- a/include/lovagedale/rollout/service_rollout.h
+++ b/include/lovagedale/rollout/service_rollout.h
@@ -3,10 +3,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "lovagedale/common/time.h"
+#include "lovagedale/rollout/duration_counts.h"
 
 namespace lovagedale {
 
@@ -52,22 +54,31 @@
 auto MayUseVersion(const service_rollout* rollout, const std::string& version,
                    std::uint64_t session_hash) -> bool;
 
-/// Counters of the answers by servers of one version on one route.
+/// Counters of the answers by servers of one version, on one route and by one
+/// model.
 struct version_answers {
   std::uint64_t requests = 0;
   std::uint64_t failures = 0;        ///< failed or broken answers
   std::uint64_t latency_sum_ms = 0;  ///< sum over the answers that did not fail
+  /// From the request to the first event, or to a complete answer that is not a
+  /// stream; of answers that did not fail.
+  duration_counts first_events;
+  /// From the first event of a stream to the second. Counted once a stream,
+  /// since the pauses within one stream are not independent.
+  duration_counts first_pauses;
 
   auto operator==(const version_answers&) const -> bool = default;
   auto operator+=(const version_answers& other) -> version_answers& {
     requests += other.requests;
     failures += other.failures;
     latency_sum_ms += other.latency_sum_ms;
+    first_events += other.first_events;
+    first_pauses += other.first_pauses;
     return *this;
   }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(requests, failures, latency_sum_ms);
+    archive(requests, failures, latency_sum_ms, first_events, first_pauses);
   }
 };
 
@@ -75,16 +86,23 @@
   std::string service;
   std::string version;
   std::string route;
+  std::string model;  ///< empty if the route has none
 
   auto operator<=>(const version_answers_key&) const = default;
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(service, version, route);
+    archive(service, version, route, model);
   }
 };
 
 using version_answers_table = std::map<version_answers_key, version_answers>;
 
+/// The entries of `table` that `reported` does not have or has with other
+/// counts.
+auto ChangedAnswers(const version_answers_table& table,
+                    const version_answers_table& reported)
+    -> version_answers_table;
+
 struct service_rollout_limits {
   /// Failed answers of the new version required to revert it for failures.
   std::uint64_t min_failures = 5;
@@ -96,10 +114,23 @@
   /// The roll-out is reverted if the mean latency exceeds this multiple of the
   /// former version's.
   double max_latency_ratio = 3.0;
+  /// Probability of reverting a version whose answers are as fast as the former
+  /// version's, over the whole roll-out, if answers are independent.
+  double slowness_false_alarm_rate = 0.001;
+  /// A version may be slower than the former one by this factor. Covers caches
+  /// that are still cold and changes of the load.
+  double tolerated_slowdown = 1.5;
+  /// Mean rank of the new version's durations among the former version's, that
+  /// is tolerated in the canary: its servers have less load than the former
+  /// ones, so the slowdown is not tolerated there.
+  double tolerated_canary_rank = 0.52;
+  /// Answers of the former version needed to rank durations among them.
+  std::uint64_t min_ranked_answers = 12;
   /// Answers of the new version that the canary should yield, and bounds of
   /// its share of the sessions. At the upper bound, a bad version affects a
-  /// fifth of the sessions for the 1 to 2 s until it is detected.
-  double wanted_canary_answers = 60;
+  /// fifth of the sessions for the 1 to 2 s until it is detected. Only part of
+  /// the answers of a slow version arrive in the canary.
+  double wanted_canary_answers = 400;
   double min_canary_share = 0.002;
   double max_canary_share = 0.2;
   /// Time for which requests are counted before the canary's share is set.
@@ -140,6 +171,12 @@
   double share = 0;  ///< of the sessions, 0 to 1, if the phase is kCanary
 };
 
+/// How slow the new version is, for the log: for each duration the number of
+/// ranked values and their mean rank, with and without the tolerated slowdown.
+auto DescribeRanks(const service_rollout& rollout,
+                   const version_answers_table& answers,
+                   const service_rollout_limits& limits) -> std::string;
+
 /// The next phase of a running roll-out; nullopt if the phase stays.
 auto JudgeServiceRollout(const service_rollout& rollout,
                          const service_rollout_observations& observations,
@@ -153,6 +190,8 @@
   auto Report(const std::string& entry, std::uint64_t incarnation,
               const version_answers_table& table) -> void;
   auto Total() const -> version_answers_table;
+  /// Drops the counters of services other than `services`.
+  auto KeepOnly(const std::set<std::string>& services) -> void;
 
  private:
   std::map<std::pair<std::string, std::uint64_t>, version_answers_table>
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -39,6 +39,8 @@
   auto FallbackListLoop(boost::asio::yield_context yield) -> void;
   /// Heartbeats to followers omit what only the leader uses.
   auto MakeHeartbeat(bool to_leader) -> entry_heartbeat;
+  /// Drops the answer counters of services whose roll-out has ended.
+  auto ForgetEndedRollouts() -> void;
   /// Applies the routes, control replicas, loads and servers of a response.
   auto Adopt(const heartbeat_response& response) -> void;
 
@@ -52,6 +54,9 @@
   /// Channels are never removed, as fibers use them.
   std::map<std::string, std::unique_ptr<rpc_channel>> replicas_;
   std::string leader_;
+  /// Answer counters that the replica `answers_reported_to_` has received.
+  version_answers_table reported_answers_;
+  std::string answers_reported_to_;
   monotonic_ms leader_response_ms_ = 0;
   std::uint64_t list_number_ = 0;    ///< of the leader's latest list
   std::uint64_t replicas_hash_ = 0;  ///< of control's members, as last received
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -1,6 +1,7 @@
 #include "lovagedale/control/service.h"
 
 #include <algorithm>
+#include <set>
 
 #include "lovagedale/common/codec.h"
 #include "lovagedale/common/fiber_event.h"
@@ -30,6 +31,7 @@
 constexpr monotonic_ms kMinEvidenceIntervalMs = 900;
 constexpr monotonic_ms kOrderPeriodMs = 500;
 constexpr monotonic_ms kAllocationPeriodMs = 1'000;
+constexpr monotonic_ms kAnswerRanksLogPeriodMs = 1'000;
 /// Interval between rounds of join requests, and the time limit of one request.
 constexpr std::chrono::milliseconds kJoinPeriod{300};
 constexpr std::chrono::milliseconds kJoinTimeout{500};
@@ -469,6 +471,16 @@
   if (!node_.IsCurrent()) return;
   // Copied since a decision may modify the list.
   const auto rollouts = machine_.view().service_rollouts;
+  std::set<std::string> running;
+  for (const auto& rollout : rollouts) {
+    if (rollout.IsRunning()) running.insert(rollout.service);
+  }
+  answers_.KeepOnly(running);
+  if (running.empty()) return;
+  const auto now = clock_.Now();
+  const bool is_ranks_log_due =
+      now - answer_ranks_logged_at_ >= kAnswerRanksLogPeriodMs;
+  if (is_ranks_log_due) answer_ranks_logged_at_ = now;
   for (const auto& rollout : rollouts) {
     if (!rollout.IsRunning()) continue;
     service_rollout_observations observations;
@@ -482,6 +494,15 @@
     }
     const auto decision =
         JudgeServiceRollout(rollout, observations, service_rollout_limits_);
+    if (is_ranks_log_due || decision) {
+      log_line(log_level::kInfo, "rollout_answers")
+          .With("service", rollout.service)
+          .With("target", rollout.target)
+          .With("phase", PhaseName(rollout.phase))
+          .With("elapsed_ms", observations.elapsed_ms)
+          .With("ranks", DescribeRanks(rollout, observations.answers,
+                                       service_rollout_limits_));
+    }
     if (!decision) continue;
     ProposeAutomaticChange(
         "service_rollout/" + rollout.service + "/" + rollout.target + "/" +
--- a/src/rollout/service_rollout.cpp
+++ b/src/rollout/service_rollout.cpp
@@ -1,7 +1,9 @@
 #include "lovagedale/rollout/service_rollout.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <limits>
 
 #include "lovagedale/common/hash.h"
 
@@ -53,6 +55,131 @@
   return "";
 }
 
+/// Ranks of the new version's durations among those of the former version on
+/// the same route and model.
+struct duration_ranks {
+  double sum = 0;
+  double tolerant_sum = 0;  ///< with the tolerated slowdown subtracted
+  std::uint64_t count = 0;
+
+  auto operator+=(const duration_ranks& other) -> duration_ranks& {
+    sum += other.sum;
+    tolerant_sum += other.tolerant_sum;
+    count += other.count;
+    return *this;
+  }
+};
+
+auto RankDurations(const duration_counts& target, const duration_counts& former,
+                   const service_rollout_limits& limits) -> duration_ranks {
+  if (former.Count() < limits.min_ranked_answers) return {};
+  const auto tolerated_bins =
+      static_cast<int>(std::lround(std::log(limits.tolerated_slowdown) /
+                                   std::log(duration_counts::kBinRatio)));
+  return {RankSum(target, former, 0), RankSum(target, former, tolerated_bins),
+          target.Count()};
+}
+
+struct slowness_ranks {
+  duration_ranks first_events;
+  duration_ranks first_pauses;
+};
+
+/// By route; "" is the sum over the routes.
+auto RankAnswers(const service_rollout& rollout,
+                 const version_answers_table& answers,
+                 const service_rollout_limits& limits)
+    -> std::map<std::string, slowness_ranks> {
+  std::map<std::pair<std::string, std::string>, version_answers> former;
+  std::map<std::pair<std::string, std::string>, version_answers> target;
+  for (const auto& [key, counts] : answers) {
+    if (key.service != rollout.service) continue;
+    auto& by_model = key.version == rollout.target ? target : former;
+    by_model[{key.route, key.model}] += counts;
+  }
+  std::map<std::string, slowness_ranks> ranks;
+  for (const auto& [key, counts] : target) {
+    const auto& reference = former[key];
+    const auto first_events =
+        RankDurations(counts.first_events, reference.first_events, limits);
+    const auto first_pauses =
+        RankDurations(counts.first_pauses, reference.first_pauses, limits);
+    for (const auto& route : {key.first, std::string()}) {
+      ranks[route].first_events += first_events;
+      ranks[route].first_pauses += first_pauses;
+    }
+  }
+  return ranks;
+}
+
+auto DescribeRanks(const duration_ranks& ranks) -> std::string {
+  const auto count =
+      static_cast<double>(std::max<std::uint64_t>(1, ranks.count));
+  return std::to_string(ranks.count) + " with mean rank " +
+         Percent(ranks.sum / count) + ", " +
+         Percent(ranks.tolerant_sum / count) + " after the tolerated slowdown";
+}
+
+/// Natural logarithm of an e-value (see LogEvidenceOfDrop) against the null
+/// hypothesis that the ranks are distributed uniformly around `null_mean`, in
+/// favour of higher ranks.
+auto LogEvidenceOfHighRanks(double rank_sum, double count, double null_mean)
+    -> double {
+  // Exponential tilts, each the best for one mean of the ranks: 0.05, 0.1, 0.2
+  // and 0.4 above `null_mean`. Their average is at least a quarter of the
+  // largest.
+  constexpr std::array<double, 4> kTilts = {0.6, 1.2, 2.4, 4.8};
+  double largest = -std::numeric_limits<double>::infinity();
+  for (const auto tilt : kTilts) {
+    const auto log_moment = std::log(std::sinh(tilt / 2) / (tilt / 2));
+    largest = std::max(
+        largest, tilt * (rank_sum - count * null_mean) - count * log_moment);
+  }
+  return largest - std::log(static_cast<double>(kTilts.size()));
+}
+
+/// Whether the ranks show that the new version is slower than tolerated.
+/// `has_less_load`: its servers have less load than the former ones.
+auto IsSlow(const duration_ranks& ranks, bool has_less_load, double threshold,
+            const service_rollout_limits& limits) -> bool {
+  constexpr double kEqualRank = 0.5;
+  const auto count = static_cast<double>(ranks.count);
+  return LogEvidenceOfHighRanks(ranks.tolerant_sum, count, kEqualRank) >=
+             threshold ||
+         (has_less_load &&
+          LogEvidenceOfHighRanks(ranks.sum, count,
+                                 limits.tolerated_canary_rank) >= threshold);
+}
+
+/// Describes how the new version is slower; empty if that is not shown.
+auto FindSlowness(const service_rollout& rollout,
+                  const service_rollout_observations& observations,
+                  const service_rollout_limits& limits) -> std::string {
+  const auto by_route = RankAnswers(rollout, observations.answers, limits);
+  if (by_route.empty()) return "";
+  const bool has_less_load =
+      rollout.phase == service_rollout_phase::kCanary &&
+      observations.target_servers >= observations.former_servers;
+  // Half of the false-alarm rate is for the sum and half for the routes; each
+  // has two durations, with two tests each.
+  constexpr double kTests = 2 * 2 * 2;
+  const auto total_threshold =
+      std::log(kTests / limits.slowness_false_alarm_rate);
+  const auto route_threshold =
+      total_threshold + std::log(static_cast<double>(by_route.size() - 1));
+  for (const auto& [route, ranks] : by_route) {
+    const auto threshold = route.empty() ? total_threshold : route_threshold;
+    std::string fault;
+    if (IsSlow(ranks.first_events, has_less_load, threshold, limits)) {
+      fault = "slow first events: " + DescribeRanks(ranks.first_events);
+    } else if (IsSlow(ranks.first_pauses, has_less_load, threshold, limits)) {
+      fault = "slow first pauses: " + DescribeRanks(ranks.first_pauses);
+    }
+    if (!fault.empty()) return route.empty() ? fault : route + ": " + fault;
+  }
+  return "";
+}
+
 auto ElapsedFraction(const service_rollout& rollout, monotonic_ms elapsed_ms)
     -> double {
   return rollout.duration_ms <= 0
@@ -129,6 +256,14 @@
   return true;
 }
 
+auto DescribeRanks(const service_rollout& rollout,
+                   const version_answers_table& answers,
+                   const service_rollout_limits& limits) -> std::string {
+  const auto ranks = RankAnswers(rollout, answers, limits)[""];
+  return "first events: " + DescribeRanks(ranks.first_events) +
+         "; first pauses: " + DescribeRanks(ranks.first_pauses);
+}
+
 auto JudgeServiceRollout(const service_rollout& rollout,
                          const service_rollout_observations& observations,
                          const service_rollout_limits& limits)
@@ -155,6 +290,10 @@
   }
   const auto fault = FindFault(target_total, former_total, limits);
   if (!fault.empty()) return service_rollout_decision{phase::kReverted, fault};
+  const auto slowness = FindSlowness(rollout, observations, limits);
+  if (!slowness.empty()) {
+    return service_rollout_decision{phase::kReverted, slowness};
+  }
 
   const auto elapsed_fraction =
       ElapsedFraction(rollout, observations.elapsed_ms);
@@ -186,6 +325,19 @@
   return std::nullopt;
 }
 
+auto ChangedAnswers(const version_answers_table& table,
+                    const version_answers_table& reported)
+    -> version_answers_table {
+  version_answers_table changed;
+  for (const auto& [key, counts] : table) {
+    const auto found = reported.find(key);
+    if (found == reported.end() || found->second != counts) {
+      changed.emplace(key, counts);
+    }
+  }
+  return changed;
+}
+
 auto version_answers_total::Report(const std::string& entry,
                                    std::uint64_t incarnation,
                                    const version_answers_table& table) -> void {
@@ -201,4 +353,15 @@
   return total;
 }
 
+auto version_answers_total::KeepOnly(const std::set<std::string>& services)
+    -> void {
+  for (auto& [entry, table] : by_entry_) {
+    std::erase_if(table, [&](const auto& item) {
+      return !services.contains(item.first.service);
+    });
+  }
+  std::erase_if(by_entry_,
+                [](const auto& item) { return item.second.empty(); });
+}
+
 }  // namespace lovagedale
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -84,12 +84,27 @@
   heartbeat.relay->server_list_number = list_number_;
   heartbeat.relay->replicas_hash = replicas_hash_;
   if (to_leader) {
-    heartbeat.relay->answers = state_.answers;
+    ForgetEndedRollouts();
+    // Another leader has none of the counters.
+    heartbeat.relay->answers =
+        ChangedAnswers(state_.answers, answers_reported_to_ == leader_
+                                           ? reported_answers_
+                                           : version_answers_table{});
     heartbeat.relay->loads = state_.servers.OwnLoads();
   }
   return heartbeat;
 }
 
+auto fleet_link::ForgetEndedRollouts() -> void {
+  const auto has_ended = [&](const auto& item) {
+    const auto* rollout =
+        state_.view ? state_.view->RolloutOf(item.first.service) : nullptr;
+    return rollout == nullptr || !rollout->IsRunning();
+  };
+  std::erase_if(state_.answers, has_ended);
+  std::erase_if(reported_answers_, has_ended);
+}
+
 auto fleet_link::HeartbeatLoop(rpc_channel& channel, asio::yield_context yield)
     -> void {
   const auto& name = channel.address().name;
@@ -98,8 +113,10 @@
     auto period = kUnreachablePeriod;
     std::string failure;
     try {
+      auto heartbeat = MakeHeartbeat(leader_ == name);
+      auto sent_answers = heartbeat.relay->answers;
       const auto response = Decode<heartbeat_response>(
-          channel.Call(Encode(control_request(MakeHeartbeat(leader_ == name))),
+          channel.Call(Encode(control_request(std::move(heartbeat))),
                        kHeartbeatTimeout, yield));
       period = response.is_leader ? kLeaderPeriod
                : leader_.empty()  ? kSearchPeriod
@@ -110,6 +127,13 @@
         }
         leader_ = name;
         leader_response_ms_ = clock_.Now();
+        if (answers_reported_to_ != name) {
+          reported_answers_.clear();
+          answers_reported_to_ = name;
+        }
+        for (auto& [key, counts] : sent_answers) {
+          reported_answers_[key] = std::move(counts);
+        }
       }
       Adopt(response);
     } catch (const std::exception& error) {
