--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -499,7 +499,7 @@
       auto deadlines = Deadlines();
       deadlines.body = std::min(deadlines.body, kMaxRefusalBodyTime);
       connection_->SkipRest(deadlines, kMaxSkippedBytes, exchange_.yield());
-    } else if (EscalateIfUncertain(metadata)) {
+    } else if (EscalateIfUncertain(server, metadata)) {
       result = attempt_result::kEscalated;
       may_have_run_ = true;
       connection_->Close();
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -86,7 +86,12 @@
   heartbeat.relay->server_list_number = list_number_;
   heartbeat.relay->replicas_hash = replicas_hash_;
   if (to_leader) {
-    heartbeat.relay->answers = state_.answers;
+    ForgetEndedRollouts();
+    // Another leader has none of the counters.
+    heartbeat.relay->answers =
+        ChangedAnswers(state_.answers, answers_reported_to_ == leader_
+                                           ? reported_answers_
+                                           : version_answers_table{});
     heartbeat.relay->loads = state_.servers.OwnLoads();
   }
   return heartbeat;
@@ -98,6 +103,16 @@
                                held_.view().revision, clock_.Now());
 }
 
+auto fleet_link::ForgetEndedRollouts() -> void {
+  const auto has_ended = [&](const auto& item) {
+    const auto* rollout =
+        state_.view ? state_.view->RolloutOf(item.first.service) : nullptr;
+    return rollout == nullptr || !rollout->IsRunning();
+  };
+  std::erase_if(state_.answers, has_ended);
+  std::erase_if(reported_answers_, has_ended);
+}
+
 auto fleet_link::HeartbeatLoop(rpc_channel& channel, asio::yield_context yield)
     -> void {
   const auto& name = channel.address().name;
@@ -113,6 +128,7 @@
     if (asks) heartbeat.position = held_.position();
     if (asks_follower) sender_choice_.RecordFollowerAsked();
     try {
+      auto sent_answers = heartbeat.relay->answers;
       const auto response = Decode<heartbeat_response>(
           channel.Call(Encode(control_request(std::move(heartbeat))),
                        kHeartbeatTimeout, yield));
@@ -127,13 +143,24 @@
         }
         leader_ = name;
         leader_response_ms_ = clock_.Now();
+        if (answers_reported_to_ != name) {
+          reported_answers_.clear();
+          answers_reported_to_ = name;
+        }
+        for (auto& [key, counts] : sent_answers) {
+          reported_answers_[key] = std::move(counts);
+        }
       }
       Adopt(response, name);
     } catch (const std::exception& error) {
       failure = error.what();
     }
     if (asks_follower) sender_choice_.RecordFollowerEnded();
-    if (leader_ == name && (!failure.empty() || !is_leader)) leader_.clear();
+    if (leader_ == name && (!failure.empty() || !is_leader)) {
+      leader_.clear();
+      // A replica that leads again after a restart has no counters.
+      answers_reported_to_.clear();
+    }
     if (leader_.empty() && !failure.empty()) period = kSearchPeriod;
     if (failure.empty() && MayAsk(name, told_revision)) period = kAskPeriod;
     if (!failure.empty() != is_lost) {
