Quarantine prompt parts that crash servers

Cause: entries that relay by routes reported no crashes, and the record of crashes in control knew only whole requests, of which no two were alike. One request also crashed as many servers as its route has attempts.

Fix: an entry reports a crash at once when a server has closed connections without an answer and then refuses a connection. Candidates are the shared parts of the prompts and the whole requests that were not answered. Control quarantines the key that is a candidate of most crashes, after three; keys that any entry sees answered meanwhile are cleared, and crashes with a quarantined candidate do not count against other keys. Entries refuse quarantined calls with 503 before they are sent, and also decide from their own crashes. A call that two servers have broken off unanswered is not sent to a third one.

Existing tests of crash_attribution are written for its new interface (ReportCrash, then Decide); their cases and bounds are the same, and the cleared suspect is also reported late.

--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -9,6 +9,7 @@
 #include "lovagedale/common/hash.h"
 #include "lovagedale/configuration/fleet_view.h"
 #include "lovagedale/discovery/server_list.h"
+#include "lovagedale/health/crash_attribution.h"
 #include "lovagedale/quality/evidence.h"
 #include "lovagedale/relay/server_load.h"
 #include "lovagedale/replication/messages.h"
@@ -19,20 +20,6 @@
 /// Identifies one run of an entry process; random, chosen when it starts.
 using process_incarnation = std::uint64_t;
 
-/// Reports that a server crashed while it processed requests with these
-/// fingerprints.
-struct crash_report {
-  std::string server;
-  std::vector<std::uint64_t> fingerprints;
-  std::string report_id;  ///< a resent report with the same id counts once
-
-  auto operator==(const crash_report&) const -> bool = default;
-  template <typename Archive>
-  auto serialize(Archive& archive) -> void {
-    archive(server, fingerprints, report_id);
-  }
-};
-
 /// Part of the heartbeat of an entry that relays to discovered servers.
 struct relay_report {
   std::uint64_t server_list_number = 0;  ///< of the server list it follows
@@ -63,10 +50,12 @@
   std::vector<std::string> replicas;
   /// Sent by the leader: loads from the requests of all entries.
   std::optional<std::vector<server_load>> loads;
+  /// Sent by the leader: keys whose answered requests the entry is to report.
+  std::vector<crash_key> suspects;
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(servers, replicas, loads);
+    archive(servers, replicas, loads, suspects);
   }
 };
 
@@ -80,8 +69,8 @@
   /// Cumulative counts; empty if nothing has changed.
   evidence_table evidence;
   std::vector<crash_report> crashes;
-  /// Fingerprints of crash suspects that have since finished on another server.
-  std::vector<std::uint64_t> cleared_fingerprints;
+  /// Crash suspects that requests answered since then had.
+  std::vector<crash_key> cleared_suspects;
   std::vector<limit_demand> limits;  ///< changed demands, or all of them
   bool limits_complete = false;      ///< `limits` has all limited customers
   /// Present if the entry relays to discovered servers.
@@ -90,7 +79,7 @@
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(node, zone, incarnation, revision, leaving, evidence, crashes,
-            cleared_fingerprints, limits, limits_complete, relay);
+            cleared_suspects, limits, limits_complete, relay);
   }
 };
 
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -82,6 +82,9 @@
   auto TrackDemand(const entry_heartbeat& heartbeat) -> void;
   auto RegisterIfNew(const entry_heartbeat& heartbeat) -> void;
   auto HandleCrashes(const entry_heartbeat& heartbeat) -> void;
+  /// Quarantines the requests and prompt parts that crash servers.
+  auto QuarantineCrashers() -> void;
+  auto ProposeLift(const quarantine& item, const std::string& reason) -> void;
   auto Answer(const deferred_heartbeat& due) -> void;
   auto AddEvidence(const std::string& node, heartbeat_response& response)
       -> void;
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -41,6 +41,12 @@
 /// Delay before servers that were all full are tried again: about the duration
 /// of one request of a plain service.
 inline constexpr std::chrono::milliseconds kAllServersFullDelay{60};
+/// A call is not sent again after so many servers have closed its connection
+/// before their answers began: it may be the cause.
+inline constexpr std::uint32_t kMaxBrokenUnanswered = 2;
+/// A server that crashes by a call does so as it begins to answer: one that
+/// still runs after this time has not crashed by the call.
+inline constexpr monotonic_ms kAnswerSettledMs = 200;
 
 template <call_protocol Protocol>
 auto relay<Protocol>::Handle(http_exchange& exchange) -> void {
@@ -118,6 +124,12 @@
     Refuse(refusal::kStopping, "");
     return false;
   }
+  crash_candidates_ = CrashCandidates(
+      call_, match_.customer == nullptr ? "" : match_.customer->name, request);
+  if (IsQuarantined()) {
+    Refuse(refusal::kQuarantined, "");
+    return false;
+  }
   service_ = ChooseService(item, MixBits(Hash64(call_.id)));
   // All requests of a session use the same version of a service.
   session_hash_ =
@@ -146,6 +158,20 @@
          (item.kind == route_kind::kStream && item.resumable);
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::IsQuarantined() -> bool {
+  return state_.crashes.QuarantinedKey(crash_candidates_).has_value();
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::RecordBroken(const server_handle& server,
+                                          const http_call_error& failure)
+    -> void {
+  if (failure.timed_out() || is_settled_ || server->listed.leaving) return;
+  ++broken_unanswered_;
+  state_.crashes.RecordBroken(server, crash_candidates_);
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::IsReachable(const server_handle& server) const
     -> bool {
@@ -301,7 +327,10 @@
 auto relayed_call<Protocol>::AllowsAnotherAttempt(attempt_result result)
     -> bool {
   const auto& item = *match_.matched_route;
-  if (sends_ >= kMaxSends) return false;
+  if (sends_ >= kMaxSends || broken_unanswered_ >= kMaxBrokenUnanswered ||
+      IsQuarantined()) {
+    return false;
+  }
   // A failed connection adds no load to the servers.
   if (result == attempt_result::kNotReached) return true;
   // EscalateIfUncertain has counted this retry in the budget already.
@@ -397,6 +426,8 @@
   auto result = attempt_result::kMaybeRun;
   attempt_reason_.clear();
   was_sent_ = false;
+  first_event_ms_.reset();
+  is_settled_ = false;
   tried_servers_.push_back(server->listed.id);
   ++sends_;
   ++server->in_flight;
@@ -487,6 +518,7 @@
     attempt_reason_ = "the zone of the server is lost";
     return attempt_result::kMaybeRun;
   }
+  RecordBroken(server, *failure);
   server->health.RecordFailure(now);
   if (failure->timed_out()) state_.prober.ProbeOnce(server);
   state_.pool.Drop(server->listed.id);
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -35,6 +35,7 @@
   kExpired,        ///< the time limit passed before it was sent
   kBadGateway,     ///< it may have run; the answer is lost
   kTimeout,        ///< it may have run; the time limit passed
+  kQuarantined,    ///< requests like it crash the servers
 };
 
 struct refusal_answer {
@@ -106,6 +107,12 @@
   auto PickServer() -> server_handle;
   auto IsReachable(const server_handle& server) const -> bool;
   auto MayRepeat() const -> bool;
+  /// Whether the call, or a part of its prompt, is known to crash servers.
+  auto IsQuarantined() -> bool;
+  /// Called when an attempt has failed. Servers may have crashed by calls that
+  /// they had not begun to answer.
+  auto RecordBroken(const server_handle& server, const http_call_error& failure)
+      -> void;
   /// Whether the call can be expected to end before `stop_ms`; see EndsBefore.
   auto CanEndBefore(monotonic_ms stop_ms) const -> bool;
   /// The work of the call's prompt on the current model; nothing if the route
@@ -133,6 +140,9 @@
   auto TierKey() const -> std::pair<std::string, std::string>;
   auto Deadlines(bool for_stream_body) const -> http_deadlines;
   auto CountFirstEvent(const server_handle& server) -> void;
+  /// Called when the server has outlived the begin of the answer, or the answer
+  /// is complete: the call does not crash servers.
+  auto RecordSettled() -> void;
   /// Records the time from the request to the first event, or to the complete
   /// answer if it is not a stream.
   auto RecordAnswerTime() -> void;
@@ -157,6 +167,11 @@
   std::uint32_t runs_ = 0;   ///< attempts that a server may have run
   std::uint32_t sends_ = 0;  ///< all attempts; see kMaxSends
   bool was_sent_ = false;    ///< the current attempt has begun to send
+  /// When the first event of the current attempt's answer arrived.
+  std::optional<monotonic_ms> first_event_ms_;
+  bool is_settled_ = false;  ///< see RecordSettled
+  std::vector<crash_candidate> crash_candidates_;
+  std::uint32_t broken_unanswered_ = 0;  ///< attempts; see RecordBroken
   std::vector<std::string> tried_servers_;
   bool may_have_run_ = false;
   bool caller_disconnected_ = false;
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -79,6 +79,8 @@
     -> attempt_result {
   auto body = connection_->ReadAll(Deadlines(false), exchange_.yield());
   const bool is_failure = head.status >= 500;
+  first_event_ms_ = clock_.Now();
+  RecordSettled();
   CountAnswer(server, is_failure);
   RecordAnswerTime();
   if (is_failure || exchange_.HasStarted()) {
@@ -104,9 +106,13 @@
     if (bytes.empty()) break;
     const auto events = events_.Feed(bytes);
     if (events.empty()) continue;
-    if (!has_first_event) CountFirstEvent(server);
+    if (!has_first_event) {
+      CountFirstEvent(server);
+      first_event_ms_ = clock_.Now();
+    }
     ReleasePromptWork();
     has_first_event = true;
+    if (clock_.Now() - *first_event_ms_ >= kAnswerSettledMs) RecordSettled();
     if (!exchange_.HasStarted()) {
       exchange_.StartStream(head.status, head.content_type, head.headers);
     }
@@ -120,6 +126,12 @@
     exchange_.StartStream(head.status, head.content_type, head.headers);
   }
   exchange_.EndStream();
+  if (has_first_event) {
+    RecordSettled();
+  } else {
+    // Without a length, the end of an empty answer may be a crash.
+    state_.crashes.RecordBroken(server, crash_candidates_);
+  }
   LogOutcome("streamed", head.status, "");
   return attempt_result::kAnswered;
 }
@@ -146,6 +158,13 @@
   RecordAnswerTime();
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::RecordSettled() -> void {
+  if (is_settled_) return;
+  is_settled_ = true;
+  state_.crashes.RecordAnswered(crash_candidates_, *first_event_ms_);
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::RecordAnswerTime() -> void {
   const auto now = clock_.Now();
@@ -168,7 +187,9 @@
   }
   const bool is_late = RemainingMs() < kMinUsefulMs;
   const auto& servers = state_.servers.Servers(service_);
-  if (may_have_run_) {
+  if (!may_have_run_ && IsQuarantined()) {
+    Refuse(refusal::kQuarantined, attempt_reason_);
+  } else if (may_have_run_) {
     Refuse(is_late ? refusal::kTimeout : refusal::kBadGateway, attempt_reason_);
   } else if (is_late) {
     Refuse(refusal::kExpired, attempt_reason_);
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -11,6 +11,7 @@
 #include "lovagedale/common/latency_histogram.h"
 #include "lovagedale/configuration/fleet_view.h"
 #include "lovagedale/relay/connection_pool.h"
+#include "lovagedale/relay/crash_monitor.h"
 #include "lovagedale/relay/log_budget.h"
 #include "lovagedale/relay/recent_durations.h"
 #include "lovagedale/relay/retry_budget.h"
@@ -67,6 +68,7 @@
         settings(std::move(settings)),
         prober(context, servers),
         pool(context, kServerDeadAfter),
+        crashes(context),
         retries(this->settings.retry_ratio, this->settings.retry_window_ms,
                 this->settings.retry_floor),
         random(std::random_device{}()),
@@ -81,6 +83,7 @@
   server_table servers;
   server_prober prober;
   connection_pool pool;
+  crash_monitor crashes;
   retry_budget retries;
   tier_table tiers;
   std::mt19937_64 random;
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -39,6 +39,11 @@
   auto FallbackListLoop(boost::asio::yield_context yield) -> void;
   /// Heartbeats to followers omit what only the leader uses.
   auto MakeHeartbeat(bool to_leader) -> entry_heartbeat;
+  /// Sends a heartbeat to a control replica and returns its response.
+  auto Exchange(rpc_channel& channel, boost::asio::yield_context yield)
+      -> heartbeat_response;
+  /// Sends the leader a heartbeat at once.
+  auto ReportCrashes() -> void;
   /// Applies the routes, control replicas, loads and servers of a response.
   auto Adopt(const heartbeat_response& response) -> void;
 
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -1,6 +1,7 @@
 #include "lovagedale/control/service.h"
 
 #include <algorithm>
+#include <set>
 
 #include "lovagedale/common/codec.h"
 #include "lovagedale/common/fiber_event.h"
@@ -34,6 +35,9 @@
 constexpr std::chrono::milliseconds kJoinPeriod{300};
 constexpr std::chrono::milliseconds kJoinTimeout{500};
 constexpr std::int64_t kQuarantineDurationMs = 60LL * 60 * 1'000;
+/// A suspect is quarantined only after the entries have known it for this time:
+/// they answer sound requests, which clear it, more often.
+constexpr monotonic_ms kSuspectObservationMs = 600;
 
 auto WrapEnvelope(const replica_envelope& envelope) -> std::string {
   return Encode(control_request(envelope));
@@ -206,19 +210,51 @@
         .With("server", report.server)
         .With("entry", heartbeat.node)
         .With("report", report.report_id)
-        .With("suspects", report.fingerprints.size());
-    const auto to_quarantine = crashes_.ReportCrash(
-        report.report_id, report.server, report.fingerprints, now);
-    for (const auto fingerprint : to_quarantine) {
-      ProposeAutomaticChange(
-          "quarantine/" + report.report_id + "/" + ToHex(fingerprint),
-          set_quarantine{fingerprint, kQuarantineDurationMs,
-                         "ran on two servers that crashed"},
-          "ran on two servers that crashed");
+        .With("candidates", report.candidates.size());
+    crashes_.ReportCrash(report, now);
+  }
+  const auto& quarantines = machine_.view().quarantines;
+  for (const auto key : heartbeat.cleared_suspects) {
+    crashes_.Clear(key, now);
+    const auto in_force = std::find_if(
+        quarantines.begin(), quarantines.end(),
+        [&](const quarantine& item) { return item.fingerprint == key; });
+    if (in_force == quarantines.end()) continue;
+    ProposeLift(*in_force, "a request with it was answered");
+  }
+}
+
+auto control_service::ProposeLift(const quarantine& item,
+                                  const std::string& reason) -> void {
+  if (!node_.HasLease()) return;
+  ProposeAutomaticChange(
+      "lift/" + ToHex(item.fingerprint) + "/" + std::to_string(item.until_ms),
+      lift_quarantine{item.fingerprint}, reason);
+}
+
+auto control_service::QuarantineCrashers() -> void {
+  const auto now = clock_.Now();
+  const auto wall_ms = WallClockMs();
+  std::set<crash_key> in_force;
+  for (const auto& item : machine_.view().quarantines) {
+    if (item.until_ms > wall_ms) {
+      in_force.insert(item.fingerprint);
+    } else {
+      ProposeLift(item, "its time has passed");
     }
   }
-  for (const auto hash : heartbeat.cleared_fingerprints) crashes_.Clear(hash);
   crashes_.Expire(now);
+  if (crashes_.crashes() == 0) return;
+  for (const auto& finding : crashes_.Decide(
+           in_force, kSuspectObservationMs + LoadExchangePeriod(), now)) {
+    const auto key = ToHex(finding.candidate.key);
+    const auto reason = "unanswered at " + std::to_string(finding.crashes) +
+                        " crashes of servers";
+    ProposeAutomaticChange(
+        "quarantine/" + key + "/" + std::to_string(wall_ms),
+        set_quarantine{finding.candidate.key, kQuarantineDurationMs, reason},
+        reason);
+  }
 }
 
 auto control_service::Answer(const deferred_heartbeat& due) -> void {
@@ -241,6 +277,7 @@
     if (response.is_leader) {
       if (HasStaleList(due.heartbeat)) response.relay->servers = feed_.list();
       response.relay->loads = loads_.Total(clock_.Now());
+      response.relay->suspects = crashes_.SharedSuspects();
     }
   }
   const bool is_registered = machine_.entries().contains(due.heartbeat.node);
@@ -314,6 +351,7 @@
   AnswerDeferred(/*all=*/has_new_revision || !tracker_);
   TrackServiceRollouts();
   if (!tracker_) return;
+  QuarantineCrashers();
   EvaluateRollouts();
   EvaluateServiceRollouts();
   SendEngineOrders();
@@ -364,6 +402,7 @@
     tracker_.reset();
     limit_allocator_.reset();
     requests_at_stage_start_.clear();
+    crashes_ = {};
   }
 }
 
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -283,7 +283,7 @@
 auto control_link::ReportCleared(std::uint64_t fingerprint) -> void {
   asio::post(context_, [this, fingerprint] {
     auto heartbeat = MakeHeartbeat(/*with_evidence=*/false);
-    heartbeat.cleared_fingerprints = {fingerprint};
+    heartbeat.cleared_suspects = {fingerprint};
     SendUrgent(std::move(heartbeat));
   });
 }
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -316,9 +316,10 @@
   // The first request to detect the crash reports all that were running there.
   if (state.ejected_until.exchange(now + kCrashEjectionMs) <= now) {
     context_.metrics->Count(entry_counter::kServerCrashes);
-    crash_report report{state.name(), state.Running(), context_.NewRequestId()};
-    for (const auto fingerprint : report.fingerprints) {
+    crash_report report{state.name(), {}, context_.NewRequestId()};
+    for (const auto fingerprint : state.Running()) {
       context_.state.suspects.Add(fingerprint);
+      report.candidates.push_back({fingerprint});
     }
     context_.state.report_crash(std::move(report));
   }
--- a/src/health/crash_attribution.cpp
+++ b/src/health/crash_attribution.cpp
@@ -1,51 +1,159 @@
 #include "lovagedale/health/crash_attribution.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
+#include <tuple>
 
 namespace lovagedale {
+namespace {
 
-auto crash_attribution::ReportCrash(
-    const std::string& report_id, const std::string& server,
-    const std::vector<request_fingerprint>& running, monotonic_ms now)
-    -> std::vector<request_fingerprint> {
-  std::vector<request_fingerprint> to_quarantine;
-  if (!report_times_.emplace(report_id, now).second) return to_quarantine;
-  for (const auto fingerprint : running) {
-    auto& suspect = suspects_[fingerprint];
-    suspect.last_crash_at = now;
-    const bool is_same_crash = std::any_of(
-        suspect.crashes.begin(), suspect.crashes.end(), [&](const auto& crash) {
-          return crash.server == server && now - crash.at < kCrashMergeWindowMs;
-        });
-    if (is_same_crash) continue;
-    suspect.crashes.push_back({server, now});
-    if (suspect.crashes.size() >= kCrashesToQuarantine) {
-      to_quarantine.push_back(fingerprint);
+auto IsShared(const crash_candidate& candidate) -> bool {
+  return candidate.specificity != crash_candidate::kUniqueRequest;
+}
+
+}  // namespace
+
+auto crash_attribution::ReportCrash(const crash_report& report,
+                                    monotonic_ms now) -> void {
+  if (!report_times_.emplace(report.report_id, now).second) return;
+  last_report_at_ = now;
+  auto crash = std::find_if(crashes_.begin(), crashes_.end(),
+                            [&](const server_crash& item) {
+                              return item.server == report.server &&
+                                     now - item.at < kCrashMergeWindowMs;
+                            });
+  if (crash == crashes_.end()) {
+    if (crashes_.size() == kMaxCrashes) crashes_.pop_front();
+    crashes_.push_back({report.server, now, {}, false});
+    crash = std::prev(crashes_.end());
+  }
+  for (const auto& candidate : report.candidates) {
+    const auto cleared = cleared_at_.find(candidate.key);
+    if (cleared != cleared_at_.end() && cleared->second >= crash->at) continue;
+    crash->candidates.insert(candidate);
+  }
+}
+
+auto crash_attribution::Clear(crash_key key, monotonic_ms now) -> void {
+  Erase(key);
+  std::erase(shared_suspects_, key);
+  cleared_at_[key] = now;
+}
+
+auto crash_attribution::Erase(crash_key key) -> void {
+  for (auto& crash : crashes_) {
+    std::erase_if(crash.candidates, [&](const crash_candidate& candidate) {
+      return candidate.key == key;
+    });
+  }
+}
+
+auto crash_attribution::UpdateExplained(const std::set<crash_key>& quarantined)
+    -> void {
+  for (auto& crash : crashes_) {
+    crash.is_explained =
+        std::any_of(crash.candidates.begin(), crash.candidates.end(),
+                    [&](const crash_candidate& candidate) {
+                      return quarantined.contains(candidate.key);
+                    });
+  }
+}
+
+auto crash_attribution::CountCrashes() const
+    -> std::map<crash_candidate, tally> {
+  std::map<crash_candidate, tally> tallies;
+  for (const auto& crash : crashes_) {
+    for (const auto& candidate : crash.candidates) {
+      auto& counts = tallies[candidate];
+      const bool is_simultaneous = counts.total > 0 && IsShared(candidate) &&
+                                   crash.at - counts.last_at < kSimultaneousMs;
+      if (is_simultaneous) continue;
+      ++counts.total;
+      counts.last_at = crash.at;
+      if (crash.is_explained) continue;
+      if (counts.unexplained++ == 0) counts.first_at = crash.at;
     }
   }
-  for (const auto fingerprint : to_quarantine) suspects_.erase(fingerprint);
-  return to_quarantine;
+  return tallies;
 }
 
-auto crash_attribution::Clear(request_fingerprint fingerprint) -> void {
-  suspects_.erase(fingerprint);
+auto crash_attribution::Decide(const std::set<crash_key>& in_force,
+                               monotonic_ms observation_ms, monotonic_ms now)
+    -> std::vector<crash_finding> {
+  // A quarantine that was lifted is not set again for the same crashes.
+  for (const auto key : in_force_) {
+    if (!in_force.contains(key)) Clear(key, now);
+  }
+  if (now - last_report_at_ > kActiveMs && in_force == in_force_) return {};
+  in_force_ = in_force;
+  std::erase_if(proposed_at_, [&](const auto& item) {
+    return now - item.second > kProposalLifetimeMs;
+  });
+  auto quarantined = in_force;
+  for (const auto& [key, at] : proposed_at_) quarantined.insert(key);
+  std::vector<crash_finding> findings;
+  for (;;) {
+    UpdateExplained(quarantined);
+    std::optional<crash_candidate> best;
+    std::tuple<std::size_t, std::size_t, std::uint8_t> best_rank;
+    tally best_tally;
+    for (const auto& [candidate, counts] : CountCrashes()) {
+      const std::tuple rank(counts.unexplained, counts.total,
+                            candidate.specificity);
+      if (best && rank <= best_rank) continue;
+      best = candidate;
+      best_rank = rank;
+      best_tally = counts;
+    }
+    if (!best) break;
+    const auto needed = IsShared(*best) ? kCrashesToQuarantineShared
+                                        : kCrashesToQuarantineUnique;
+    // While the likeliest key may still be cleared, no other one is blamed.
+    if (best_tally.unexplained < needed ||
+        now - best_tally.first_at < observation_ms) {
+      break;
+    }
+    findings.push_back({*best, best_tally.unexplained});
+    proposed_at_[best->key] = now;
+    quarantined.insert(best->key);
+  }
+  UpdateSharedSuspects();
+  return findings;
 }
 
-auto crash_attribution::suspects() const -> std::vector<request_fingerprint> {
-  std::vector<request_fingerprint> fingerprints;
-  for (const auto& [fingerprint, suspect] : suspects_) {
-    fingerprints.push_back(fingerprint);
+auto crash_attribution::UpdateSharedSuspects() -> void {
+  std::vector<std::pair<std::size_t, crash_key>> ranked;
+  for (const auto& [candidate, counts] : CountCrashes()) {
+    if (counts.unexplained == 0 || !IsShared(candidate)) continue;
+    ranked.emplace_back(counts.unexplained, candidate.key);
   }
-  return fingerprints;
+  std::sort(ranked.rbegin(), ranked.rend());
+  ranked.resize(std::min(ranked.size(), kMaxSuspects));
+  shared_suspects_.clear();
+  for (const auto& [count, key] : ranked) shared_suspects_.push_back(key);
+}
+
+auto crash_attribution::IsSuspect(crash_key key) const -> bool {
+  return std::any_of(
+      crashes_.begin(), crashes_.end(), [&](const server_crash& crash) {
+        return std::any_of(crash.candidates.begin(), crash.candidates.end(),
+                           [&](const crash_candidate& candidate) {
+                             return candidate.key == key;
+                           });
+      });
 }
 
 auto crash_attribution::Expire(monotonic_ms now) -> void {
-  std::erase_if(suspects_, [&](const auto& item) {
-    return now - item.second.last_crash_at > kSuspicionLifetimeMs;
+  std::erase_if(crashes_, [&](const server_crash& crash) {
+    return now - crash.at > kSuspicionLifetimeMs;
   });
   std::erase_if(report_times_, [&](const auto& item) {
     return now - item.second > kSuspicionLifetimeMs;
   });
+  std::erase_if(cleared_at_, [&](const auto& item) {
+    return now - item.second > kCrashMergeWindowMs;
+  });
 }
 
 }  // namespace lovagedale
--- /dev/null
+++ b/src/relay/crash_monitor.cpp
@@ -0,0 +1,193 @@
+#include "lovagedale/relay/crash_monitor.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "lovagedale/common/fiber_event.h"
+#include "lovagedale/common/hash.h"
+#include "lovagedale/common/log.h"
+#include "lovagedale/common/spawn.h"
+#include "lovagedale/relay/connection_pool.h"
+
+namespace lovagedale {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+/// Separates the keys of prompt parts from those of requests.
+constexpr std::uint64_t kPartSalt = 0x70726f6d70742d70;
+/// Shared parts of one prompt that are considered, from its end.
+constexpr std::size_t kMaxParts = 16;
+/// A process that ends closes its connections before its listening socket.
+constexpr std::array<std::chrono::milliseconds, 2> kConfirmDelays{
+    std::chrono::milliseconds(20), std::chrono::milliseconds(100)};
+/// Own evidence is used after a suspect could be cleared for this time.
+constexpr monotonic_ms kOwnObservationMs = 600;
+constexpr monotonic_ms kOwnQuarantineMs = 60'000;
+constexpr monotonic_ms kOwnDecisionPeriodMs = 100;
+/// How long this entry looks for answers that clear its own suspects.
+constexpr monotonic_ms kOwnSuspectLifetimeMs = 30'000;
+/// Reports that are sent to a new leader, whose record of crashes is empty.
+constexpr std::size_t kMaxReports = 16;
+constexpr monotonic_ms kReportMaxAgeMs = 15'000;
+
+}  // namespace
+
+auto CrashCandidates(const call_request& call, const std::string& customer,
+                     const http_request& request)
+    -> std::vector<crash_candidate> {
+  std::vector<crash_candidate> candidates;
+  const auto shared = call.parts.empty() ? 0 : call.parts.size() - 1;
+  const auto first = shared - std::min(shared, kMaxParts);
+  for (auto i = first; i < shared; ++i) {
+    candidates.push_back({MixBits(call.parts[i].id ^ kPartSalt),
+                          static_cast<std::uint8_t>(i - first)});
+  }
+  candidates.push_back(
+      {HashFields(customer, request.method, request.target, request.body),
+       static_cast<std::uint8_t>(kMaxParts)});
+  return candidates;
+}
+
+auto crash_monitor::SetSuspects(const std::vector<crash_key>& keys) -> void {
+  const auto now = clock_.Now();
+  std::erase_if(suspects_, [&](const auto& item) {
+    return now - item.second > kOwnSuspectLifetimeMs &&
+           std::find(keys.begin(), keys.end(), item.first) == keys.end();
+  });
+  for (const auto key : keys) suspects_.try_emplace(key, now);
+}
+
+auto crash_monitor::QuarantinedKey(
+    const std::vector<crash_candidate>& candidates)
+    -> std::optional<crash_key> {
+  UpdateOwnQuarantines();
+  for (const auto& candidate : candidates) {
+    if (!IsQuarantined(candidate.key)) continue;
+    const auto own = own_quarantines_.find(candidate.key);
+    if (own != own_quarantines_.end()) {
+      own->second = clock_.Now() + kOwnQuarantineMs;
+    }
+    return candidate.key;
+  }
+  return std::nullopt;
+}
+
+auto crash_monitor::UpdateOwnQuarantines() -> void {
+  if (attribution_.crashes() == 0 && own_quarantines_.empty()) return;
+  const auto now = clock_.Now();
+  if (now < next_decision_ms_) return;
+  next_decision_ms_ = now + kOwnDecisionPeriodMs;
+  attribution_.Expire(now);
+  std::erase_if(own_quarantines_,
+                [&](const auto& item) { return item.second <= now; });
+  auto in_force = quarantined_;
+  for (const auto& [key, until_ms] : own_quarantines_) in_force.insert(key);
+  for (const auto& finding :
+       attribution_.Decide(in_force, kOwnObservationMs, now)) {
+    own_quarantines_[finding.candidate.key] = now + kOwnQuarantineMs;
+    log_line(log_level::kWarning, "quarantined_by_own_evidence")
+        .With("key", ToHex(finding.candidate.key))
+        .With("crashes", finding.crashes);
+  }
+}
+
+auto crash_monitor::RecordBroken(const server_handle& server,
+                                 const std::vector<crash_candidate>& candidates)
+    -> void {
+  const auto [item, is_first] = unconfirmed_.try_emplace(server->listed.id);
+  item->second.insert(candidates.begin(), candidates.end());
+  if (!is_first) return;
+  SpawnTask(context_, [this, server](asio::yield_context yield) {
+    ConfirmCrash(server, yield);
+  });
+}
+
+auto crash_monitor::ConfirmCrash(const server_handle& server,
+                                 asio::yield_context yield) -> void {
+  boost::system::error_code error;
+  for (const auto delay : kConfirmDelays) {
+    Pause(context_.get_executor(), delay, yield);
+    boost::beast::tcp_stream stream(context_);
+    const auto ip = asio::ip::make_address(server->listed.host, error);
+    if (error) break;
+    stream.expires_after(kServerConnectTimeout);
+    stream.async_connect(tcp::endpoint(ip, server->listed.port), yield[error]);
+    if (error == asio::error::connection_refused) break;
+  }
+  const auto found = unconfirmed_.find(server->listed.id);
+  const auto candidates = std::move(found->second);
+  unconfirmed_.erase(found);
+  if (error != asio::error::connection_refused) return;
+  Report(server, candidates);
+}
+
+auto crash_monitor::Report(const server_handle& server,
+                           const std::set<crash_candidate>& candidates)
+    -> void {
+  const auto now = clock_.Now();
+  ++crash_count_;
+  crash_report report{server->listed.id, {}, ToHex(random_())};
+  for (const auto& candidate : candidates) {
+    if (report.candidates.size() == crash_attribution::kMaxCandidates) break;
+    report.candidates.push_back(candidate);
+    suspects_.try_emplace(candidate.key, now);
+  }
+  log_line(log_level::kWarning, "server_crash_detected")
+      .With("server", report.server)
+      .With("report", report.report_id)
+      .With("candidates", report.candidates.size())
+      .With("left_out", candidates.size() - report.candidates.size());
+  attribution_.ReportCrash(report, now);
+  if (reports_.size() == kMaxReports) reports_.pop_front();
+  reports_.push_back({std::move(report), now, ""});
+  if (on_report_) on_report_();
+}
+
+auto crash_monitor::RecordAnswered(
+    const std::vector<crash_candidate>& candidates, monotonic_ms first_event_ms)
+    -> void {
+  if (suspects_.empty()) return;
+  for (const auto& candidate : candidates) {
+    const auto suspect = suspects_.find(candidate.key);
+    if (suspect == suspects_.end() || first_event_ms < suspect->second) {
+      continue;
+    }
+    suspects_.erase(suspect);
+    attribution_.Clear(candidate.key, clock_.Now());
+    own_quarantines_.erase(candidate.key);
+    cleared_.insert(candidate.key);
+  }
+}
+
+auto crash_monitor::UnacknowledgedReports(const std::string& leader) const
+    -> std::vector<crash_report> {
+  std::vector<crash_report> reports;
+  const auto oldest_ms = clock_.Now() - kReportMaxAgeMs;
+  for (const auto& item : reports_) {
+    if (item.at < oldest_ms || item.acknowledged_by == leader) continue;
+    reports.push_back(item.report);
+  }
+  return reports;
+}
+
+auto crash_monitor::Acknowledge(const std::vector<crash_report>& reports,
+                                const std::string& leader) -> void {
+  for (auto& item : reports_) {
+    if (std::find(reports.begin(), reports.end(), item.report) !=
+        reports.end()) {
+      item.acknowledged_by = leader;
+    }
+  }
+}
+
+auto crash_monitor::TakeCleared() -> std::vector<crash_key> {
+  const std::vector<crash_key> keys(cleared_.begin(), cleared_.end());
+  cleared_.clear();
+  return keys;
+}
+
+}  // namespace lovagedale
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -48,6 +48,8 @@
       return {502, "answer_lost", std::nullopt};
     case refusal::kTimeout:
       return {504, "timeout", std::nullopt};
+    case refusal::kQuarantined:
+      return {503, "quarantined", kUnreachableSeconds};
   }
   return {500, "internal", std::nullopt};
 }
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -1,6 +1,7 @@
 #include "lovagedale/route_entry/fleet_link.h"
 
 #include <algorithm>
+#include <set>
 
 #include "lovagedale/common/codec.h"
 #include "lovagedale/common/fiber_event.h"
@@ -49,6 +50,7 @@
 
 auto fleet_link::Start() -> void {
   AddSeeds(settings_.seeds);
+  state_.crashes.SetReportHandler([this] { ReportCrashes(); });
   if (source_) {
     SpawnTask(context_,
               [this](asio::yield_context yield) { FallbackListLoop(yield); });
@@ -86,6 +88,8 @@
   if (to_leader) {
     heartbeat.relay->answers = state_.answers;
     heartbeat.relay->loads = state_.servers.OwnLoads();
+    heartbeat.crashes = state_.crashes.UnacknowledgedReports(leader_);
+    heartbeat.cleared_suspects = state_.crashes.TakeCleared();
   }
   return heartbeat;
 }
@@ -98,9 +102,7 @@
     auto period = kUnreachablePeriod;
     std::string failure;
     try {
-      const auto response = Decode<heartbeat_response>(
-          channel.Call(Encode(control_request(MakeHeartbeat(leader_ == name))),
-                       kHeartbeatTimeout, yield));
+      const auto response = Exchange(channel, yield);
       period = response.is_leader ? kLeaderPeriod
                : leader_.empty()  ? kSearchPeriod
                                   : kFollowerPeriod;
@@ -129,6 +131,35 @@
   }
 }
 
+auto fleet_link::Exchange(rpc_channel& channel, asio::yield_context yield)
+    -> heartbeat_response {
+  const auto& name = channel.address().name;
+  const auto heartbeat = MakeHeartbeat(leader_ == name);
+  auto response = Decode<heartbeat_response>(channel.Call(
+      Encode(control_request(heartbeat)), kHeartbeatTimeout, yield));
+  if (response.is_leader) {
+    state_.crashes.Acknowledge(heartbeat.crashes, name);
+  }
+  return response;
+}
+
+auto fleet_link::ReportCrashes() -> void {
+  const auto leader = replicas_.find(leader_);
+  if (leader == replicas_.end() || leaving_) return;
+  // The regular heartbeat may be waiting for its response.
+  SpawnTask(context_,
+            [this, &channel = *leader->second](asio::yield_context yield) {
+              try {
+                Adopt(Exchange(channel, yield));
+              } catch (const std::exception& error) {
+                // The next regular heartbeat repeats the report.
+                log_line(log_level::kInfo, "crash_report_not_sent")
+                    .With("replica", channel.address().name)
+                    .With("reason", error.what());
+              }
+            });
+}
+
 auto fleet_link::Adopt(const heartbeat_response& response) -> void {
   const auto revision = state_.view ? state_.view->revision : 0;
   if (response.view && response.view->revision > revision) {
@@ -137,9 +168,15 @@
         .With("revision", state_.view->revision)
         .With("version", state_.view->routes.version())
         .With("routes", state_.view->routes.config().routes.size());
+    std::set<crash_key> quarantined;
+    for (const auto& item : response.view->quarantines) {
+      quarantined.insert(item.fingerprint);
+    }
+    state_.crashes.SetQuarantined(std::move(quarantined));
     on_routes_changed_();
   }
   if (!response.relay) return;
+  if (response.is_leader) state_.crashes.SetSuspects(response.relay->suspects);
   const auto& replicas = response.relay->replicas;
   if (!replicas.empty()) replicas_hash_ = HashReplicas(replicas);
   for (const auto& replica : replicas) AddReplica(replica);
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -50,9 +50,12 @@
   auto suppressed = MakeMetricFamily("lovagedale_log_lines_left_out_total",
                                      MetricType::Counter);
   AddMetricValue(suppressed, static_cast<double>(state.log.suppressed()));
-  return prometheus::TextSerializer().Serialize({calls, attempts, durations,
-                                                 first_events, ejected, active,
-                                                 revision, list, suppressed});
+  auto crashes = MakeMetricFamily("lovagedale_server_crashes_detected_total",
+                                  MetricType::Counter);
+  AddMetricValue(crashes, static_cast<double>(state.crashes.crashes()));
+  return prometheus::TextSerializer().Serialize(
+      {calls, attempts, durations, first_events, ejected, active, revision,
+       list, suppressed, crashes});
 }
 
 }  // namespace lovagedale
--- a/tests/health/crash_attribution_test.cpp
+++ b/tests/health/crash_attribution_test.cpp
@@ -1,45 +1,206 @@
 #include "lovagedale/health/crash_attribution.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "lovagedale/common/codec.h"
+#include "lovagedale/control/messages.h"
 
 namespace lovagedale::testing {
+namespace {
+
+constexpr monotonic_ms kObservationMs = 1'000;
+
+auto Unique(const std::vector<crash_key>& keys)
+    -> std::vector<crash_candidate> {
+  std::vector<crash_candidate> candidates;
+  for (const auto key : keys) candidates.push_back({key});
+  return candidates;
+}
+
+/// Candidates of one request whose prompt has these shared parts.
+auto Parts(const std::vector<crash_key>& keys) -> std::vector<crash_candidate> {
+  std::vector<crash_candidate> candidates;
+  for (std::size_t i = 0; i < keys.size(); ++i) {
+    candidates.push_back({keys[i], static_cast<std::uint8_t>(i)});
+  }
+  return candidates;
+}
+
+auto Decide(crash_attribution& crashes, monotonic_ms now,
+            const std::set<crash_key>& in_force = {})
+    -> std::vector<crash_key> {
+  std::vector<crash_key> keys;
+  for (const auto& finding : crashes.Decide(in_force, kObservationMs, now)) {
+    keys.push_back(finding.candidate.key);
+  }
+  return keys;
+}
+
+using keys = std::vector<crash_key>;
+
+}  // namespace
 
 TEST_CASE("a request is to be quarantined after its second crash") {
   crash_attribution crashes;
-  CHECK(crashes.ReportCrash("r1", "s1", {1, 2, 3}, 0).empty());
+  crashes.ReportCrash({"s1", Unique({1, 2, 3}), "r1"}, 0);
+  CHECK(Decide(crashes, 4'000).empty());
   CHECK(crashes.IsSuspect(2));
-  CHECK(crashes.ReportCrash("r2", "s2", {2, 9}, 5'000) ==
-        std::vector<request_fingerprint>{2});
-  CHECK_FALSE(crashes.IsSuspect(2));
+  crashes.ReportCrash({"s2", Unique({2, 9}), "r2"}, 5'000);
+  CHECK(Decide(crashes, 5'000) == keys{2});
+  CHECK(Decide(crashes, 5'000).empty());
   CHECK(crashes.IsSuspect(9));
 }
 
 TEST_CASE("a crash that several entries report counts once") {
   crash_attribution crashes;
-  CHECK(crashes.ReportCrash("entry-a/1", "s1", {1}, 0).empty());
-  CHECK(crashes.ReportCrash("entry-b/1", "s1", {1}, 50).empty());
-  CHECK(crashes.ReportCrash("entry-a/1", "s1", {1}, 60'000).empty());
+  crashes.ReportCrash({"s1", Unique({1}), "entry-a/1"}, 0);
+  crashes.ReportCrash({"s1", Unique({1}), "entry-b/1"}, 50);
+  CHECK(Decide(crashes, 4'000).empty());
+  crashes.ReportCrash({"s1", Unique({1}), "entry-a/1"}, 60'000);
+  CHECK(Decide(crashes, 60'000).empty());
 }
 
 TEST_CASE("a later crash of the same server counts again") {
   crash_attribution crashes;
-  crashes.ReportCrash("r1", "s1", {1}, 0);
-  CHECK(crashes.ReportCrash("r2", "s1", {1}, 10'000).size() == 1);
+  crashes.ReportCrash({"s1", Unique({1}), "r1"}, 0);
+  crashes.ReportCrash({"s1", Unique({1}), "r2"}, 10'000);
+  CHECK(Decide(crashes, 10'000) == keys{1});
 }
 
 TEST_CASE("a suspect that finishes elsewhere is cleared") {
   crash_attribution crashes;
-  crashes.ReportCrash("r1", "s1", {1, 2}, 0);
-  crashes.Clear(2);
-  CHECK(crashes.ReportCrash("r2", "s2", {1, 2}, 5'000) ==
-        std::vector<request_fingerprint>{1});
+  crashes.ReportCrash({"s1", Unique({1, 2}), "r1"}, 0);
+  crashes.Clear(2, 100);
+  // The report of another entry about the same crash arrives later.
+  crashes.ReportCrash({"s1", Unique({2}), "r1b"}, 200);
+  CHECK_FALSE(crashes.IsSuspect(2));
+  crashes.ReportCrash({"s2", Unique({1, 2}), "r2"}, 5'000);
+  CHECK(Decide(crashes, 5'000) == keys{1});
 }
 
 TEST_CASE("suspects are cleared after some time") {
   crash_attribution crashes;
-  crashes.ReportCrash("r1", "s1", {1}, 0);
+  crashes.ReportCrash({"s1", Unique({1}), "r1"}, 0);
   crashes.Expire(crash_attribution::kSuspicionLifetimeMs + 1);
-  CHECK(crashes.suspects().empty());
+  CHECK(crashes.crashes() == 0);
+  CHECK_FALSE(crashes.IsSuspect(1));
+}
+
+// Guards against a prompt part that crashes server after server while no two
+// requests with it are alike.
+TEST_CASE("a part is quarantined though the requests with it differ") {
+  crash_attribution crashes;
+  // Part 1 is shared with sound requests, part 7 crashes servers, the whole
+  // requests (100 and on) occur once each.
+  crashes.ReportCrash({"s1", Parts({1, 7, 100}), "r1"}, 0);
+  crashes.ReportCrash({"s2", Parts({1, 7, 101}), "r2"}, 400);
+  CHECK(Decide(crashes, 450).empty());
+  CHECK(crashes.SharedSuspects().size() == 4);
+  crashes.Clear(1, 600);
+  crashes.ReportCrash({"s3", Parts({1, 7, 102}), "r3"}, 800);
+  CHECK(Decide(crashes, 900).empty());
+  CHECK(Decide(crashes, 1'000) == keys{7});
+  // Further crashes by it are explained: part 1 is not blamed for them.
+  for (int i = 0; i < 5; ++i) {
+    crashes.ReportCrash({"s4" + std::to_string(i), Parts({1, 7, 110}),
+                         "r4" + std::to_string(i)},
+                        1'500 + 400 * i);
+  }
+  CHECK(Decide(crashes, 5'000, {7}).empty());
+}
+
+TEST_CASE("servers that crash together count once against a shared part") {
+  crash_attribution crashes;
+  for (int i = 0; i < 6; ++i) {
+    const auto name = std::to_string(i);
+    crashes.ReportCrash({"s" + name, Parts({1, 2}), "r" + name}, 20 * i);
+  }
+  CHECK(Decide(crashes, 2'000).empty());
+}
+
+TEST_CASE("a lifted quarantine is not set again for the same crashes") {
+  crash_attribution crashes;
+  for (int i = 0; i < 3; ++i) {
+    const auto name = std::to_string(i);
+    crashes.ReportCrash({"s" + name, Parts({1}), "r" + name}, 1'000 * i);
+  }
+  CHECK(Decide(crashes, 3'000) == keys{1});
+  CHECK(Decide(crashes, 3'100, {1}).empty());
+  CHECK(Decide(crashes, 20'000, {}).empty());
+}
+
+// Guards against blaming sound requests beside one deadly part.
+TEST_CASE("beside sound traffic only the deadly part is quarantined") {
+  rc::check([] {
+    constexpr crash_key kDeadly = 1'000;
+    const auto first_parts = *rc::gen::inRange<crash_key>(1, 5);
+    const auto subjects = *rc::gen::inRange<crash_key>(20, 300);
+    const auto others = *rc::gen::inRange<int>(0, 12);
+    const auto answers_per_s = *rc::gen::inRange<int>(20, 200);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    std::uint64_t state = seed;
+    const auto random = [&](std::uint64_t below) {
+      state = MixBits(state);
+      return state % below;
+    };
+    const auto sound_request = [&]() -> keys {
+      return {1 + random(first_parts), 100 + random(subjects)};
+    };
+    crash_attribution crashes;
+    std::set<crash_key> in_force;
+    monotonic_ms now = 0;
+    monotonic_ms crash_at = 0;
+    monotonic_ms fifth_at = -1;
+    monotonic_ms quarantined_at = -1;
+    for (int crash = 0; quarantined_at < 0 || crash < 8;) {
+      now += 50;
+      for (int i = 0; i < std::max(1, answers_per_s / 20); ++i) {
+        for (const auto key : sound_request()) crashes.Clear(key, now);
+      }
+      if (now >= crash_at && crash < 8) {
+        auto candidates = Parts({1 + random(first_parts), kDeadly});
+        for (int i = 0; i < others; ++i) {
+          for (const auto& item : Parts(sound_request())) {
+            candidates.push_back(item);
+          }
+        }
+        const auto name = std::to_string(crash);
+        crashes.ReportCrash({"s" + name, candidates, "r" + name}, now);
+        if (++crash == 5) fifth_at = now;
+        crash_at = now + 260 + static_cast<monotonic_ms>(random(600));
+      }
+      for (const auto& finding :
+           crashes.Decide(in_force, kObservationMs, now)) {
+        in_force.insert(finding.candidate.key);
+        if (finding.candidate.key == kDeadly) quarantined_at = now;
+      }
+      RC_ASSERT(now < 60'000);
+    }
+    RC_ASSERT(fifth_at < 0 || quarantined_at <= fifth_at);
+    // Sound keys are answered meanwhile, so none of them is blamed.
+    RC_ASSERT(in_force == std::set<crash_key>{kDeadly});
+  });
+}
+
+TEST_CASE("reports of crashes and lists of suspects are bounded") {
+  entry_heartbeat heartbeat;
+  const auto empty_bytes = Encode(control_request(heartbeat)).size();
+  crash_report report{"i-3565864fdc", {}, "0123456789abcdef"};
+  report.candidates.resize(crash_attribution::kMaxCandidates);
+  heartbeat.crashes = {report};
+  CHECK(Encode(control_request(heartbeat)).size() - empty_bytes <= 1'300);
+  crash_attribution crashes;
+  std::vector<crash_candidate> many;
+  for (crash_key key = 0; key < 500; ++key) many.push_back({key, 0});
+  crashes.ReportCrash({"s1", many, "r1"}, 0);
+  crashes.Decide({}, kObservationMs, 0);
+  heartbeat_response response;
+  response.relay.emplace();
+  const auto empty_response_bytes = Encode(response).size();
+  response.relay->suspects = crashes.SharedSuspects();
+  CHECK(response.relay->suspects.size() == crash_attribution::kMaxSuspects);
+  CHECK(Encode(response).size() - empty_response_bytes <= 200);
 }
 
 }  // namespace lovagedale::testing
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -16,28 +16,30 @@
 using tcp = asio::ip::tcp;
 
 /// A server whose script maps a request's head to the raw bytes of the answer;
-/// empty closes the connection at once.
+/// empty closes the connection at once. If `down_after_empty` is set, it then
+/// refuses connections for that time.
 class scripted_server {
  public:
   using script = std::function<std::string(const std::string& request)>;
 
-  explicit scripted_server(script answers)
+  explicit scripted_server(script answers,
+                           std::chrono::milliseconds down_after_empty = {})
       : answers_(std::move(answers)),
+        down_after_empty_(down_after_empty),
         acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
+        endpoint_(acceptor_.local_endpoint()),
         thread_([this] { Run(); }) {}
   ~scripted_server() {
     stopped_ = true;
     boost::system::error_code ignored;
     tcp::socket wake(context_);
-    wake.connect(acceptor_.local_endpoint(), ignored);
+    wake.connect(endpoint_, ignored);
     thread_.join();
   }
   scripted_server(const scripted_server&) = delete;
   auto operator=(const scripted_server&) -> scripted_server& = delete;
 
-  auto port() const -> std::uint16_t {
-    return acceptor_.local_endpoint().port();
-  }
+  auto port() const -> std::uint16_t { return endpoint_.port(); }
   auto requests() const -> int { return requests_; }
 
  private:
@@ -57,12 +59,22 @@
     asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
     if (error) return;
     ++requests_;
-    asio::write(socket, asio::buffer(answers_(request)), error);
+    const auto answer = answers_(request);
+    if (answer.empty() && down_after_empty_.count() > 0) {
+      acceptor_.close();
+      socket.close();
+      std::this_thread::sleep_for(down_after_empty_);
+      acceptor_ = tcp::acceptor(context_, endpoint_);
+      return;
+    }
+    asio::write(socket, asio::buffer(answer), error);
   }
 
   script answers_;
+  std::chrono::milliseconds down_after_empty_;
   asio::io_context context_;
   tcp::acceptor acceptor_;
+  const tcp::endpoint endpoint_;
   std::atomic<bool> stopped_ = false;
   std::atomic<int> requests_ = 0;
   std::thread thread_;
@@ -123,13 +135,14 @@
   auto operator=(const running_relay&) -> running_relay& = delete;
 
   auto port() const -> std::uint16_t { return server_.port(); }
-  auto Call(const header_list& headers = {}) const -> http_answer {
+  auto Call(const header_list& headers = {},
+            const std::string& body = "body") const -> http_answer {
     http_request request;
     request.method = "POST";
     request.target = "/x?y";
     request.headers = {{"Host", "h"}, {"Id", "r1"}, {"Limit", "2000"}};
     for (const auto& header : headers) request.headers.push_back(header);
-    request.body = "body";
+    request.body = body;
     return BlockingHttpCall("127.0.0.1", server_.port(), request, {});
   }
 
@@ -385,4 +398,41 @@
   server.join();
 }
 
+// Guards against a prompt part that crashes one server after the other, in
+// requests of which no two are alike.
+TEST_CASE(
+    "a prompt part that crashes servers is refused, other parts are not") {
+  std::atomic<int> deadly_requests = 0;
+  const auto script = [&](const std::string& request) -> std::string {
+    if (request.find("Parts: 17") == std::string::npos) {
+      return Answer("200 OK", "", "done");
+    }
+    ++deadly_requests;
+    return "";
+  };
+  std::vector<std::unique_ptr<scripted_server>> servers;
+  std::vector<std::uint16_t> ports;
+  for (int i = 0; i < 8; ++i) {
+    servers.push_back(std::make_unique<scripted_server>(
+        script, std::chrono::milliseconds(1'200)));
+    ports.push_back(servers.back()->port());
+  }
+  const running_relay relay(MakeRoute(route_kind::kRepeatable), ports);
+  http_answer deadly;
+  http_answer sound;
+  // Part 1 is shared, part 7 crashes servers, the last part belongs to the
+  // request.
+  for (int i = 0; i < 12; ++i) {
+    const auto body = "request " + std::to_string(i);
+    deadly = relay.Call({{"Parts", "179"}}, body);
+    sound = relay.Call({{"Parts", "129"}}, body);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  }
+  CHECK(deadly.head.status == 503);
+  CHECK(deadly.body.find("quarantined") != std::string::npos);
+  CHECK(sound.body == "done");
+  // At most five crashes, and three requests more.
+  CHECK(deadly_requests <= 8);
+}
+
 }  // namespace lovagedale::testing
--- a/tests/support/plain_protocol.h
+++ b/tests/support/plain_protocol.h
@@ -18,6 +18,10 @@
     std::int64_t limit_ms = 0;
     std::from_chars(limit.data(), limit.data() + limit.size(), limit_ms);
     if (limit_ms > 0) call.time_limit_ms = limit_ms;
+    // The ids of the prompt's parts, each of one digit.
+    for (const char digit : request.Header("Parts")) {
+      call.parts.push_back({static_cast<std::uint64_t>(digit - '0'), 1});
+    }
     return call;
   }
   auto ServerRequest(const http_request& request, const call_request& /*call*/,
