--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -48,6 +48,12 @@
 /// Delay before servers that were all full are tried again: about the duration
 /// of one request of a plain service.
 inline constexpr std::chrono::milliseconds kAllServersFullDelay{60};
+/// A call is not sent again after so many servers have closed its connection
+/// before their answers began: it may be the cause.
+inline constexpr std::uint32_t kMaxBrokenUnanswered = 2;
+/// A server that crashes by a call does so as it begins to answer: one that
+/// still runs after this time has not crashed by the call.
+inline constexpr monotonic_ms kAnswerSettledMs = 200;
 
 template <call_protocol Protocol>
 auto relay<Protocol>::Handle(http_exchange& exchange) -> void {
@@ -125,6 +131,12 @@
     Refuse(refusal::kStopping, "");
     return false;
   }
+  crash_candidates_ = CrashCandidates(
+      call_, match_.customer == nullptr ? "" : match_.customer->name, request);
+  if (IsQuarantined()) {
+    Refuse(refusal::kQuarantined, "");
+    return false;
+  }
   service_ = ChooseService(item, MixBits(Hash64(call_.id)));
   // All requests of a session use the same version of a service.
   session_hash_ =
@@ -153,6 +165,20 @@
          (item.kind == route_kind::kStream && item.resumable);
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::IsQuarantined() -> bool {
+  return state_.crashes.QuarantinedKey(crash_candidates_).has_value();
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::RecordBroken(const server_handle& server,
+                                          const http_call_error& failure)
+    -> void {
+  if (failure.timed_out() || is_settled_ || server->listed.leaving) return;
+  ++broken_unanswered_;
+  state_.crashes.RecordBroken(server, crash_candidates_);
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::IsReachable(const server_handle& server) const
     -> bool {
@@ -326,6 +352,9 @@
     -> bool {
   const auto& item = *match_.matched_route;
   const bool is_reserved = std::exchange(has_reserved_attempt_, false);
+  if (broken_unanswered_ >= kMaxBrokenUnanswered || IsQuarantined()) {
+    return false;
+  }
   if (result == attempt_result::kNotReached && exchange_.HasStarted()) {
     // Not counted: the rest of the stream waits for a server that is reached.
     --sends_;
@@ -460,6 +489,8 @@
   auto result = attempt_result::kMaybeRun;
   attempt_reason_.clear();
   was_sent_ = false;
+  first_event_ms_.reset();
+  is_settled_ = false;
   tried_servers_.push_back(server->listed.id);
   ++sends_;
   ++server->in_flight;
@@ -565,7 +596,11 @@
     return attempt_result::kMaybeRun;
   }
   const bool is_silent = given_up_ == give_up_reason::kSilent;
-  if (is_silent) attempt_reason_ = "the server is silent";
+  if (is_silent) {
+    attempt_reason_ = "the server is silent";
+  } else {
+    RecordBroken(server, *failure);
+  }
   server->health.RecordFailure(now);
   if (failure->timed_out() || is_silent) state_.prober.ProbeOnce(server);
   state_.pool.Drop(server->listed.id);
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -106,6 +106,8 @@
                                    kMaxPlainAnswerBytes, memory.get());
   if (silence_) silence_->End();
   const bool is_failure = head.status >= 500;
+  first_event_ms_ = clock_.Now();
+  RecordSettled();
   CountAnswer(server, is_failure);
   RecordAnswerTime();
   if (is_failure || exchange_.HasStarted()) {
@@ -143,7 +145,6 @@
     -> attempt_result {
   events_.Restart();
   std::uint64_t reads_with_events = 0;
-  monotonic_ms first_event_ms = 0;
   byte_reservation memory(state_.answer_memory);
   auto last_event_ms = clock_.Now();
   for (;;) {
@@ -164,11 +165,12 @@
     ++reads_with_events;
     if (reads_with_events == 1) {
       CountFirstEvent(server);
-      first_event_ms = clock_.Now();
+      first_event_ms_ = clock_.Now();
     } else if (reads_with_events == 2) {
-      CountFirstPause(server, clock_.Now() - first_event_ms);
+      CountFirstPause(server, clock_.Now() - *first_event_ms_);
     }
     ReleasePromptWork();
+    if (clock_.Now() - *first_event_ms_ >= kAnswerSettledMs) RecordSettled();
     if (!exchange_.HasStarted()) {
       exchange_.StartStream(head.status, head.content_type, head.headers);
     }
@@ -184,6 +186,12 @@
     exchange_.StartStream(head.status, head.content_type, head.headers);
   }
   exchange_.EndStream();
+  if (reads_with_events > 0) {
+    RecordSettled();
+  } else {
+    // Without a length, the end of an empty answer may be a crash.
+    state_.crashes.RecordBroken(server, crash_candidates_);
+  }
   LogOutcome("streamed", head.status, "");
   return attempt_result::kAnswered;
 }
@@ -227,6 +235,13 @@
   RecordAnswerTime();
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::RecordSettled() -> void {
+  if (is_settled_) return;
+  is_settled_ = true;
+  state_.crashes.RecordAnswered(crash_candidates_, *first_event_ms_);
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::RecordAnswerTime() -> void {
   const auto now = clock_.Now();
@@ -249,7 +264,9 @@
   }
   const bool is_late = RemainingMs() < kMinUsefulMs;
   const auto& servers = state_.servers.Servers(service_);
-  if (may_have_run_) {
+  if (!may_have_run_ && IsQuarantined()) {
+    Refuse(refusal::kQuarantined, attempt_reason_);
+  } else if (may_have_run_) {
     Refuse(is_late ? refusal::kTimeout : refusal::kBadGateway, attempt_reason_);
   } else if (is_late) {
     Refuse(refusal::kExpired, attempt_reason_);
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -47,6 +47,11 @@
       -> bool;
   /// Drops the answer counters of services whose roll-out has ended.
   auto ForgetEndedRollouts() -> void;
+  /// Sends a heartbeat to a control replica and returns its response.
+  auto Exchange(rpc_channel& channel, entry_heartbeat heartbeat,
+                boost::asio::yield_context yield) -> heartbeat_response;
+  /// Sends the leader a heartbeat at once.
+  auto ReportCrashes() -> void;
   /// Applies the routes, control replicas, loads and servers of a response.
   auto Adopt(const heartbeat_response& response, const std::string& replica)
       -> void;
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -1,6 +1,7 @@
 #include "lovagedale/route_entry/fleet_link.h"
 
 #include <algorithm>
+#include <set>
 
 #include "lovagedale/common/codec.h"
 #include "lovagedale/common/fiber_event.h"
@@ -51,6 +52,7 @@
 
 auto fleet_link::Start() -> void {
   AddSeeds(settings_.seeds);
+  state_.crashes.SetReportHandler([this] { ReportCrashes(); });
   if (source_) {
     SpawnTask(context_,
               [this](asio::yield_context yield) { FallbackListLoop(yield); });
@@ -93,6 +95,8 @@
                                            ? reported_answers_
                                            : version_answers_table{});
     heartbeat.relay->loads = state_.servers.OwnLoads();
+    heartbeat.crashes = state_.crashes.UnacknowledgedReports(leader_);
+    heartbeat.cleared_suspects = state_.crashes.TakeCleared();
   }
   return heartbeat;
 }
@@ -128,10 +132,7 @@
     if (asks) heartbeat.position = held_.position();
     if (asks_follower) sender_choice_.RecordFollowerAsked();
     try {
-      auto sent_answers = heartbeat.relay->answers;
-      const auto response = Decode<heartbeat_response>(
-          channel.Call(Encode(control_request(std::move(heartbeat))),
-                       kHeartbeatTimeout, yield));
+      const auto response = Exchange(channel, std::move(heartbeat), yield);
       told_revision = response.revision;
       is_leader = response.is_leader;
       period = is_leader         ? kLeaderPeriod
@@ -143,13 +144,6 @@
         }
         leader_ = name;
         leader_response_ms_ = clock_.Now();
-        if (answers_reported_to_ != name) {
-          reported_answers_.clear();
-          answers_reported_to_ = name;
-        }
-        for (auto& [key, counts] : sent_answers) {
-          reported_answers_[key] = std::move(counts);
-        }
       }
       Adopt(response, name);
     } catch (const std::exception& error) {
@@ -173,6 +167,44 @@
   }
 }
 
+auto fleet_link::Exchange(rpc_channel& channel, entry_heartbeat heartbeat,
+                          asio::yield_context yield) -> heartbeat_response {
+  const auto& name = channel.address().name;
+  auto sent_answers = std::move(heartbeat.relay->answers);
+  heartbeat.relay->answers = sent_answers;
+  const auto sent_crashes = heartbeat.crashes;
+  auto response = Decode<heartbeat_response>(channel.Call(
+      Encode(control_request(std::move(heartbeat))), kHeartbeatTimeout, yield));
+  if (!response.is_leader) return response;
+  state_.crashes.Acknowledge(sent_crashes, name);
+  if (answers_reported_to_ != name) {
+    reported_answers_.clear();
+    answers_reported_to_ = name;
+  }
+  for (auto& [key, counts] : sent_answers) {
+    reported_answers_[key] = std::move(counts);
+  }
+  return response;
+}
+
+auto fleet_link::ReportCrashes() -> void {
+  const auto leader = replicas_.find(leader_);
+  if (leader == replicas_.end() || leaving_) return;
+  // The regular heartbeat may be waiting for its response.
+  SpawnTask(context_, [this,
+                       &channel = *leader->second](asio::yield_context yield) {
+    const auto& name = channel.address().name;
+    try {
+      Adopt(Exchange(channel, MakeHeartbeat(/*to_leader=*/true), yield), name);
+    } catch (const std::exception& error) {
+      // The next regular heartbeat repeats the report.
+      log_line(log_level::kInfo, "crash_report_not_sent")
+          .With("replica", name)
+          .With("reason", error.what());
+    }
+  });
+}
+
 auto fleet_link::AdoptUpdate(const view_update& update,
                              const std::string& replica) -> void {
   if (update.revision <= held_.view().revision) {
@@ -207,6 +239,11 @@
       .With("form", ToString(update.form))
       .With("bytes", update.routes.size())
       .With("took_ms", clock_.Now() - started_ms);
+  std::set<crash_key> quarantined;
+  for (const auto& item : held_.view().quarantines) {
+    quarantined.insert(item.fingerprint);
+  }
+  state_.crashes.SetQuarantined(std::move(quarantined));
   on_routes_changed_();
 }
 
@@ -216,6 +253,7 @@
   sender_choice_.RecordTold(response.revision, held_.view().revision,
                             clock_.Now());
   if (!response.relay) return;
+  if (response.is_leader) state_.crashes.SetSuspects(response.relay->suspects);
   const auto& replicas = response.relay->replicas;
   if (!replicas.empty()) replicas_hash_ = HashReplicas(replicas);
   for (const auto& replica : replicas) AddReplica(replica);
