--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 
 #include "lovagedale/common/latency_histogram.h"
 #include "lovagedale/configuration/fleet_view.h"
@@ -37,11 +38,11 @@
 struct routing_view {
   explicit routing_view(const fleet_view& view)
       : routing_view(view, std::make_shared<const route_table>(view.routes)) {}
-  /// `route_table` must be that of the view's routes.
+  /// `shared_table` must be that of the view's routes.
   routing_view(const fleet_view& view,
-               std::shared_ptr<const route_table> route_table)
+               std::shared_ptr<const route_table> shared_table)
       : revision(view.revision),
-        table(std::move(route_table)),
+        table(std::move(shared_table)),
         routes(*table),
         rollouts(view.service_rollouts) {}
   auto RolloutOf(const std::string& service) const -> const service_rollout* {
