--- a/include/lovagedale/relay/server_prober.h
+++ b/include/lovagedale/relay/server_prober.h
@@ -69,6 +69,8 @@
   server_table& servers_;
   /// Failures that wait for the probe of another zone.
   std::vector<std::pair<server_handle, monotonic_ms>> unjudged_failures_;
+  /// The latest probe of another zone failed as well.
+  bool is_own_link_suspected_ = false;
   system_monotonic_clock clock_;
 };
 
--- a/src/relay/server_prober.cpp
+++ b/src/relay/server_prober.cpp
@@ -57,10 +57,11 @@
     const auto other = servers_.ServerOfOtherZone(server->listed.zone);
     const auto failed =
         other ? Probe(other, yield) : std::optional<failed_connection>();
-    const bool is_own_link_suspected = failed && !failed->was_refused;
+    const bool was_suspected = is_own_link_suspected_;
+    is_own_link_suspected_ = failed && !failed->was_refused;
     if (failed && failed->was_refused) ReportUnreachable(other, *failed);
     const auto failures = std::exchange(unjudged_failures_, {});
-    if (is_own_link_suspected) {
+    if (is_own_link_suspected_) {
       log_line(log_level::kWarning, "own_link_suspected")
           .With("failures", failures.size())
           .With("zone", server->listed.zone)
@@ -68,7 +69,12 @@
     }
     for (const auto& [failed_server, began_ms] : failures) {
       if (!IsListed(failed_server)) continue;
-      if (is_own_link_suspected && !servers_.HasRoundTripSince(began_ms)) {
+      // If the link has just recovered, these connections may have failed
+      // before: the servers are probed again.
+      const bool is_inconclusive = is_own_link_suspected_
+                                       ? !servers_.HasRoundTripSince(began_ms)
+                                       : was_suspected;
+      if (is_inconclusive) {
         StartProbeLoop(failed_server);
       } else {
         JudgeUnreachable(failed_server, began_ms);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -2,7 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <array>
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
@@ -11,6 +10,7 @@
 #include <thread>
 
 #include "support/plain_protocol.h"
+#include "support/silent_port.h"
 
 namespace lovagedale::testing {
 namespace {
@@ -102,34 +102,6 @@
     "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n"
     "Transfer-Encoding: chunked\r\n";
 
-/// A port whose listener accepts nothing and has a full queue: connections to
-/// it are neither made nor refused.
-class silent_port {
- public:
-  silent_port() {
-    acceptor_.open(tcp::v4());
-    acceptor_.bind({asio::ip::make_address("127.0.0.1"), 0});
-    acceptor_.listen(0);
-    auto endpoint = acceptor_.local_endpoint();
-    for (auto& socket : fillers_) {
-      socket.non_blocking(true);
-      // Connects without waiting, unlike socket.connect().
-      ::connect(socket.native_handle(), endpoint.data(),
-                static_cast<socklen_t>(endpoint.size()));
-    }
-  }
-  auto port() const -> std::uint16_t {
-    return acceptor_.local_endpoint().port();
-  }
-
- private:
-  asio::io_context context_;
-  tcp::acceptor acceptor_{context_};
-  std::array<tcp::socket, 3> fillers_{tcp::socket(context_, tcp::v4()),
-                                      tcp::socket(context_, tcp::v4()),
-                                      tcp::socket(context_, tcp::v4())};
-};
-
 /// Enough retries for a single call.
 constexpr double kSomeRetries = 10;
 
