Report a server's crash although a connection to it failed first

What callers saw: processes_crash_maker, run five times beside a build: once the crash-maker got 502 instead of 422, once it crashed four servers.

Cause: one field, ejected_until, held a server out and also said that its crash had been reported. A crash is detected 50 ms after a broken answer; a call that could not connect meanwhile ejected the server, and the crash was then taken for reported. So its requests never became suspects: the crash-maker got two servers more, and innocent requests that shared the first server with it were not kept away from it on the second.

Fix: the report has a state of its own (server_state::TryReportCrash). The ejection after a refusal that says "leaving" hid crashes in the same way.

--- a/include/lovagedale/placement/server_state.h
+++ b/include/lovagedale/placement/server_state.h
@@ -36,6 +36,10 @@
     return reported_leaving.load(std::memory_order_relaxed) ||
            listed_leaving.load(std::memory_order_relaxed);
   }
+  /// Whether a crash detected at `now` is to be reported, as none was reported
+  /// in the `hold_ms` before. Independent of ejected_until: a failed connection
+  /// may have ejected the server before the crash is detected.
+  auto TryReportCrash(monotonic_ms now, monotonic_ms hold_ms) -> bool;
   std::atomic<std::uint32_t> consecutive_failures{0};
   std::atomic<std::uint32_t> suspects_running{0};
 
@@ -53,6 +57,7 @@
 
  private:
   std::string name_;
+  std::atomic<monotonic_ms> crash_reported_until_{0};
   mutable std::mutex mutex_;
   std::vector<std::uint64_t> running_;
 };
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -314,7 +314,8 @@
   auto& state = *placed.choice.state;
   const auto now = context_.clock.Now();
   // The first request to detect the crash reports all that were running there.
-  if (state.ejected_until.exchange(now + kCrashEjectionMs) <= now) {
+  state.ejected_until = now + kCrashEjectionMs;
+  if (state.TryReportCrash(now, kCrashEjectionMs)) {
     context_.metrics->Count(entry_counter::kServerCrashes);
     crash_report report{state.name(), state.Running(), context_.NewRequestId()};
     for (const auto fingerprint : report.fingerprints) {
--- a/src/placement/server_state.cpp
+++ b/src/placement/server_state.cpp
@@ -27,6 +27,11 @@
   return running_;
 }
 
+auto server_state::TryReportCrash(monotonic_ms now, monotonic_ms hold_ms)
+    -> bool {
+  return crash_reported_until_.exchange(now + hold_ms) <= now;
+}
+
 auto server_registry::Get(const std::string& name)
     -> std::shared_ptr<server_state> {
   auto& state = states_[name];
