One time limit for a read that takes several; log a refusal's endless body

A read of a body that brings only framing (chunk sizes, trailers) started the limit of the next one anew. The reason of an attempt that was refused says if the refusal's body was given up. No test failed before: one composed read covers the framing that the tests send.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -447,7 +447,10 @@
       // The head states that the request was not run, however the body ends.
       auto deadlines = Deadlines();
       deadlines.body = std::min(deadlines.body, kMaxRefusalBodyTime);
-      connection_->SkipRest(deadlines, kMaxSkippedBytes, exchange_.yield());
+      if (!connection_->SkipRest(deadlines, kMaxSkippedBytes,
+                                 exchange_.yield())) {
+        attempt_reason_ += ", in a body that did not end";
+      }
     } else if (EscalateIfUncertain(metadata)) {
       result = attempt_result::kEscalated;
       may_have_run_ = true;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -221,12 +221,13 @@
 auto http_connection::ReadSome(const http_deadlines& deadlines,
                                asio::yield_context yield) -> std::string_view {
   auto& parser = *impl_->parser;
+  // Set once: reads that bring no part of the body do not extend it.
+  impl_->stream.expires_after(deadlines.between_reads);
   while (!parser.is_done()) {
     auto& body = parser.get().body();
     body.data = impl_->read_buffer.data();
     body.size = impl_->read_buffer.size();
     beast::error_code error;
-    impl_->stream.expires_after(deadlines.between_reads);
     http::async_read_some(impl_->stream, impl_->buffer, parser, yield[error]);
     if (error == http::error::need_buffer) error = {};
     if (error) {
