Find a crashing part after its first request was quarantined

Cause: the first such request crashes several servers by itself, so that the whole request or a later part of its prompt is as likely as the deadly part, and more specific. Its quarantine then hid these crashes, and three more were needed.

Fix: a quarantined key does not hide crashes from more general keys, once there is a crash that it does not explain. The lists of suspects hold 32 keys, and the log names the position of a quarantined part in its prompt.

--- a/include/lovagedale/health/crash_attribution.h
+++ b/include/lovagedale/health/crash_attribution.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,10 +22,12 @@
 struct crash_candidate {
   /// The specificity of a request that no sound request can be equal to.
   static constexpr std::uint8_t kUniqueRequest = 255;
+  /// The specificity of a request that sound requests may be equal to.
+  static constexpr std::uint8_t kSharedRequest = 254;
 
   crash_key key = 0;
   /// The position of a part in its prompt: later parts are shared by fewer
-  /// requests. A request that may be repeated comes after its parts.
+  /// requests. For whole requests, see above.
   std::uint8_t specificity = kUniqueRequest;
 
   auto operator<=>(const crash_candidate&) const = default;
@@ -58,9 +61,10 @@
 /// Finds the requests and prompt parts that crash servers, from the candidates
 /// of each crash. A candidate is cleared when a request with it is answered.
 /// The key that is a candidate of most crashes is quarantined and explains
-/// them; only crashes without a quarantined candidate count against others.
-/// Several processes may report the same crash: reports of a server within
-/// kCrashMergeWindowMs count as one crash.
+/// them; only crashes without a quarantined candidate count against others. A
+/// more general key that is also a candidate of an unexplained crash is the
+/// better explanation of the others as well. Several processes may report the
+/// same crash: reports of a server within kCrashMergeWindowMs count as one.
 class crash_attribution {
  public:
   static constexpr std::size_t kCrashesToQuarantineUnique = 2;
@@ -73,7 +77,7 @@
   /// A suspect is cleared after this time without a further crash.
   static constexpr monotonic_ms kSuspicionLifetimeMs = 10LL * 60 * 1'000;
   static constexpr std::size_t kMaxCrashes = 256;
-  static constexpr std::size_t kMaxSuspects = 24;
+  static constexpr std::size_t kMaxSuspects = 32;
   /// Candidates in one report.
   static constexpr std::size_t kMaxCandidates = 128;
 
@@ -108,12 +112,15 @@
     std::string server;
     monotonic_ms at = 0;
     std::set<crash_candidate> candidates;
-    bool is_explained = false;
+    /// The lowest specificity of its quarantined candidates.
+    std::optional<std::uint8_t> explained_by;
   };
   struct tally {
     std::size_t unexplained = 0;
+    /// Those that no quarantined key explains that is as general.
+    std::size_t attributable = 0;
     std::size_t total = 0;
-    monotonic_ms first_at = 0;  ///< of the unexplained crashes
+    monotonic_ms first_at = 0;  ///< of the attributable crashes
     monotonic_ms last_at = 0;   ///< of the counted crashes
   };
 
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -249,7 +249,8 @@
            in_force, kSuspectObservationMs + LoadExchangePeriod(), now)) {
     const auto key = ToHex(finding.candidate.key);
     const auto reason = "unanswered at " + std::to_string(finding.crashes) +
-                        " crashes of servers";
+                        " crashes of servers; position " +
+                        std::to_string(finding.candidate.specificity);
     ProposeAutomaticChange(
         "quarantine/" + key + "/" + std::to_string(wall_ms),
         set_quarantine{finding.candidate.key, kQuarantineDurationMs, reason},
--- a/src/health/crash_attribution.cpp
+++ b/src/health/crash_attribution.cpp
@@ -25,7 +25,7 @@
                             });
   if (crash == crashes_.end()) {
     if (crashes_.size() == kMaxCrashes) crashes_.pop_front();
-    crashes_.push_back({report.server, now, {}, false});
+    crashes_.push_back({report.server, now, {}, std::nullopt});
     crash = std::prev(crashes_.end());
   }
   for (const auto& candidate : report.candidates) {
@@ -52,11 +52,13 @@
 auto crash_attribution::UpdateExplained(const std::set<crash_key>& quarantined)
     -> void {
   for (auto& crash : crashes_) {
-    crash.is_explained =
-        std::any_of(crash.candidates.begin(), crash.candidates.end(),
-                    [&](const crash_candidate& candidate) {
-                      return quarantined.contains(candidate.key);
-                    });
+    crash.explained_by.reset();
+    for (const auto& candidate : crash.candidates) {
+      if (!quarantined.contains(candidate.key)) continue;
+      crash.explained_by =
+          std::min(crash.explained_by.value_or(candidate.specificity),
+                   candidate.specificity);
+    }
   }
 }
 
@@ -71,8 +73,12 @@
       if (is_simultaneous) continue;
       ++counts.total;
       counts.last_at = crash.at;
-      if (crash.is_explained) continue;
-      if (counts.unexplained++ == 0) counts.first_at = crash.at;
+      if (!crash.explained_by) {
+        ++counts.unexplained;
+      } else if (*crash.explained_by <= candidate.specificity) {
+        continue;
+      }
+      if (counts.attributable++ == 0) counts.first_at = crash.at;
     }
   }
   return tallies;
@@ -99,7 +105,8 @@
     std::tuple<std::size_t, std::size_t, std::uint8_t> best_rank;
     tally best_tally;
     for (const auto& [candidate, counts] : CountCrashes()) {
-      const std::tuple rank(counts.unexplained, counts.total,
+      if (counts.unexplained == 0) continue;
+      const std::tuple rank(counts.attributable, counts.total,
                             candidate.specificity);
       if (best && rank <= best_rank) continue;
       best = candidate;
@@ -110,11 +117,11 @@
     const auto needed = IsShared(*best) ? kCrashesToQuarantineShared
                                         : kCrashesToQuarantineUnique;
     // While the likeliest key may still be cleared, no other one is blamed.
-    if (best_tally.unexplained < needed ||
+    if (best_tally.attributable < needed ||
         now - best_tally.first_at < observation_ms) {
       break;
     }
-    findings.push_back({*best, best_tally.unexplained});
+    findings.push_back({*best, best_tally.attributable});
     proposed_at_[best->key] = now;
     quarantined.insert(best->key);
   }
--- a/src/relay/crash_monitor.cpp
+++ b/src/relay/crash_monitor.cpp
@@ -48,7 +48,7 @@
   }
   candidates.push_back(
       {HashFields(customer, request.method, request.target, request.body),
-       static_cast<std::uint8_t>(kMaxParts)});
+       crash_candidate::kSharedRequest});
   return candidates;
 }
 
@@ -91,6 +91,7 @@
     own_quarantines_[finding.candidate.key] = now + kOwnQuarantineMs;
     log_line(log_level::kWarning, "quarantined_by_own_evidence")
         .With("key", ToHex(finding.candidate.key))
+        .With("position", static_cast<int>(finding.candidate.specificity))
         .With("crashes", finding.crashes);
   }
 }
