Quarantine by an entry's own evidence only without control

Cause: an entry does not see the requests of other entries that crash servers. Its own popular parts are candidates of most crashes that it sees.

Fix: an entry decides by itself only if no leader of control has answered for two seconds, and drops its own quarantines when one answers.

There is no test of its own yet for an entry that has a leader; the test of the relay covers one without.

--- a/include/lovagedale/relay/crash_monitor.h
+++ b/include/lovagedale/relay/crash_monitor.h
@@ -26,8 +26,9 @@
 
 /// Detects crashes of servers from calls that they break off, reports them, and
 /// tracks which calls are refused because they crash servers. Control decides
-/// for all entries; this entry's own evidence counts too, also while control
-/// cannot be reached. Not thread-safe.
+/// for all entries. This entry decides by itself only while control cannot be
+/// reached: it does not see the calls of other entries that crash servers, so
+/// its own popular prompt parts would be blamed. Not thread-safe.
 class crash_monitor {
  public:
   explicit crash_monitor(boost::asio::io_context& context)
@@ -43,7 +44,7 @@
   auto SetQuarantined(std::set<crash_key> keys) -> void {
     quarantined_ = std::move(keys);
   }
-  /// Replaces control's suspects.
+  /// Replaces the suspects of control's leader.
   auto SetSuspects(const std::vector<crash_key>& keys) -> void;
 
   /// The first candidate that is quarantined.
@@ -101,6 +102,7 @@
   std::deque<recent_report> reports_;
   std::uint64_t crash_count_ = 0;
   monotonic_ms next_decision_ms_ = 0;
+  std::optional<monotonic_ms> leader_heard_ms_;
 };
 
 }  // namespace lovagedale
--- a/src/relay/crash_monitor.cpp
+++ b/src/relay/crash_monitor.cpp
@@ -28,6 +28,8 @@
 constexpr monotonic_ms kOwnObservationMs = 600;
 constexpr monotonic_ms kOwnQuarantineMs = 60'000;
 constexpr monotonic_ms kOwnDecisionPeriodMs = 100;
+/// The leader answers each heartbeat within a second.
+constexpr monotonic_ms kLeaderSilentMs = 2'000;
 /// How long this entry looks for answers that clear its own suspects.
 constexpr monotonic_ms kOwnSuspectLifetimeMs = 30'000;
 /// Reports that are sent to a new leader, whose record of crashes is empty.
@@ -54,6 +56,7 @@
 
 auto crash_monitor::SetSuspects(const std::vector<crash_key>& keys) -> void {
   const auto now = clock_.Now();
+  leader_heard_ms_ = now;
   std::erase_if(suspects_, [&](const auto& item) {
     return now - item.second > kOwnSuspectLifetimeMs &&
            std::find(keys.begin(), keys.end(), item.first) == keys.end();
@@ -81,6 +84,10 @@
   const auto now = clock_.Now();
   if (now < next_decision_ms_) return;
   next_decision_ms_ = now + kOwnDecisionPeriodMs;
+  if (leader_heard_ms_ && now - *leader_heard_ms_ < kLeaderSilentMs) {
+    own_quarantines_.clear();
+    return;
+  }
   attribution_.Expire(now);
   std::erase_if(own_quarantines_,
                 [&](const auto& item) { return item.second <= now; });
