--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -556,7 +556,8 @@
           [](const std::string&) { return Answer("200 OK", "", "done"); });
       const running_relay relay(MakeRoute(route_kind::kOnce),
                                 {full.port(), good.port()});
-      // The server is chosen at random, so four calls may all miss the full one.
+      // The server is chosen at random, so four calls may all miss the full
+      // one.
       for (int i = 0; i < 4 || (full.requests() == 0 && i < 100); ++i) {
         const auto end = CallWithin(relay, 2'000);
         REQUIRE(end.answer);
