--- a/src/relay/crash_monitor.cpp
+++ b/src/relay/crash_monitor.cpp
@@ -193,7 +193,7 @@
 }
 
 auto crash_monitor::TakeCleared() -> std::vector<crash_key> {
-  const std::vector<crash_key> keys(cleared_.begin(), cleared_.end());
+  std::vector<crash_key> keys(cleared_.begin(), cleared_.end());
   cleared_.clear();
   return keys;
 }
--- a/src/rollout/service_rollout.cpp
+++ b/src/rollout/service_rollout.cpp
@@ -175,7 +175,11 @@
     } else if (IsSlow(ranks.first_pauses, has_less_load, threshold, limits)) {
       fault = "slow first pauses: " + DescribeRanks(ranks.first_pauses);
     }
-    if (!fault.empty()) return route.empty() ? fault : route + ": " + fault;
+    if (fault.empty()) continue;
+    std::string reason = route;
+    if (!reason.empty()) reason.append(": ");
+    reason.append(fault);
+    return reason;
   }
   return "";
 }
