--- a/include/lovagedale/configuration/fleet_view.h
+++ b/include/lovagedale/configuration/fleet_view.h
@@ -39,10 +39,10 @@
   }
 };
 
-/// A request that is refused because it crashed servers.
+/// A request, or a part of prompts, that is refused because it crashed servers.
 struct quarantine {
-  std::uint64_t fingerprint = 0;
-  std::int64_t until_ms = 0;  ///< wall clock
+  std::uint64_t fingerprint = 0;  ///< a crash_key
+  std::int64_t until_ms = 0;      ///< wall clock
   std::string reason;
 
   auto operator==(const quarantine&) const -> bool = default;
