--- /dev/null
+++ b/tests/replication/log_store_power_loss_test.cpp
@@ -0,0 +1,45 @@
+#include <doctest/doctest.h>
+
+#include "lovagedale/replication/errors.h"
+#include "lovagedale/replication/log_store.h"
+#include "support/power_loss_disk.h"
+#include "support/temporary_folder.h"
+
+namespace lovagedale::testing {
+namespace {
+
+using test_store = basic_log_store<power_loss_disk>;
+
+auto Append(log_index index) -> replica_output {
+  replica_output output;
+  output.appended.push_back(
+      {index, 1, entry_kind::kCommand, "command " + std::to_string(index)});
+  return output;
+}
+
+}  // namespace
+
+// Guards against a replica that acknowledges entries that it has recovered but
+// not synced: killed between a write and its sync, restarted, then without
+// power.
+TEST_CASE("an entry that was recovered after a kill survives a power loss") {
+  temporary_folder folder;
+  InitializeDataFolder(folder.path(), {"r0"});
+  power_loss_disk disk;
+  {
+    test_store store(disk, folder.path());
+    store.Persist(Append(1));
+    disk.KillAtNextSync();
+    CHECK_THROWS_AS(store.Persist(Append(2)), process_killed);
+  }
+  {
+    test_store store(disk, folder.path());
+    REQUIRE(store.recovered().entries.size() == 2);
+    store.Persist(Append(3));
+  }
+  disk.LosePower();
+  test_store store(disk, folder.path());
+  CHECK(store.recovered().entries.size() == 3);
+}
+
+}  // namespace lovagedale::testing
