Sync what a store has recovered before it is used

Cause: a control process that is killed between a write and its sync leaves an entry that only the page cache holds. The next process read it, acknowledged it as its own log, wrote on in a new segment and never synced the old one. When the power failed the entry was gone, and the replica refused its log: with another replica's disk replaced no majority was left.

A store now syncs each segment that it reads, and a truncation, before it is used: whatever it tells others is durable.

--- a/include/lovagedale/billing/bill_journal-inl.h
+++ b/include/lovagedale/billing/bill_journal-inl.h
@@ -51,6 +51,9 @@
         .With("file", path)
         .With("dropped_bytes", scan.file_bytes - scan.valid_bytes);
     disk_.Truncate(path, scan.valid_bytes);
+  } else {
+    // An earlier process may have been killed between a write and its sync.
+    disk_.SyncPath(path);
   }
   view_.end = {segments.back(), scan.valid_bytes};
 }
--- a/include/lovagedale/replication/log_store-inl.h
+++ b/include/lovagedale/replication/log_store-inl.h
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "lovagedale/common/codec.h"
+#include "lovagedale/common/log.h"
 #include "lovagedale/replication/log_store.h"
 #include "lovagedale/replication/segment_files.h"
 
@@ -22,9 +23,20 @@
   }
 };
 
-/// State read from a data folder, and the number of its last segment.
+/// A segment that is not empty. The bytes after the valid ones are an
+/// incomplete batch.
+struct recovered_segment {
+  std::string path;
+  std::size_t valid_bytes = 0;
+  std::size_t file_bytes = 0;
+
+  auto operator==(const recovered_segment&) const -> bool = default;
+};
+
+/// State read from a data folder, its segments and the number of the last one.
 struct opened_folder {
   stored_state state;
+  std::vector<recovered_segment> segments;
   std::uint64_t last_segment = 0;
 };
 
@@ -36,6 +48,7 @@
     : disk_(disk), folder_(std::move(folder)) {
   auto opened = OpenDataFolder(folder_);
   recovered_ = std::move(opened.state);
+  SyncRecovered(opened.segments);
   segment_ = opened.last_segment;
   StartSegment();
 }
@@ -50,6 +63,24 @@
   }
 }
 
+template <durable_disk Disk>
+auto basic_log_store<Disk>::SyncRecovered(
+    const std::vector<recovered_segment>& segments) -> void {
+  for (const auto& segment : segments) {
+    const auto dropped_bytes = segment.file_bytes - segment.valid_bytes;
+    if (dropped_bytes > 0) {
+      disk_.Truncate(segment.path, segment.valid_bytes);
+    } else {
+      disk_.SyncPath(segment.path);
+    }
+    log_line(dropped_bytes > 0 ? log_level::kWarning : log_level::kInfo,
+             "log_segment_recovered")
+        .With("file", segment.path)
+        .With("valid_bytes", segment.valid_bytes)
+        .With("dropped_bytes", dropped_bytes);
+  }
+}
+
 template <durable_disk Disk>
 auto basic_log_store<Disk>::StartSegment() -> void {
   if (fd_ >= 0) disk_.CloseFile(fd_);
--- a/include/lovagedale/replication/log_store.h
+++ b/include/lovagedale/replication/log_store.h
@@ -16,14 +16,17 @@
 auto InitializeDataFolder(const std::string& folder,
                           const std::vector<std::string>& voter_names) -> void;
 
+struct recovered_segment;
+
 /// Durable state of one replica in one data folder: numbered segments of
 /// checksummed batches, and one snapshot. Not thread-safe.
 template <durable_disk Disk>
 class basic_log_store {
  public:
   /// Opens the folder and reads its state. A missing folder is created empty,
-  /// under a new incarnation. An incomplete last batch is truncated. Throws
-  /// storage_error for any other damage.
+  /// under a new incarnation. An incomplete last batch is truncated. Syncs what
+  /// was read, since an earlier process may have been killed before it did.
+  /// Throws storage_error for any other damage.
   basic_log_store(Disk& disk, std::string folder);
   ~basic_log_store();
   basic_log_store(const basic_log_store&) = delete;
@@ -40,6 +43,7 @@
                     const std::vector<log_entry>& entries) -> void;
 
  private:
+  auto SyncRecovered(const std::vector<recovered_segment>& segments) -> void;
   auto WriteSnapshotFile(const log_snapshot& snapshot) -> void;
   auto StartSegment() -> void;
   auto RemoveOldSegments() -> void;
--- a/src/replication/disk.cpp
+++ b/src/replication/disk.cpp
@@ -43,6 +43,16 @@
   if (::fdatasync(fd) != 0) Fail("cannot sync", "log file");
 }
 
+auto posix_disk::SyncPath(const std::string& path) -> void {
+  const int fd = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
+  if (fd < 0) Fail("cannot open", path);
+  const int result = ::fsync(fd);
+  const int sync_errno = errno;
+  ::close(fd);
+  errno = sync_errno;
+  if (result != 0) Fail("cannot sync", path);
+}
+
 auto posix_disk::CloseFile(int fd) -> void {
   if (::close(fd) != 0) Fail("cannot close", "log file");
 }
@@ -72,6 +82,7 @@
   if (error) {
     throw storage_error("cannot truncate " + path + ": " + error.message());
   }
+  SyncPath(path);
 }
 
 }  // namespace lovagedale
--- a/src/replication/log_store.cpp
+++ b/src/replication/log_store.cpp
@@ -29,11 +29,15 @@
 
 auto CreateFolder(const std::string& folder) -> void {
   std::error_code error;
-  fs::create_directories(folder, error);
+  const bool is_new = fs::create_directories(folder, error);
   if (error) {
     throw storage_error("cannot create folder " + folder + ": " +
                         error.message());
   }
+  if (is_new) {
+    posix_disk disk;
+    disk.SyncFolder(fs::absolute(folder).parent_path().string());
+  }
 }
 
 auto NewIncarnation() -> incarnation_id {
@@ -77,21 +81,15 @@
 }
 
 auto ReadSegment(const std::string& path, bool is_last, stored_state& state)
-    -> void {
+    -> recovered_segment {
   const auto content = ReadWholeFile(path);
   const auto scan = ScanBatches(path, content, [&](std::string_view bytes) {
     ApplyBatch(Decode<log_batch>(bytes), state);
   });
-  if (!scan.HasTornTail()) return;
-  if (!is_last) {
+  if (scan.HasTornTail() && !is_last) {
     throw storage_error(path + ": incomplete, but a later segment exists");
   }
-  log_line(log_level::kWarning, "log_tail_truncated")
-      .With("file", path)
-      .With("valid_bytes", scan.valid_bytes)
-      .With("dropped_bytes", scan.file_bytes - scan.valid_bytes);
-  posix_disk disk;
-  disk.Truncate(path, scan.valid_bytes);
+  return {path, scan.valid_bytes, scan.file_bytes};
 }
 
 }  // namespace
@@ -117,7 +115,9 @@
           return other <= number ||
                  fs::file_size(SegmentPath(folder, kLogPrefix, other)) == 0;
         });
-    ReadSegment(SegmentPath(folder, kLogPrefix, number), is_last, opened.state);
+    const auto segment = ReadSegment(SegmentPath(folder, kLogPrefix, number),
+                                     is_last, opened.state);
+    if (segment.file_bytes > 0) opened.segments.push_back(segment);
     opened.last_segment = number;
   }
   return opened;
--- a/tests/support/quota_disk.h
+++ b/tests/support/quota_disk.h
@@ -28,6 +28,7 @@
     }
   }
   auto SyncFile(int fd) -> void { disk_.SyncFile(fd); }
+  auto SyncPath(const std::string& path) -> void { disk_.SyncPath(path); }
   auto CloseFile(int fd) -> void { disk_.CloseFile(fd); }
   auto SyncFolder(const std::string& path) -> void { disk_.SyncFolder(path); }
   auto Rename(const std::string& from, const std::string& to) -> void {
