End processes without destroying static objects

Stopped control processes were killed at the end of their grace time.

Cause: after main had returned, the destructor of log4cplus's initializer, a static object, did not return. So the process neither worked nor ended, whatever the reason for its exit, and nothing started it again. Class: the end of a process that depends on destructors which wait for other threads.

Evidence: marks in the exit path, in a trial on a scratch copy: Logger::shutdown and the writer of log lines end, log4cplus::deinitialize does not.

RunProcess writes the queued log lines and ends the process itself.

--- a/include/lovagedale/process/process.h
+++ b/include/lovagedale/process/process.h
@@ -27,7 +27,9 @@
 auto ReadSettingsFile() -> std::string;
 
 /// Parses --config, --check_config, --help and --version, reads and checks the
-/// settings and runs the program. Errors go to standard error.
+/// settings and runs the program. Errors go to standard error. Returns the exit
+/// code if the program is not to run; otherwise ends the process with it,
+/// without running the destructors of static objects.
 auto RunProcess(int argc, char** argv, const program_definition& program)
     -> int;
 
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/usage_config.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 #include "lovagedale/common/json_reader.h"
@@ -36,6 +37,31 @@
   }
 }
 
+/// Runs the program and returns its exit code; logs why it failed.
+auto RunProgram(const program_definition& program, const std::string& settings)
+    -> int {
+  try {
+    return program.run(settings);
+  } catch (const storage_error& error) {
+    log_line(log_level::kError, "storage_failed").With("reason", error.what());
+    std::cerr << program.name << ": " << error.what() << "\n";
+    return kExitStorage;
+  } catch (const std::exception& error) {
+    log_line(log_level::kError, "process_failed").With("reason", error.what());
+    std::cerr << program.name << ": " << error.what() << "\n";
+    return kExitFailure;
+  }
+}
+
+/// Writes the queued log lines and ends the process. Skips the destructors of
+/// static objects: those of libraries may wait for their threads without end.
+[[noreturn]] auto EndProcess(int exit_code) -> void {
+  log_line(log_level::kInfo, "process_ended").With("exit_code", exit_code);
+  ShutdownLogging();
+  std::cout.flush();
+  std::_Exit(exit_code);
+}
+
 }  // namespace
 
 auto ReadSettingsFile() -> std::string {
@@ -64,17 +90,7 @@
     std::cout << program.name << ": settings accepted\n";
     return kExitOk;
   }
-  try {
-    return program.run(settings);
-  } catch (const storage_error& error) {
-    log_line(log_level::kError, "storage_failed").With("reason", error.what());
-    std::cerr << program.name << ": " << error.what() << "\n";
-    return kExitStorage;
-  } catch (const std::exception& error) {
-    log_line(log_level::kError, "process_failed").With("reason", error.what());
-    std::cerr << program.name << ": " << error.what() << "\n";
-    return kExitFailure;
-  }
+  EndProcess(RunProgram(program, settings));
 }
 
 }  // namespace lovagedale
