--- a/src/process/replica_main.cpp
+++ b/src/process/replica_main.cpp
@@ -35,12 +35,12 @@
 }
 
 auto Run(const replica_settings& settings, const run_replica& run) -> int {
+  InitializeLogging(settings.name, settings.log_file,
+                    ParseLogLevel(settings.log_level));
   if (absl::GetFlag(FLAGS_initialize)) {
     InitializeGroupMember(settings);
     return kExitOk;
   }
-  InitializeLogging(settings.name, settings.log_file,
-                    ParseLogLevel(settings.log_level));
   boost::asio::io_context context(1);
   if (FormsNewGroup(settings)) {
     InitializeDataFolder(settings.data_folder, settings.seeds);
