Keep a control replica running while its disk is full

Cause: a failed write ended the event loop with storage_error, and with it the process. Class: an error of one resource, which passes, that ends a process with intact state.

A replica whose output cannot be stored keeps that output, steps down, sends nothing and ignores what it receives, and tries the same output again each 200 ms. Nothing is acknowledged that is not durable: messages are sent, and entries applied, only after the output is stored. The store truncates what a failed write has left, and syncs that, before it writes again.

Weighed: ending the process and recovering at its next start. It costs a start for each try, depends on something that starts it, and a start needs room for a new segment.

A store with room again goes on: log_store_test.

--- a/include/lovagedale/replication/errors.h
+++ b/include/lovagedale/replication/errors.h
@@ -4,8 +4,8 @@
 
 namespace lovagedale {
 
-/// The data folder cannot be read or written. The process must stop: it must
-/// not acknowledge anything that it could not store.
+/// The data folder cannot be read or written. Nothing that could not be stored
+/// may be acknowledged.
 class storage_error : public std::runtime_error {
  public:
   using std::runtime_error::runtime_error;
--- a/include/lovagedale/replication/log_store-inl.h
+++ b/include/lovagedale/replication/log_store-inl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <utility>
 
 #include "lovagedale/common/codec.h"
 #include "lovagedale/common/log.h"
@@ -83,10 +84,35 @@
 
 template <durable_disk Disk>
 auto basic_log_store<Disk>::StartSegment() -> void {
-  if (fd_ >= 0) disk_.CloseFile(fd_);
+  if (needs_repair_) RepairSegment();
+  const int fd =
+      disk_.OpenAppend(SegmentPath(folder_, kLogPrefix, segment_ + 1));
+  const int former_fd = std::exchange(fd_, fd);
   ++segment_;
-  fd_ = disk_.OpenAppend(SegmentPath(folder_, kLogPrefix, segment_));
+  synced_bytes_ = 0;
+  needs_repair_ = true;
+  if (former_fd >= 0) disk_.CloseFile(former_fd);
   disk_.SyncFolder(folder_);
+  needs_repair_ = false;
+}
+
+template <durable_disk Disk>
+auto basic_log_store<Disk>::WriteBatch(const std::string& batch) -> void {
+  if (needs_repair_) RepairSegment();
+  needs_repair_ = true;
+  disk_.Write(fd_, batch);
+  disk_.SyncFile(fd_);
+  synced_bytes_ += batch.size();
+  needs_repair_ = false;
+}
+
+template <durable_disk Disk>
+auto basic_log_store<Disk>::RepairSegment() -> void {
+  disk_.Truncate(SegmentPath(folder_, kLogPrefix, segment_), synced_bytes_);
+  disk_.SyncFolder(folder_);
+  log_line(log_level::kInfo, "log_segment_repaired")
+      .With("segment", segment_)
+      .With("bytes", synced_bytes_);
 }
 
 template <durable_disk Disk>
@@ -101,8 +127,7 @@
   log_batch batch{output.hard, output.truncate_from, output.appended};
   // An installed snapshot replaces the entire log.
   if (output.installed_snapshot) batch.truncate_from = 1;
-  disk_.Write(fd_, EncodeLogBatch(batch));
-  disk_.SyncFile(fd_);
+  WriteBatch(EncodeLogBatch(batch));
 }
 
 template <durable_disk Disk>
@@ -114,8 +139,7 @@
   StartSegment();
   // After a crash before RemoveOldSegments, the older segments are read first.
   // The truncation then drops their copies of `entries`.
-  disk_.Write(fd_, EncodeLogBatch({hard, snapshot.index + 1, entries}));
-  disk_.SyncFile(fd_);
+  WriteBatch(EncodeLogBatch({hard, snapshot.index + 1, entries}));
   RemoveOldSegments();
 }
 
--- a/include/lovagedale/replication/log_store.h
+++ b/include/lovagedale/replication/log_store.h
@@ -35,10 +35,12 @@
   /// State that was read when the folder was opened.
   auto recovered() const -> const stored_state& { return recovered_; }
   /// Writes the durable parts of `output` as one batch and syncs it. Writes
-  /// nothing if there are none.
+  /// nothing if there are none. After a storage_error the same output may be
+  /// stored again: what was written of it is truncated first.
   auto Persist(const replica_output& output) -> void;
   /// Stores a snapshot, starts a new segment with `entries` (the log after the
-  /// snapshot) and removes the older segments.
+  /// snapshot) and removes the older segments. After a storage_error the store
+  /// holds what it held before, and may be used on.
   auto SaveSnapshot(const log_snapshot& snapshot, const hard_state& hard,
                     const std::vector<log_entry>& entries) -> void;
 
@@ -46,6 +48,10 @@
   auto SyncRecovered(const std::vector<recovered_segment>& segments) -> void;
   auto WriteSnapshotFile(const log_snapshot& snapshot) -> void;
   auto StartSegment() -> void;
+  /// Writes a batch to the current segment and syncs it.
+  auto WriteBatch(const std::string& batch) -> void;
+  /// Truncates what a failed write has left in the current segment.
+  auto RepairSegment() -> void;
   auto RemoveOldSegments() -> void;
 
   Disk& disk_;
@@ -53,6 +59,10 @@
   stored_state recovered_;
   std::uint64_t segment_ = 0;
   int fd_ = -1;
+  std::size_t synced_bytes_ = 0;  ///< of the current segment
+  /// The current segment may have more bytes than the synced ones, or its name
+  /// may not be durable.
+  bool needs_repair_ = false;
 };
 
 using log_store = basic_log_store<posix_disk>;
--- a/include/lovagedale/replication/replica_core.h
+++ b/include/lovagedale/replication/replica_core.h
@@ -86,6 +86,9 @@
   /// Leader: gives up the lease for the rest of the term and asks the voter
   /// with the highest match index to take over. Used before a planned stop.
   auto TransferLeadership(monotonic_ms now) -> void;
+  /// Gives up leadership or a candidacy at once; used when nothing more can be
+  /// stored.
+  auto StepDown(monotonic_ms now) -> void;
   /// Records that the machine's state up to `index` is in a snapshot, drops
   /// older entries and returns the snapshot to store. `index` must have been
   /// returned as committed.
--- a/include/lovagedale/replication/replica_node-inl.h
+++ b/include/lovagedale/replication/replica_node-inl.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <utility>
 
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
+#include "lovagedale/replication/errors.h"
 #include "lovagedale/replication/replica_node.h"
 
 namespace lovagedale {
@@ -13,6 +16,10 @@
 /// A snapshot is taken after this many entries or payload bytes.
 inline constexpr log_index kSnapshotEveryEntries = 10'000;
 inline constexpr std::size_t kSnapshotEveryBytes = 16UL << 20U;
+/// Interval between attempts to store while the disk fails.
+inline constexpr monotonic_ms kStorageRetryMs = 200;
+/// A snapshot is larger than the entries of the log, which may still have room.
+inline constexpr monotonic_ms kSnapshotRetryMs = 5'000;
 
 inline auto RoleName(replica_role role) -> const char* {
   switch (role) {
@@ -26,11 +33,11 @@
   return "unknown";
 }
 
-template <replicated_machine Machine>
-replica_node<Machine>::replica_node(
+template <replicated_machine Machine, durable_disk Disk>
+replica_node<Machine, Disk>::replica_node(
     boost::asio::io_context& context, std::string name,
     const std::vector<process_address>& peers, replication_options options,
-    log_store& store, Machine& machine,
+    basic_log_store<Disk>& store, Machine& machine,
     std::function<std::string(const replica_envelope&)> wrap,
     resolve_member resolve)
     : context_(context),
@@ -51,40 +58,45 @@
   }
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::Start() -> void {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::Start() -> void {
   ScheduleTick();
   ScheduleFlush();
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::Stop() -> void {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::Stop() -> void {
   stopped_ = true;
   timer_.cancel();
   for (auto& [name, channel] : peers_) channel->Close();
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::ScheduleTick() -> void {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::ScheduleTick() -> void {
   timer_.expires_after(kReplicaTickPeriod);
   timer_.async_wait([this](boost::system::error_code error) {
     if (error || stopped_) return;
-    core_.Tick(clock_.Now());
-    Flush();
+    if (unstored_) {
+      RetryStorage();
+    } else {
+      core_.Tick(clock_.Now());
+      Flush();
+    }
     ScheduleTick();
   });
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::Receive(const replica_envelope& envelope) -> void {
-  if (stopped_) return;
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::Receive(const replica_envelope& envelope)
+    -> void {
+  if (stopped_ || unstored_) return;
   core_.Receive(envelope, clock_.Now());
   ScheduleFlush();
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::Propose(std::string command, propose_callback done)
-    -> void {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::Propose(std::string command,
+                                          propose_callback done) -> void {
   const auto index = core_.Propose(std::move(command), clock_.Now());
   if (!index) {
     done({propose_status::kNotLeader, ""});
@@ -94,15 +106,16 @@
   ScheduleFlush();
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::AddLearner(const std::string& name,
-                                       incarnation_id incarnation) -> void {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::AddLearner(const std::string& name,
+                                             incarnation_id incarnation)
+    -> void {
   core_.AddLearner(name, incarnation, clock_.Now());
   ScheduleFlush();
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::ChannelTo(const std::string& member)
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::ChannelTo(const std::string& member)
     -> rpc_channel* {
   const auto existing = peers_.find(member);
   if (existing != peers_.end()) return existing->second.get();
@@ -114,24 +127,24 @@
       .first->second.get();
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::TransferLeadership() -> void {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::TransferLeadership() -> void {
   core_.TransferLeadership(clock_.Now());
   Flush();
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::LeaseRemainingMs() const -> monotonic_ms {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::LeaseRemainingMs() const -> monotonic_ms {
   return core_.LeaseUntil() - clock_.Now();
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::IsCurrent() const -> bool {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::IsCurrent() const -> bool {
   return HasLease() && applied_index_ == core_.commit_index();
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::ScheduleFlush() -> void {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::ScheduleFlush() -> void {
   if (flush_scheduled_) return;
   flush_scheduled_ = true;
   // Deferred until the handlers that are ready now have run, so that their
@@ -142,10 +155,66 @@
   });
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::Flush() -> void {
-  const auto output = core_.TakeOutput();
-  if (output.NeedsSync()) store_.Persist(output);
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::Flush() -> void {
+  if (unstored_) return;
+  auto output = core_.TakeOutput();
+  if (output.NeedsSync() && !Store(output)) {
+    Suspend(std::move(output));
+    return;
+  }
+  Execute(output);
+}
+
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::Store(const replica_output& output) -> bool {
+  try {
+    store_.Persist(output);
+    return true;
+  } catch (const storage_error& error) {
+    storage_failure_ = error.what();
+    return false;
+  }
+}
+
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::Suspend(replica_output output) -> void {
+  const auto now = clock_.Now();
+  storage_failed_at_ = now;
+  storage_retry_at_ = now + kStorageRetryMs;
+  // The messages depend on what is not stored; the others have gone on by the
+  // time that it is.
+  output.messages.clear();
+  unstored_ = std::move(output);
+  core_.StepDown(now);
+  log_line(log_level::kError, "storage_failed")
+      .With("reason", storage_failure_)
+      .With("last_index", core_.last_index());
+  LogRole();
+  FailLostProposals();
+}
+
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::RetryStorage() -> void {
+  const auto now = clock_.Now();
+  if (now < storage_retry_at_) return;
+  storage_retry_at_ = now + kStorageRetryMs;
+  if (!Store(*unstored_)) return;
+  const auto output = *std::exchange(unstored_, std::nullopt);
+  log_line(log_level::kInfo, "storage_recovered")
+      .With("after_ms", now - storage_failed_at_);
+  Execute(output);
+}
+
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::StorageFailingMs() const -> monotonic_ms {
+  if (!unstored_) return 0;
+  return std::max<monotonic_ms>(1, clock_.Now() - storage_failed_at_);
+}
+
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::Execute(const replica_output& output)
+    -> void {
   if (output.installed_snapshot) {
     machine_.Restore(output.installed_snapshot->state);
     applied_index_ = output.installed_snapshot->index;
@@ -157,19 +226,23 @@
   }
   ApplyCommitted(output.committed);
   if (core_.role() != replica_role::kLeader) FailLostProposals();
-  if (core_.role() != logged_role_) {
-    logged_role_ = core_.role();
-    log_line(log_level::kInfo, "replica_role")
-        .With("role", RoleName(logged_role_))
-        .With("term", core_.term())
-        .With("leader", core_.leader())
-        .With("last_index", core_.last_index());
-  }
+  LogRole();
   MaybeCompact();
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::ApplyCommitted(
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::LogRole() -> void {
+  if (core_.role() == logged_role_) return;
+  logged_role_ = core_.role();
+  log_line(log_level::kInfo, "replica_role")
+      .With("role", RoleName(logged_role_))
+      .With("term", core_.term())
+      .With("leader", core_.leader())
+      .With("last_index", core_.last_index());
+}
+
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::ApplyCommitted(
     const std::vector<log_entry>& entries) -> void {
   for (const auto& entry : entries) {
     std::string result;
@@ -188,8 +261,8 @@
   }
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::FailLostProposals() -> void {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::FailLostProposals() -> void {
   auto lost = std::move(pending_proposals_);
   pending_proposals_.clear();
   for (auto& [index, proposal] : lost) {
@@ -197,18 +270,29 @@
   }
 }
 
-template <replicated_machine Machine>
-auto replica_node<Machine>::MaybeCompact() -> void {
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::MaybeCompact() -> void {
   const auto entries = applied_index_ - core_.snapshot().index;
-  if (entries < kSnapshotEveryEntries &&
-      bytes_since_snapshot_ < kSnapshotEveryBytes) {
+  const bool is_due = entries >= kSnapshotEveryEntries ||
+                      bytes_since_snapshot_ >= kSnapshotEveryBytes;
+  if (snapshot_retry_at_) {
+    if (clock_.Now() < *snapshot_retry_at_) return;
+  } else if (!is_due || entries == 0) {
     return;
   }
-  if (entries == 0) return;
   bytes_since_snapshot_ = 0;
+  snapshot_retry_at_.reset();
   const auto snapshot = core_.Compact(applied_index_, machine_.TakeSnapshot());
-  store_.SaveSnapshot(snapshot, core_.hard(),
-                      core_.EntriesAfter(applied_index_));
+  try {
+    store_.SaveSnapshot(snapshot, core_.hard(),
+                        core_.EntriesAfter(applied_index_));
+  } catch (const storage_error& error) {
+    snapshot_retry_at_ = clock_.Now() + kSnapshotRetryMs;
+    log_line(log_level::kError, "snapshot_failed")
+        .With("index", snapshot.index)
+        .With("reason", error.what());
+    return;
+  }
   log_line(log_level::kInfo, "snapshot_saved")
       .With("index", snapshot.index)
       .With("bytes", snapshot.state.size());
--- a/include/lovagedale/replication/replica_node.h
+++ b/include/lovagedale/replication/replica_node.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,16 +46,18 @@
     std::function<std::optional<process_address>(const std::string& name)>;
 
 /// Drives a replica_core with a timer, a store and RPC channels to its peers.
-/// Runs on one thread, the control thread. A failed disk write throws
-/// storage_error out of the event loop.
-template <replicated_machine Machine>
+/// Runs on one thread, the control thread. While the disk fails, the replica
+/// does not lead, sends nothing and ignores what it receives; it goes on once
+/// its last output is stored.
+template <replicated_machine Machine, durable_disk Disk = posix_disk>
 class replica_node {
  public:
   /// `peers` are the other replicas. `store` and `machine` outlive the node.
   /// `wrap` encodes an envelope into this process's RPC message.
   replica_node(boost::asio::io_context& context, std::string name,
                const std::vector<process_address>& peers,
-               replication_options options, log_store& store, Machine& machine,
+               replication_options options, basic_log_store<Disk>& store,
+               Machine& machine,
                std::function<std::string(const replica_envelope&)> wrap,
                resolve_member resolve = {});
 
@@ -76,6 +79,8 @@
   /// Whether the lease is valid and every committed entry is applied. Reads
   /// that must see the latest committed state check this first.
   auto IsCurrent() const -> bool;
+  /// How long the disk has failed; 0 if it does not.
+  auto StorageFailingMs() const -> monotonic_ms;
 
  private:
   struct pending_proposal {
@@ -87,12 +92,20 @@
   auto ChannelTo(const std::string& member) -> rpc_channel*;
   auto ScheduleFlush() -> void;
   auto Flush() -> void;
+  /// Stores the output; false if the disk fails.
+  auto Store(const replica_output& output) -> bool;
+  /// Stops taking part until `output` is stored.
+  auto Suspend(replica_output output) -> void;
+  auto RetryStorage() -> void;
+  /// Sends and applies what has been stored.
+  auto Execute(const replica_output& output) -> void;
+  auto LogRole() -> void;
   auto ApplyCommitted(const std::vector<log_entry>& entries) -> void;
   auto FailLostProposals() -> void;
   auto MaybeCompact() -> void;
 
   boost::asio::io_context& context_;
-  log_store& store_;
+  basic_log_store<Disk>& store_;
   Machine& machine_;
   std::function<std::string(const replica_envelope&)> wrap_;
   resolve_member resolve_;
@@ -103,6 +116,13 @@
   boost::asio::steady_timer timer_;
   log_index applied_index_ = 0;
   std::size_t bytes_since_snapshot_ = 0;
+  /// Present while the disk fails: what is to be stored next.
+  std::optional<replica_output> unstored_;
+  std::string storage_failure_;  ///< the latest
+  monotonic_ms storage_failed_at_ = 0;
+  monotonic_ms storage_retry_at_ = 0;
+  /// When a snapshot that could not be stored is tried again.
+  std::optional<monotonic_ms> snapshot_retry_at_;
   replica_role logged_role_ = replica_role::kFollower;
   bool flush_scheduled_ = false;
   bool stopped_ = false;
--- a/include/lovagedale/replication/segment_files.h
+++ b/include/lovagedale/replication/segment_files.h
@@ -27,8 +27,13 @@
   const auto temporary = folder + "/" + name + ".new";
   disk.Remove(temporary);
   const int fd = disk.OpenAppend(temporary);
-  disk.Write(fd, EncodeBatch(payload));
-  disk.SyncFile(fd);
+  try {
+    disk.Write(fd, EncodeBatch(payload));
+    disk.SyncFile(fd);
+  } catch (...) {
+    disk.CloseFile(fd);
+    throw;
+  }
   disk.CloseFile(fd);
   disk.Rename(temporary, folder + "/" + name);
   disk.SyncFolder(folder);
--- a/src/operator_api/operator_api.cpp
+++ b/src/operator_api/operator_api.cpp
@@ -221,6 +221,7 @@
                {"role", RoleName(core.role())},
                {"incarnation", core.incarnation()},
                {"has_lease", service_.node().HasLease()},
+               {"storage_failing_ms", service_.node().StorageFailingMs()},
                {"leader", core.leader()},
                {"term", core.term()},
                {"commit_index", core.commit_index()},
--- a/src/replication/replica_core.cpp
+++ b/src/replication/replica_core.cpp
@@ -245,6 +245,10 @@
   Send(best->name, transfer_request{hard_.term});
 }
 
+auto replica_core::StepDown(monotonic_ms now) -> void {
+  BecomeFollower(hard_.term, "", now);
+}
+
 auto replica_core::LeaseUntil() const -> monotonic_ms {
   if (role_ != replica_role::kLeader || transferring_ ||
       commit_index_ < leader_start_index_) {
--- a/tests/replication/log_store_test.cpp
+++ b/tests/replication/log_store_test.cpp
@@ -172,4 +172,36 @@
   CHECK(Reopen(folder.path()).entries.size() == stored);
 }
 
+// Guards against a log that is damaged by the part of a batch that still fitted
+// on a full disk.
+TEST_CASE("a store goes on once a full disk has room again") {
+  temporary_folder folder;
+  InitializeDataFolder(folder.path(), {"r0"});
+  log_index next = 1;
+  {
+    quota_disk disk(2'000);
+    basic_log_store<quota_disk> store(disk, folder.path());
+    const auto fill = [&] {
+      for (; next < 1'000; ++next) store.Persist(AppendOutput(next, next));
+    };
+    CHECK_THROWS_AS(fill(), storage_error);
+    CHECK_THROWS_AS(store.Persist(AppendOutput(next, next)), storage_error);
+    disk.AddQuota(10);
+    CHECK_THROWS_AS(store.Persist(AppendOutput(next, next)), storage_error);
+    disk.AddQuota(2'000);
+    store.Persist(AppendOutput(next, next));
+    ++next;
+    CHECK_THROWS_AS(fill(), storage_error);
+    // Room for the snapshot, but not for the new segment.
+    disk.AddQuota(100);
+    CHECK_THROWS_AS(store.SaveSnapshot({next - 1, 1, {}, "state"}, {1, "r0"},
+                                       {Entry(next, std::string(200, 'x'))}),
+                    storage_error);
+    disk.AddQuota(1'000);
+    store.Persist(AppendOutput(next, next));
+  }
+  const auto state = Reopen(folder.path());
+  CHECK(state.snapshot.index + state.entries.size() == next);
+}
+
 }  // namespace lovagedale::testing
--- a/tests/support/quota_disk.h
+++ b/tests/support/quota_disk.h
@@ -16,6 +16,7 @@
   explicit quota_disk(std::size_t quota_bytes)
       : remaining_bytes_(quota_bytes) {}
 
+  auto AddQuota(std::size_t bytes) -> void { remaining_bytes_ += bytes; }
   auto OpenAppend(const std::string& path) -> int {
     return disk_.OpenAppend(path);
   }
