--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -56,6 +56,8 @@
   auto Adopt(const heartbeat_response& response, const std::string& replica)
       -> void;
   auto AdoptServers(const server_list_update& update) -> void;
+  /// Puts the list in force, with the addresses that this host uses.
+  auto UseServers(server_list list) -> void;
   auto AdoptPart(const update_part& part, const std::string& replica) -> void;
   auto AdoptUpdate(const view_update& update, const std::string& replica)
       -> void;
--- a/include/lovagedale/route_entry/settings.h
+++ b/include/lovagedale/route_entry/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,9 @@
   std::uint16_t metrics_port = 0;  ///< on the same host as `ready`
   std::uint16_t control_port = 0;  ///< RPC port of the control replicas
   std::vector<std::string> seeds;  ///< control replicas, as IP:HTTP_PORT
+  /// By listed address (IP:PORT): the address under which this host reaches the
+  /// server, where it differs.
+  std::map<std::string, ip_endpoint> server_addresses;
   relay_settings relay;
   /// Time for the balancer to stop sending connections once a drain has
   /// started.
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -305,7 +305,7 @@
     return;
   }
   list_ = std::move(*list);
-  state_.servers.Update(list_);
+  UseServers(list_);
   log_line(log_level::kInfo, "servers_adopted")
       .With("number", list_.number)
       .With("base", update.base)
@@ -313,6 +313,17 @@
       .With("servers", list_.servers.size());
 }
 
+auto fleet_link::UseServers(server_list list) -> void {
+  for (auto& server : list.servers) {
+    const auto found = settings_.server_addresses.find(
+        server.host + ":" + std::to_string(server.port));
+    if (found == settings_.server_addresses.end()) continue;
+    server.host = found->second.host;
+    server.port = found->second.port;
+  }
+  state_.servers.Update(list);
+}
+
 auto fleet_link::FallbackListLoop(asio::yield_context yield) -> void {
   while (!leaving_) {
     Pause(context_.get_executor(), kFallbackListPeriod, yield);
@@ -320,7 +331,7 @@
     try {
       // The leader's next list has a higher number than its last one, so it
       // replaces this one.
-      state_.servers.Update({list_.number, source_(yield)});
+      UseServers({list_.number, source_(yield)});
       log_line(log_level::kInfo, "servers_read")
           .With("after_number", list_.number)
           .With("servers", state_.servers.All().size());
--- a/src/route_entry/settings.cpp
+++ b/src/route_entry/settings.cpp
@@ -23,6 +23,10 @@
     settings.metrics_port = ReadPort(root, "metrics_port");
     settings.control_port = ReadPort(root, "control_port");
     settings.seeds = root.StringList("seeds");
+    root.ForEach("server_addresses", [&](object_reader& item) {
+      const auto listed = item.RequiredString("listed");
+      settings.server_addresses[listed] = ReadEndpoint(item, "reached_at");
+    });
     settings.drain_delay = std::chrono::milliseconds(root.Integer(
         "drain_delay_ms", 0, kMaxStopTimeMs, settings.drain_delay.count()));
     settings.grace = std::chrono::milliseconds(static_cast<std::int64_t>(
--- /dev/null
+++ b/tests/platform/listed_servers.cpp
@@ -0,0 +1,141 @@
+// Stand-ins of the platform's servers and of its list of them, in one process.
+//   listed_servers LIST_PORT ID:SERVICE:ZONE:PORT...
+// A path that begins with /stream/ is answered with events, each other one with
+// a short body. GET /record on the list's port tells how often requests ran.
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+#include <iostream>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <vector>
+
+#include "lovagedale/common/fiber_event.h"
+#include "lovagedale/http/server.h"
+#include "wire.h"
+
+namespace {
+
+using namespace lovagedale;  // NOLINT: a program's main file.
+namespace json = boost::json;
+namespace wire = platform::wire;
+
+constexpr std::uint64_t kEvents = 10;
+constexpr std::chrono::milliseconds kEventPause{30};
+constexpr std::chrono::milliseconds kAnswerTime{20};
+
+struct stand_in {
+  std::string id;
+  std::string service;
+  std::string zone;
+  std::uint16_t port = 0;
+};
+
+class listed_servers {
+ public:
+  listed_servers(boost::asio::io_context& context, std::uint16_t list_port,
+                 const std::vector<stand_in>& servers)
+      : context_(context), servers_(servers) {
+    Listen(list_port, [this](http_exchange& exchange) { List(exchange); });
+    for (const auto& server : servers_) {
+      Listen(server.port, [this, &server](http_exchange& exchange) {
+        Run(exchange, server);
+      });
+    }
+  }
+
+ private:
+  auto Listen(std::uint16_t port, http_handler handler) -> void {
+    listeners_.push_back(std::make_unique<http_server>(
+        context_, "127.0.0.1", port, false, http_limits{}, std::move(handler)));
+  }
+  auto List(http_exchange& exchange) -> void {
+    if (exchange.request().Path() == "/record") {
+      exchange.RespondJson(
+          200, json::serialize(json::value{{"orders", orders_.size()},
+                                           {"repeated", repeated_orders_}}));
+      return;
+    }
+    json::array instances;
+    for (const auto& server : servers_) {
+      instances.push_back(
+          {{"id", server.id},
+           {"backend", server.service},
+           {"address", "127.0.0.1:" + std::to_string(server.port)},
+           {"zone", server.zone},
+           {"version", "v1"},
+           {"capacity", 64},
+           {"state", "ready"}});
+    }
+    exchange.RespondJson(
+        200, json::serialize(json::value{{"instances", std::move(instances)},
+                                         {"next", nullptr}}));
+  }
+  auto Run(http_exchange& exchange, const stand_in& server) -> void {
+    const auto& request = exchange.request();
+    const auto id = std::string(request.Header(wire::kRequestId));
+    if (request.Header(wire::kTargetServer) != server.id) {
+      exchange.Respond(421, "", "", {{std::string(wire::kRequestId), id}});
+      return;
+    }
+    const header_list headers = {
+        {std::string(wire::kRequestId), id},
+        {"X-Lovagedale-Replica-Signature", "signed-" + id}};
+    if (request.Path().starts_with("/order/") && !orders_.insert(id).second) {
+      ++repeated_orders_;
+    }
+    if (!request.Path().starts_with("/stream/")) {
+      Pause(context_.get_executor(), kAnswerTime, exchange.yield());
+      exchange.Respond(200, "text/plain", "answer to " + id, headers);
+      return;
+    }
+    std::uint64_t last = 0;
+    const auto after = request.Header(wire::kLastEventId);
+    std::from_chars(after.data(), after.data() + after.size(), last);
+    exchange.StartStream(200, "text/event-stream", headers);
+    for (auto number = last + 1; number <= kEvents; ++number) {
+      Pause(context_.get_executor(), kEventPause, exchange.yield());
+      exchange.Write("id: " + std::to_string(number) + "\ndata: " + id +
+                     "\n\n");
+    }
+    exchange.EndStream();
+  }
+
+  boost::asio::io_context& context_;
+  const std::vector<stand_in> servers_;
+  std::vector<std::unique_ptr<http_server>> listeners_;
+  std::set<std::string> orders_;
+  std::uint64_t repeated_orders_ = 0;
+};
+
+auto ParseServer(const std::string& text) -> stand_in {
+  std::istringstream in(text);
+  stand_in server;
+  std::string port;
+  std::getline(in, server.id, ':');
+  std::getline(in, server.service, ':');
+  std::getline(in, server.zone, ':');
+  std::getline(in, port, ':');
+  server.port = static_cast<std::uint16_t>(std::stoi(port));
+  return server;
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  if (argc < 2) {
+    std::cerr << "usage: listed_servers LIST_PORT ID:SERVICE:ZONE:PORT...\n";
+    return 2;
+  }
+  std::vector<stand_in> servers;
+  for (int i = 2; i < argc; ++i) servers.push_back(ParseServer(argv[i]));
+  boost::asio::io_context context(1);
+  const listed_servers all(
+      context, static_cast<std::uint16_t>(std::stoi(argv[1])), servers);
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
+  context.run();
+  std::_Exit(0);
+}
