Relay calls through other entries while no server can be reached

Cause: an entry knew no way to a server but its own connections. Class: a host that decides about a whole service by what it alone can reach.

An entry whose connections to servers of two zones fail while control answers takes all silent zones for lost at once, and drops its idle connections there. A request over a kept connection no longer makes a server reachable that refuses new ones.

--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -10,6 +10,7 @@
 #include "lovagedale/common/hash.h"
 #include "lovagedale/configuration/update_parts.h"
 #include "lovagedale/discovery/list_changes.h"
+#include "lovagedale/forwarding/helper_table.h"
 #include "lovagedale/health/crash_attribution.h"
 #include "lovagedale/quality/evidence.h"
 #include "lovagedale/relay/server_load.h"
@@ -29,10 +30,15 @@
   /// that changed since the leader received them.
   version_answers_table answers;
   std::vector<server_load> loads;  ///< from its requests in progress
+  /// Sent to the leader if it has another report.
+  std::optional<reach_report> reach;
+  /// Of the helpers that the entry has; see HashHelpers.
+  std::uint32_t helpers_hash = 0;
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(server_list_number, replicas_hash, answers, loads);
+    archive(server_list_number, replicas_hash, answers, loads, reach,
+            helpers_hash);
   }
 };
 
@@ -54,10 +60,13 @@
   std::optional<std::vector<server_load>> loads;
   /// Sent by the leader: keys whose answered requests the entry is to report.
   std::vector<crash_key> suspects;
+  /// Sent by the leader if the entry has others: addresses of entries that take
+  /// its calls while it reaches no server.
+  std::optional<std::vector<std::string>> helpers;
 
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
-    archive(servers, replicas, loads, suspects);
+    archive(servers, replicas, loads, suspects, helpers);
   }
 };
 
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -88,6 +88,9 @@
   auto ProposeLift(const quarantine& item, const std::string& reason) -> void;
   auto Answer(const deferred_heartbeat& due) -> void;
   auto AddLimits(const std::string& node, heartbeat_response& response) -> void;
+  /// Adds the entry's helpers if it has others.
+  auto AddHelpers(const entry_heartbeat& heartbeat, relay_update& update) const
+      -> void;
   auto AddEvidence(const std::string& node, heartbeat_response& response)
       -> void;
   /// Answers the deferred heartbeats that are due, or all of them.
@@ -134,6 +137,7 @@
   version_answers_total answers_;
   monotonic_ms answer_ranks_logged_at_ = 0;
   server_load_total loads_;
+  helper_table helpers_;
   /// By service: the target version, and when this replica first saw the
   /// roll-out to it.
   std::map<std::string, std::pair<std::string, monotonic_ms>>
--- a/include/lovagedale/relay/call.h
+++ b/include/lovagedale/relay/call.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "lovagedale/discovery/server_list.h"
@@ -72,6 +73,24 @@
   auto operator==(const server_answer_metadata&) const -> bool = default;
 };
 
+/// Headers between two entries, of a call that one forwards to the other.
+namespace forwarding_header {
+/// Of the request: how many servers may still run the call.
+inline constexpr std::string_view kAttemptsLeft = "Lovagedale-Attempts-Left";
+/// Of the request: the configuration revision by which it was admitted.
+inline constexpr std::string_view kRevision = "Lovagedale-Revision";
+/// Of the answer: how many servers may have run the call.
+inline constexpr std::string_view kAttempts = "Lovagedale-Attempts";
+/// Of a refusal that no server gave: kEntryRefuses or kFleetRefuses.
+inline constexpr std::string_view kRefusedBy = "Lovagedale-Refused-By";
+}  // namespace forwarding_header
+/// Another entry may serve the call.
+inline constexpr std::string_view kEntryRefuses = "entry";
+inline constexpr std::string_view kFleetRefuses = "fleet";
+
+/// Whether a header is one of forwarding_header, which never leave the entries.
+auto IsForwardingHeader(std::string_view name) -> bool;
+
 /// Translates between the HTTP headers of a platform and the relay's types.
 template <typename T>
 concept call_protocol = requires(const T& protocol, const http_request& request,
@@ -83,6 +102,11 @@
   {
     protocol.ServerRequest(request, call, dispatch)
     } -> std::same_as<http_request>;
+  /// The caller's request for another entry, with the time that is left and the
+  /// event after which a stream resumes. `dispatch` has no server.
+  {
+    protocol.ForwardedRequest(request, dispatch)
+    } -> std::same_as<http_request>;
   { protocol.ReadAnswer(head) } -> std::same_as<server_answer_metadata>;
   /// Headers of an answer that this process generates itself.
   { protocol.OwnAnswerHeaders(call) } -> std::same_as<header_list>;
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -45,6 +45,8 @@
 inline constexpr monotonic_ms kServerWaitMs = 400;
 /// Longest wait of one call for the first routes after the process has started.
 inline constexpr monotonic_ms kRoutesWaitMs = 800;
+/// Longest wait for the routes by which another entry has admitted a call.
+inline constexpr monotonic_ms kRevisionWaitMs = 300;
 /// Delay before servers that were all full are tried again: about the duration
 /// of one request of a plain service.
 inline constexpr std::chrono::milliseconds kAllServersFullDelay{60};
@@ -56,9 +58,10 @@
 inline constexpr monotonic_ms kAnswerSettledMs = 200;
 
 template <call_protocol Protocol>
-auto relay<Protocol>::Handle(http_exchange& exchange) -> void {
+auto relay<Protocol>::Handle(http_exchange& exchange, call_origin origin)
+    -> void {
   ++state_.active_calls;
-  relayed_call<Protocol> call(state_, protocol_, exchange);
+  relayed_call<Protocol> call(state_, protocol_, exchange, origin);
   try {
     call.Run();
   } catch (...) {
@@ -90,6 +93,13 @@
     Pause(state_.context.get_executor(), kServerPollInterval,
           exchange_.yield());
   }
+  const auto needed_revision = ForwardingNumber(forwarding_header::kRevision);
+  const auto revision_deadline_ms = started_ms_ + kRevisionWaitMs;
+  while (state_.view && state_.view->revision < needed_revision &&
+         clock_.Now() < revision_deadline_ms && !caller_disconnected_) {
+    Pause(state_.context.get_executor(), kServerPollInterval,
+          exchange_.yield());
+  }
   view_ = state_.view;
 }
 
@@ -104,7 +114,8 @@
     return false;
   }
   AwaitRoutes();
-  if (!view_ || view_->routes.version() == 0) {
+  if (!view_ || view_->routes.version() == 0 ||
+      view_->revision < ForwardingNumber(forwarding_header::kRevision)) {
     Refuse(refusal::kNoConfiguration, "");
     return false;
   }
@@ -141,7 +152,10 @@
   // All requests of a session use the same version of a service.
   session_hash_ =
       HashFields(service_, call_.session.empty() ? call_.id : call_.session);
-  state_.RetriesOf(service_).CountRequest(started_ms_);
+  // A forwarded request is counted by the entry that got it from the caller.
+  if (origin_ == call_origin::kCaller) {
+    state_.RetriesOf(service_).CountRequest(started_ms_);
+  }
   return true;
 }
 
@@ -179,13 +193,6 @@
   state_.crashes.RecordBroken(server, crash_candidates_);
 }
 
-template <call_protocol Protocol>
-auto relayed_call<Protocol>::IsReachable(const server_handle& server) const
-    -> bool {
-  return !server->health.IsUnreachable() &&
-         !state_.servers.IsZoneLost(server->listed.zone);
-}
-
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::CollectServers() const
     -> std::vector<server_handle> {
@@ -195,7 +202,7 @@
     for (const auto& server : state_.servers.Servers(service_)) {
       const auto& listed = server->listed;
       if (listed.leaving || server->address_reassigned ||
-          !IsReachable(server)) {
+          !state_.servers.IsReachable(*server)) {
         continue;
       }
       if (!include_all_versions &&
@@ -319,6 +326,14 @@
   while (!caller_disconnected_) {
     if (RemainingMs() < kMinUsefulMs) break;
     const auto server = PickServer();
+    const auto helper = server ? nullptr : PickHelper();
+    if (helper) {
+      const auto result = AttemptThrough(helper);
+      LogForward(helper, result);
+      if (result == attempt_result::kAnswered || caller_disconnected_) return;
+      if (!AllowsAnotherAttempt(result)) break;
+      continue;
+    }
     if (!server) {
       if (exchange_.HasStarted()) {
         // The rest of the stream waits for a server until the time limit.
@@ -370,7 +385,6 @@
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::AllowsAnotherAttempt(attempt_result result)
     -> bool {
-  const auto& item = *match_.matched_route;
   const bool is_reserved = std::exchange(has_reserved_attempt_, false);
   if (broken_unanswered_ >= kMaxBrokenUnanswered || IsQuarantined()) {
     return false;
@@ -387,7 +401,7 @@
   if (result == attempt_result::kEscalated) return true;
   const bool was_run = result != attempt_result::kNotRun;
   if (was_run && !MayRepeat()) return false;
-  if (runs_ >= item.max_attempts) return false;
+  if (runs_ >= MaxAttempts()) return false;
   return is_reserved || state_.RetriesOf(service_).TryRetry(clock_.Now());
 }
 
@@ -396,7 +410,7 @@
     -> bool {
   if (has_reserved_attempt_) return true;
   if (!MayRepeat() || sends_ >= kMaxSends || RemainingMs() < kMinUsefulMs ||
-      (was_sent_ && runs_ >= match_.matched_route->max_attempts)) {
+      (was_sent_ && runs_ >= MaxAttempts())) {
     return false;
   }
   const auto servers = CollectServers();
@@ -475,6 +489,7 @@
   if (pooled.is_fresh) {
     connect_began_ms_ = clock_.Now();
     connection_->Connect(deadlines, exchange_.yield());
+    server->health.MarkReachable();
     state_.prober.ReportRoundTrip(server, connect_began_ms_);
   }
   if (caller_disconnected_) {
@@ -614,7 +629,6 @@
     } else if (result != attempt_result::kFailed) {
       server->health.RecordSuccess(now);
     }
-    server->health.MarkReachable();
     return result;
   }
   if (caller_disconnected_) return attempt_result::kAnswered;
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -47,6 +47,14 @@
   std::optional<double> retry_after_s;
 };
 auto AnswerFor(refusal why) -> refusal_answer;
+/// Whether another entry may serve a call that this one refuses.
+auto MayServeElsewhere(refusal why) -> bool;
+/// Who sent a call to this entry.
+enum class call_origin {
+  kCaller,
+  kEntry,  ///< that reaches no server; the call is not forwarded again
+};
+
 /// Formats with two decimals, for Retry-After.
 auto FormatSeconds(double seconds) -> std::string;
 
@@ -59,7 +67,7 @@
   relay(relay_state& state, Protocol protocol)
       : state_(state), protocol_(std::move(protocol)) {}
 
-  auto Handle(http_exchange& exchange) -> void;
+  auto Handle(http_exchange& exchange, call_origin origin) -> void;
 
  private:
   relay_state& state_;
@@ -74,10 +82,11 @@
 class relayed_call {
  public:
   relayed_call(relay_state& state, const Protocol& protocol,
-               http_exchange& exchange)
+               http_exchange& exchange, call_origin origin)
       : state_(state),
         protocol_(protocol),
         exchange_(exchange),
+        origin_(origin),
         view_(state.view),
         started_ms_(clock_.Now()) {}
 
@@ -91,14 +100,26 @@
     std::unique_ptr<byte_reservation> memory;  ///< of the body
   };
 
-  /// Waits for the first routes while the process is starting.
+  /// Waits for the first routes while the process is starting, and for those by
+  /// which another entry has admitted the call.
   auto AwaitRoutes() -> void;
+  /// Value of a forwarding_header of the request; 0 if there is none.
+  auto ForwardingNumber(std::string_view name) const -> std::uint64_t;
   /// Finds route, customer and service; false if the request was refused.
   auto Admit() -> bool;
   auto RunAttempts() -> void;
   auto Attempt(const server_handle& server) -> attempt_result;
   /// Connects and sends; throws http_call_error.
   auto SendTo(const server_handle& server) -> http_response_head;
+  /// The entry through which the next attempt goes; null if it goes directly or
+  /// nowhere.
+  auto PickHelper() const -> helper_handle;
+  auto AttemptThrough(const helper_handle& helper) -> attempt_result;
+  /// Throws http_call_error.
+  auto ForwardTo(const helper_handle& helper) -> attempt_result;
+  auto RelayForwardedAnswer(const http_response_head& head) -> attempt_result;
+  /// Headers of a server's answer, as sent on.
+  auto AnswerHeaders(const http_response_head& head) const -> header_list;
   /// Skips answers to other requests; `deadlines` are those of the request.
   /// Throws http_call_error.
   auto ReadMatchingHead(http_response_head head,
@@ -108,6 +129,7 @@
                    const server_answer_metadata& metadata) -> void;
   auto RelayFullAnswer(const server_handle& server,
                        const http_response_head& head) -> attempt_result;
+  /// `server` is null if the answer comes through another entry.
   auto RelayStream(const server_handle& server, const http_response_head& head)
       -> attempt_result;
   /// Whether the answer is dropped for its low confidence. If so, the largest
@@ -127,10 +149,12 @@
   /// The server for the next attempt; null if none can be reached, or within
   /// the servers' limits.
   auto PickServer() -> server_handle;
-  /// Counts the next attempt as demand for the server that was chosen first.
-  /// Whether the server's limit lets the call pass.
+  /// Whether the server's limit lets the call pass. Counts the next attempt as
+  /// demand for the server that was chosen first.
   auto PassesLimit(const server_handle& server) -> bool;
-  auto IsReachable(const server_handle& server) const -> bool;
+  auto CountReachableServers() const -> std::size_t;
+  /// Servers that may run the call, including those that have.
+  auto MaxAttempts() const -> std::uint32_t;
   auto MayRepeat() const -> bool;
   /// Whether the call, or a part of its prompt, is known to crash servers.
   auto IsQuarantined() -> bool;
@@ -187,12 +211,16 @@
   auto VersionAnswers(const server_handle& server) -> version_answers*;
   auto LogAttempt(const server_handle& server, attempt_result result,
                   const std::string& reason) -> void;
+  /// Counts the result of an attempt; whether it is to be logged as a failure.
+  auto CountAttempt(attempt_result result) -> bool;
+  auto LogForward(const helper_handle& helper, attempt_result result) -> void;
   auto LogOutcome(const char* outcome, unsigned status,
                   const std::string& detail) -> void;
 
   relay_state& state_;
   const Protocol& protocol_;
   http_exchange& exchange_;
+  const call_origin origin_;
   system_monotonic_clock clock_;
   std::shared_ptr<const routing_view> view_;
   monotonic_ms started_ms_;
@@ -202,9 +230,10 @@
   std::string service_;
   std::uint64_t session_hash_ = 0;
   std::size_t tier_ = 0;  ///< index of the current model in the route's models
-  std::uint32_t runs_ = 0;   ///< attempts that a server may have run
-  std::uint32_t sends_ = 0;  ///< all attempts; see kMaxSends
-  bool was_sent_ = false;    ///< the current attempt has begun to send
+  std::uint32_t runs_ = 0;      ///< attempts that a server may have run
+  std::uint32_t sends_ = 0;     ///< all attempts; see kMaxSends
+  std::uint32_t forwards_ = 0;  ///< attempts through other entries
+  bool was_sent_ = false;       ///< the current attempt has begun to send
   give_up_reason given_up_ = give_up_reason::kNone;  ///< the current attempt
   /// The retry budget has counted the next attempt already.
   bool has_reserved_attempt_ = false;
@@ -240,3 +269,4 @@
 
 #include "lovagedale/relay/relay-inl.h"
 #include "lovagedale/relay/relay_answers-inl.h"
+#include "lovagedale/relay/relay_forwarding-inl.h"
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -22,6 +22,14 @@
 /// retry needs the rest of it.
 inline constexpr double kMaxRetryAfterFraction = 1.0 / 3;
 
+/// For logs and metrics.
+inline auto ResultName(attempt_result result) -> const char* {
+  // In the order of attempt_result.
+  static constexpr const char* kNames[] = {
+      "answered", "unreached", "not_run", "maybe_run", "failed", "next_model"};
+  return kNames[static_cast<std::size_t>(result)];
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::ReadMatchingHead(http_response_head head,
                                               const http_deadlines& deadlines)
@@ -75,7 +83,7 @@
       threshold.Threshold(),
       larger.first_event.ExpectedMs(clock_.Now(), assumed_ms), objective);
   if (*metadata.confidence >= min_confidence) return false;
-  if (runs_ >= item.max_attempts) return false;
+  if (runs_ >= MaxAttempts()) return false;
   if (!std::exchange(has_reserved_attempt_, false) &&
       !state_.RetriesOf(service_).TryRetry(clock_.Now())) {
     return false;
@@ -116,7 +124,7 @@
     kept_failure_ = kept_failure{head, std::move(body), std::move(memory)};
     return attempt_result::kFailed;
   }
-  exchange_.Respond(head.status, head.content_type, body, head.headers);
+  exchange_.Respond(head.status, head.content_type, body, AnswerHeaders(head));
   LogOutcome("answered", head.status, "");
   return attempt_result::kAnswered;
 }
@@ -150,7 +158,7 @@
   for (;;) {
     const auto bytes = ReadStream(last_event_ms);
     if (bytes.empty()) break;
-    state_.prober.ReportReceived(server);
+    if (server) state_.prober.ReportReceived(server);
     const auto event_count = events_.event_count();
     const auto events = events_.Feed(bytes);
     if (events_.partial_bytes() > kMaxEventBytes ||
@@ -172,7 +180,8 @@
     ReleasePromptWork();
     if (clock_.Now() - *first_event_ms_ >= kAnswerSettledMs) RecordSettled();
     if (!exchange_.HasStarted()) {
-      exchange_.StartStream(head.status, head.content_type, head.headers);
+      exchange_.StartStream(head.status, head.content_type,
+                            AnswerHeaders(head));
     }
     exchange_.Write(events);
     // The caller's reading takes no time from the server.
@@ -183,12 +192,12 @@
                           "stream ended in the middle of an event");
   }
   if (!exchange_.HasStarted()) {
-    exchange_.StartStream(head.status, head.content_type, head.headers);
+    exchange_.StartStream(head.status, head.content_type, AnswerHeaders(head));
   }
   exchange_.EndStream();
   if (reads_with_events > 0) {
     RecordSettled();
-  } else {
+  } else if (server) {
     // Without a length, the end of an empty answer may be a crash.
     state_.crashes.RecordBroken(server, crash_candidates_);
   }
@@ -222,6 +231,7 @@
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::VersionAnswers(const server_handle& server)
     -> version_answers* {
+  if (!server) return nullptr;
   const auto* rollout = view_->RolloutOf(service_);
   if (rollout == nullptr || !rollout->IsRunning()) return nullptr;
   const auto& [route, model] = TierKey();
@@ -232,7 +242,8 @@
 auto relayed_call<Protocol>::CountFirstEvent(const server_handle& server)
     -> void {
   CountAnswer(server, /*failed=*/false);
-  RecordAnswerTime();
+  // Times through another entry say nothing about the servers.
+  if (server) RecordAnswerTime();
 }
 
 template <call_protocol Protocol>
@@ -273,12 +284,9 @@
   } else if (limited_until_ms_) {
     Refuse(refusal::kServersLimited, attempt_reason_);
   } else {
-    const bool is_any_reachable =
-        std::any_of(servers.begin(), servers.end(),
-                    [&](const auto& server) { return IsReachable(server); });
-    Refuse(servers.empty()     ? refusal::kNoServer
-           : !is_any_reachable ? refusal::kUnreachable
-                               : refusal::kServersRefuse,
+    Refuse(servers.empty()                ? refusal::kNoServer
+           : CountReachableServers() == 0 ? refusal::kUnreachable
+                                          : refusal::kServersRefuse,
            attempt_reason_);
   }
 }
@@ -287,7 +295,7 @@
 auto relayed_call<Protocol>::RelayKeptFailure() -> void {
   exchange_.Respond(kept_failure_->head.status,
                     kept_failure_->head.content_type, kept_failure_->body,
-                    kept_failure_->head.headers);
+                    AnswerHeaders(kept_failure_->head));
   LogOutcome("server_failure", kept_failure_->head.status, attempt_reason_);
 }
 
@@ -312,33 +320,37 @@
     }
     headers.emplace_back("Retry-After", FormatSeconds(after_s));
   }
+  if (origin_ == call_origin::kEntry) {
+    headers.emplace_back(forwarding_header::kRefusedBy, MayServeElsewhere(why)
+                                                            ? kEntryRefuses
+                                                            : kFleetRefuses);
+  }
   exchange_.Respond(
       answer.status, "application/json",
       std::string(R"({"error":{"type":")") + answer.reason + R"("}})", headers);
   LogOutcome(answer.reason, answer.status, detail);
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::CountAttempt(attempt_result result) -> bool {
+  ++state_.attempt_counts[ResultName(result)];
+  return result != attempt_result::kAnswered &&
+         result != attempt_result::kEscalated &&
+         state_.log.AllowFailure(clock_.Now());
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::LogAttempt(const server_handle& server,
                                         attempt_result result,
                                         const std::string& reason) -> void {
-  // In the order of attempt_result.
-  static constexpr const char* kResultNames[] = {
-      "answered", "unreached", "not_run", "maybe_run", "failed", "next_model"};
-  const auto* name = kResultNames[static_cast<std::size_t>(result)];
-  ++state_.attempt_counts[name];
-  if (result == attempt_result::kAnswered ||
-      result == attempt_result::kEscalated ||
-      !state_.log.AllowFailure(clock_.Now())) {
-    return;
-  }
+  if (!CountAttempt(result)) return;
   log_line(log_level::kInfo, "attempt_failed")
       .With("request", call_.id)
       .With("route", match_.matched_route->name)
       .With("server", server->listed.id)
       .With("version", server->listed.version)
       .With("list", state_.servers.number())
-      .With("result", name)
+      .With("result", ResultName(result))
       .With("after_ms", clock_.Now() - started_ms_)
       .With("reason", reason);
 }
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -13,6 +13,7 @@
 #include "lovagedale/common/byte_budget.h"
 #include "lovagedale/common/latency_histogram.h"
 #include "lovagedale/configuration/fleet_view.h"
+#include "lovagedale/forwarding/helper_pool.h"
 #include "lovagedale/relay/connection_pool.h"
 #include "lovagedale/relay/crash_monitor.h"
 #include "lovagedale/relay/log_budget.h"
@@ -82,8 +83,8 @@
   relay_state(boost::asio::io_context& context, relay_settings settings)
       : context(context),
         settings(std::move(settings)),
-        prober(context, servers),
         pool(context, kServerDeadAfter),
+        prober(context, servers, pool),
         crashes(context),
         random(std::random_device{}()),
         routes_wait_deadline_ms(system_monotonic_clock{}.Now() + kStartTimeMs) {
@@ -103,8 +104,9 @@
   const relay_settings settings;
   std::shared_ptr<const routing_view> view;  ///< null until first received
   server_table servers;
+  connection_pool pool;  ///< of connections to servers and to other entries
   server_prober prober;
-  connection_pool pool;
+  helper_pool helpers;
   crash_monitor crashes;
   tier_table tiers;
   std::mt19937_64 random;
@@ -122,6 +124,7 @@
   /// By route and model; the model is empty if the route has none.
   std::map<std::pair<std::string, std::string>, latency_histogram>
       first_event_histograms;
+  std::uint64_t forwarded_calls = 0;  ///< attempts through other entries
   log_budget log;
   /// Called when an answer names a limit of a server that had none, or the
   /// reverse.
--- a/include/lovagedale/relay/server_prober.h
+++ b/include/lovagedale/relay/server_prober.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <optional>
@@ -27,11 +28,14 @@
 /// are probed at once. While a zone is lost its servers are probed one after
 /// the other. A failed connection during which no server at all has answered is
 /// judged only after a server of another zone was probed: the cause may be this
-/// entry's own link. Not thread-safe.
+/// entry's own link. If that fails too while control answers, this entry is cut
+/// off from the servers: all zones that are silent are lost. Not thread-safe.
 class server_prober {
  public:
-  server_prober(boost::asio::io_context& context, server_table& servers)
-      : context_(context), servers_(servers) {}
+  /// Idle connections in `pool` to servers of a lost zone are closed.
+  server_prober(boost::asio::io_context& context, server_table& servers,
+                connection_pool& pool)
+      : context_(context), servers_(servers), pool_(pool) {}
   server_prober(const server_prober&) = delete;
   auto operator=(const server_prober&) -> server_prober& = delete;
 
@@ -42,6 +46,11 @@
   /// Called when the server has answered what was sent at `began_ms`.
   auto ReportRoundTrip(const server_handle& server, monotonic_ms began_ms)
       -> void;
+  /// Called when control has answered what was sent at `began_ms`.
+  auto ReportControlRoundTrip(monotonic_ms began_ms) -> void {
+    control_round_trip_began_ms_ =
+        std::max(control_round_trip_began_ms_, began_ms);
+  }
   /// Probes a server that has not answered in time.
   auto ProbeOnce(const server_handle& server) -> void;
 
@@ -51,6 +60,8 @@
       -> void;
   /// Probes a server of another zone, then judges the failures reported since.
   auto StartComparison(const server_handle& server) -> void;
+  /// Begins to probe a lost zone, whose attempts and idle connections end.
+  auto HandleLostZone(const std::string& zone) -> void;
   auto LogRegained(const server_handle& server) const -> void;
   auto StartProbeLoop(const server_handle& server) -> void;
   /// Probes until the server is reached or has left the list.
@@ -67,10 +78,12 @@
 
   boost::asio::io_context& context_;
   server_table& servers_;
+  connection_pool& pool_;
   /// Failures that wait for the probe of another zone.
   std::vector<std::pair<server_handle, monotonic_ms>> unjudged_failures_;
   /// The latest probe of another zone failed as well.
   bool is_own_link_suspected_ = false;
+  monotonic_ms control_round_trip_began_ms_ = 0;
   system_monotonic_clock clock_;
 };
 
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -73,6 +73,16 @@
   /// Like RecordReceived, for an answer to what was sent at `began_ms`.
   auto RecordRoundTrip(const std::string& zone, monotonic_ms began_ms,
                        monotonic_ms now) -> bool;
+  /// Marks the zones as lost that have answered nothing since `began_ms`, and
+  /// returns those that were not lost before.
+  auto LoseSilentZones(monotonic_ms began_ms) -> std::vector<std::string>;
+  /// Whether a call may be sent to the server.
+  auto IsReachable(const server_record& server) const -> bool {
+    return !server.health.IsUnreachable() && !IsZoneLost(server.listed.zone);
+  }
+  /// Keys of the services with listed servers of which none can be reached,
+  /// ascending.
+  auto UnreachableServices() const -> std::vector<std::uint32_t>;
   /// Whether any server has answered what was sent at `began_ms` or later.
   auto HasRoundTripSince(monotonic_ms began_ms) const -> bool;
   /// When bytes of the zone last arrived; nothing if none ever did.
--- a/include/lovagedale/relay/zone_reach.h
+++ b/include/lovagedale/relay/zone_reach.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "lovagedale/common/time.h"
 
@@ -28,6 +29,8 @@
     is_lost_ = true;
     return true;
   }
+  /// Marks the zone as lost; false if it was lost before.
+  auto Lose() -> bool { return !std::exchange(is_lost_, true); }
   /// Bytes of a server of the zone arrived; true if the zone was lost before.
   auto RecordReceived(monotonic_ms now) -> bool {
     last_received_ms_ = now;
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -27,6 +27,8 @@
              server_source source, std::function<void()> on_routes_changed);
 
   auto Start() -> void;
+  /// From now on this entry takes no new calls of others.
+  auto StopHelping() -> void { is_helping_ = false; }
   /// Notifies the control leader that this entry is leaving.
   auto Leave(boost::asio::yield_context yield) -> void;
   auto HasRecentLeader() const -> bool;
@@ -41,6 +43,7 @@
   auto FallbackListLoop(boost::asio::yield_context yield) -> void;
   /// Heartbeats to followers omit what only the leader uses.
   auto MakeHeartbeat(bool to_leader) -> entry_heartbeat;
+  auto OwnReach() const -> reach_report;
   /// Whether the next heartbeat to `replica`, whose last response had
   /// `told_revision`, asks for a newer configuration.
   auto MayAsk(const std::string& replica, config_revision told_revision) const
@@ -81,6 +84,11 @@
   monotonic_ms leader_response_ms_ = 0;
   server_list list_;                 ///< the leader's latest
   std::uint64_t replicas_hash_ = 0;  ///< of control's members, as last received
+  /// What the replica `reach_reported_to_` has received.
+  reach_report reported_reach_;
+  std::string reach_reported_to_;
+  std::uint32_t helpers_hash_ = 0;
+  bool is_helping_ = true;
   bool leaving_ = false;
 };
 
--- a/include/lovagedale/route_entry/route_entry-inl.h
+++ b/include/lovagedale/route_entry/route_entry-inl.h
@@ -38,7 +38,9 @@
             [this] { ApplyLimits(); }),
       callers_(context, settings_.callers.host, settings_.callers.port,
                /*share_port=*/false, http_limits{},
-               [this](http_exchange& exchange) { relay_.Handle(exchange); }),
+               [this](http_exchange& exchange) {
+                 relay_.Handle(exchange, call_origin::kCaller);
+               }),
       ready_(context, settings_.ready.host, settings_.ready.port,
              /*share_port=*/false, http_limits{},
              [this](http_exchange& exchange) { HandleReady(exchange); }),
@@ -46,7 +48,14 @@
                /*share_port=*/false, http_limits{},
                [this](http_exchange& exchange) { HandleMetrics(exchange); }),
       signals_(context, SIGTERM, SIGINT, SIGHUP),
-      clean_up_timer_(context) {}
+      clean_up_timer_(context) {
+  if (settings_.entry_port == 0) return;
+  entries_.emplace(context, settings_.callers.host, settings_.entry_port,
+                   /*share_port=*/false, http_limits{},
+                   [this](http_exchange& exchange) {
+                     relay_.Handle(exchange, call_origin::kEntry);
+                   });
+}
 
 template <call_protocol Protocol>
 auto route_entry<Protocol>::Run() -> int {
@@ -103,6 +112,7 @@
   applied.header_timeout = std::chrono::milliseconds(limits.header_timeout_ms);
   applied.idle_timeout = std::chrono::milliseconds(limits.idle_timeout_ms);
   callers_.SetLimits(applied);
+  if (entries_) entries_->SetLimits(applied);
 }
 
 template <call_protocol Protocol>
@@ -120,6 +130,7 @@
       return;
     } else {
       draining_ = true;
+      link_.StopHelping();
       log_line(log_level::kInfo, "draining")
           .With("signal", signal)
           .With("calls", state_.active_calls);
@@ -142,9 +153,13 @@
   state_.stop_deadline_ms = deadline;
   callers_.BeginDrain();
   callers_.CloseIdle();
+  if (entries_) {
+    entries_->BeginDrain();
+    entries_->CloseIdle();
+  }
   int idle_polls = 0;
   while (idle_polls < kMinIdlePolls && clock.Now() < deadline) {
-    idle_polls = callers_.ActiveRequests() == 0 ? idle_polls + 1 : 0;
+    idle_polls = ActiveRequests() == 0 ? idle_polls + 1 : 0;
     Pause(executor, kDrainPoll, yield);
   }
   // New calls are now refused, so that callers use another entry, until no call
@@ -152,14 +167,24 @@
   state_.stop_deadline_ms = 0;
   callers_.StopAccepting();
   callers_.CloseIdle();
+  if (entries_) {
+    entries_->StopAccepting();
+    entries_->CloseIdle();
+  }
   do {
     Pause(executor, kFlushDelay, yield);
-  } while (callers_.ActiveRequests() > 0 && clock.Now() < deadline);
+  } while (ActiveRequests() > 0 && clock.Now() < deadline);
   if (clock.Now() < deadline) link_.Leave(yield);
   log_line(log_level::kInfo, "drained").With("calls_cut", state_.active_calls);
   context_.stop();
 }
 
+template <call_protocol Protocol>
+auto route_entry<Protocol>::ActiveRequests() const -> std::size_t {
+  return callers_.ActiveRequests() +
+         (entries_ ? entries_->ActiveRequests() : 0);
+}
+
 template <call_protocol Protocol>
 auto route_entry<Protocol>::HandleReady(http_exchange& exchange) -> void {
   if (exchange.request().Path() != ready_path_) {
--- a/include/lovagedale/route_entry/route_entry.h
+++ b/include/lovagedale/route_entry/route_entry.h
@@ -37,6 +37,8 @@
   auto HandleReady(http_exchange& exchange) -> void;
   auto HandleMetrics(http_exchange& exchange) -> void;
   auto ApplyLimits() -> void;
+  /// Of callers and other entries.
+  auto ActiveRequests() const -> std::size_t;
   auto CleanUp() -> void;
   /// Reads the settings file and applies its seeds, if they have changed.
   /// `is_requested`: by SIGHUP rather than the timer.
@@ -50,6 +52,7 @@
   relay<Protocol> relay_;
   fleet_link link_;
   http_server callers_;
+  std::optional<http_server> entries_;  ///< if calls of other entries are taken
   http_server ready_;
   http_server metrics_;
   boost::asio::signal_set signals_;
--- a/include/lovagedale/route_entry/settings.h
+++ b/include/lovagedale/route_entry/settings.h
@@ -18,6 +18,9 @@
   ip_endpoint callers;  ///< listens for callers
   ip_endpoint ready;    ///< listens for readiness checks of the balancer
   std::uint16_t metrics_port = 0;  ///< on the same host as `ready`
+  /// Listens for calls of other entries, on the same host as `callers`; 0:
+  /// takes none.
+  std::uint16_t entry_port = 0;
   std::uint16_t control_port = 0;  ///< RPC port of the control replicas
   std::vector<std::string> seeds;  ///< control replicas, as IP:HTTP_PORT
   /// By listed address (IP:PORT): the address under which this host reaches the
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -132,11 +132,14 @@
                       deferred.heartbeat.relay->answers);
       loads_.Report(deferred.heartbeat.node, deferred.heartbeat.relay->loads,
                     now);
+      helpers_.Report(deferred.heartbeat.node, deferred.heartbeat.relay->reach,
+                      now);
     }
     if (deferred.heartbeat.leaving) {
       RemoveNode(deferred.heartbeat.node, [](propose_status) {});
       tracker_->Forget(deferred.heartbeat.node);
       loads_.Forget(deferred.heartbeat.node);
+      helpers_.Forget(deferred.heartbeat.node);
       limit_allocator_->RemoveEntry(deferred.heartbeat.node);
       server_limits_.Forget(deferred.heartbeat.node);
     } else {
@@ -296,6 +299,7 @@
       }
       response.relay->loads = loads_.Total(clock_.Now());
       response.relay->suspects = crashes_.SharedSuspects();
+      AddHelpers(due.heartbeat, *response.relay);
     }
   }
   const bool is_registered = machine_.entries().contains(due.heartbeat.node);
@@ -319,6 +323,17 @@
   due.reply(Encode(response));
 }
 
+auto control_service::AddHelpers(const entry_heartbeat& heartbeat,
+                                 relay_update& update) const -> void {
+  const auto now = clock_.Now();
+  // A new leader has not heard of all entries yet.
+  if (now - leading_since_ < helper_table::kReportMaxAgeMs) return;
+  auto helpers = helpers_.HelpersFor(heartbeat.node, now);
+  if (HashHelpers(helpers) != heartbeat.relay->helpers_hash) {
+    update.helpers = std::move(helpers);
+  }
+}
+
 auto control_service::AddLimits(const std::string& node,
                                 heartbeat_response& response) -> void {
   auto& limits = response.limits.emplace();
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,6 +1,7 @@
 #include "lovagedale/relay/relay.h"
 
 #include <array>
+#include <boost/beast/core/string.hpp>
 #include <cstdio>
 
 namespace lovagedale {
@@ -24,6 +25,19 @@
   return text.data();
 }
 
+auto IsForwardingHeader(std::string_view name) -> bool {
+  using boost::beast::iequals;
+  return iequals(name, forwarding_header::kAttemptsLeft) ||
+         iequals(name, forwarding_header::kRevision) ||
+         iequals(name, forwarding_header::kAttempts) ||
+         iequals(name, forwarding_header::kRefusedBy);
+}
+
+auto MayServeElsewhere(refusal why) -> bool {
+  return why == refusal::kNoConfiguration || why == refusal::kStopping ||
+         why == refusal::kNoServer || why == refusal::kUnreachable;
+}
+
 auto AnswerFor(refusal why) -> refusal_answer {
   switch (why) {
     case refusal::kNoConfiguration:
--- a/src/relay/server_prober.cpp
+++ b/src/relay/server_prober.cpp
@@ -61,6 +61,19 @@
     is_own_link_suspected_ = failed && !failed->was_refused;
     if (failed && failed->was_refused) ReportUnreachable(other, *failed);
     const auto failures = std::exchange(unjudged_failures_, {});
+    const auto first_began_ms = failures.front().second;
+    const bool is_cut_off = is_own_link_suspected_ &&
+                            !servers_.HasRoundTripSince(first_began_ms) &&
+                            control_round_trip_began_ms_ >= first_began_ms;
+    if (is_cut_off) {
+      for (const auto& zone : servers_.LoseSilentZones(first_began_ms)) {
+        log_line(log_level::kWarning, "zone_cut_off")
+            .With("zone", zone)
+            .With("server", server->listed.id)
+            .With("list", servers_.number());
+        HandleLostZone(zone);
+      }
+    }
     if (is_own_link_suspected_) {
       log_line(log_level::kWarning, "own_link_suspected")
           .With("failures", failures.size())
@@ -90,19 +103,14 @@
   const bool was_suspected = servers_.IsZoneSuspected(zone);
   server->health.MarkUnreachable(now);
   if (servers_.RecordUnreachable(server, began_ms)) {
-    const auto attempts = servers_.CancelAttempts(zone);
     const auto received_ms = servers_.LastReceivedMs(zone);
     log_line(log_level::kWarning, "zone_lost")
         .With("zone", zone)
         .With("server", server->listed.id)
         .With("list", servers_.number())
         .With("connect_ms", now - began_ms)
-        .With("silent_ms", received_ms ? now - *received_ms : -1)
-        .With("cancelled", attempts.cancelled)
-        .With("kept", attempts.kept);
-    SpawnTask(context_, [this, zone](asio::yield_context yield) {
-      ProbeZone(zone, yield);
-    });
+        .With("silent_ms", received_ms ? now - *received_ms : -1);
+    HandleLostZone(zone);
   }
   StartProbeLoop(server);
   if (was_suspected || !servers_.IsZoneSuspected(zone)) return;
@@ -115,6 +123,20 @@
   }
 }
 
+auto server_prober::HandleLostZone(const std::string& zone) -> void {
+  const auto attempts = servers_.CancelAttempts(zone);
+  for (const auto& [id, server] : servers_.All()) {
+    if (server->listed.zone == zone) pool_.Drop(id);
+  }
+  log_line(log_level::kInfo, "zone_attempts_cancelled")
+      .With("zone", zone)
+      .With("cancelled", attempts.cancelled)
+      .With("kept", attempts.kept);
+  SpawnTask(context_, [this, zone](asio::yield_context yield) {
+    ProbeZone(zone, yield);
+  });
+}
+
 auto server_prober::ReportReceived(const server_handle& server) -> void {
   if (servers_.RecordReceived(server->listed.zone, clock_.Now())) {
     LogRegained(server);
--- a/src/relay/server_table.cpp
+++ b/src/relay/server_table.cpp
@@ -1,8 +1,10 @@
 #include "lovagedale/relay/server_table.h"
 
 #include <algorithm>
+#include <set>
 
 #include "lovagedale/common/hash.h"
+#include "lovagedale/forwarding/helper_table.h"
 
 namespace lovagedale {
 namespace {
@@ -53,6 +55,36 @@
       server->listed.id, static_cast<std::size_t>(in_zone), began_ms);
 }
 
+auto server_table::LoseSilentZones(monotonic_ms began_ms)
+    -> std::vector<std::string> {
+  std::set<std::string> zones;
+  for (const auto& [id, server] : by_id_) zones.insert(server->listed.zone);
+  std::vector<std::string> lost;
+  for (const auto& zone : zones) {
+    auto& reach = zones_[zone];
+    if (!reach.HasRoundTripSince(began_ms) && reach.Lose())
+      lost.push_back(zone);
+  }
+  return lost;
+}
+
+auto server_table::UnreachableServices() const -> std::vector<std::uint32_t> {
+  std::vector<std::uint32_t> keys;
+  for (const auto& [service, servers] : by_service_) {
+    const auto available = [](const auto& server) {
+      return !server->listed.leaving && !server->address_reassigned;
+    };
+    if (std::none_of(servers.begin(), servers.end(), available)) continue;
+    if (std::none_of(servers.begin(), servers.end(), [&](const auto& server) {
+          return available(server) && IsReachable(*server);
+        })) {
+      keys.push_back(ServiceKey(service));
+    }
+  }
+  std::sort(keys.begin(), keys.end());
+  return keys;
+}
+
 auto server_table::RecordReceived(const std::string& zone, monotonic_ms now)
     -> bool {
   if (!zones_[zone].RecordReceived(now)) return false;
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -102,12 +102,28 @@
                                            ? reported_answers_
                                            : version_answers_table{});
     heartbeat.relay->loads = state_.servers.OwnLoads();
+    heartbeat.relay->helpers_hash = helpers_hash_;
+    // Another leader has no report of this entry.
+    const auto reach = OwnReach();
+    if (reach_reported_to_ != leader_ || reach != reported_reach_) {
+      heartbeat.relay->reach = reach;
+    }
     heartbeat.crashes = state_.crashes.UnacknowledgedReports(leader_);
     heartbeat.cleared_suspects = state_.crashes.TakeCleared();
   }
   return heartbeat;
 }
 
+auto fleet_link::OwnReach() const -> reach_report {
+  reach_report reach;
+  reach.unreachable_services = state_.servers.UnreachableServices();
+  if (is_helping_ && settings_.entry_port != 0) {
+    reach.address =
+        settings_.callers.host + ":" + std::to_string(settings_.entry_port);
+  }
+  return reach;
+}
+
 auto fleet_link::MayAsk(const std::string& replica,
                         config_revision told_revision) const -> bool {
   return sender_choice_.MayAsk(replica, leader_, told_revision,
@@ -163,6 +179,7 @@
       leader_.clear();
       // A replica that leads again after a restart has no counters.
       answers_reported_to_.clear();
+      reach_reported_to_.clear();
     }
     if (leader_.empty() && !failure.empty()) period = kSearchPeriod;
     if (failure.empty() && MayAsk(name, told_revision)) {
@@ -181,13 +198,20 @@
 auto fleet_link::Exchange(rpc_channel& channel, entry_heartbeat heartbeat,
                           asio::yield_context yield) -> heartbeat_response {
   const auto& name = channel.address().name;
+  const auto began_ms = clock_.Now();
   auto sent_answers = std::move(heartbeat.relay->answers);
   heartbeat.relay->answers = sent_answers;
   const auto sent_crashes = heartbeat.crashes;
+  const auto sent_reach = heartbeat.relay->reach;
   auto response = Decode<heartbeat_response>(channel.Call(
       Encode(control_request(std::move(heartbeat))), kHeartbeatTimeout, yield));
+  state_.prober.ReportControlRoundTrip(began_ms);
   if (!response.is_leader) return response;
   state_.crashes.Acknowledge(sent_crashes, name);
+  if (sent_reach) {
+    reported_reach_ = *sent_reach;
+    reach_reported_to_ = name;
+  }
   if (answers_reported_to_ != name) {
     reported_answers_.clear();
     answers_reported_to_ = name;
@@ -291,6 +315,10 @@
   if (response.relay->loads) {
     state_.servers.UpdateLoads(*response.relay->loads, clock_.Now());
   }
+  if (response.relay->helpers) {
+    helpers_hash_ = HashHelpers(*response.relay->helpers);
+    state_.helpers.Set(*response.relay->helpers);
+  }
   if (response.relay->servers) AdoptServers(*response.relay->servers);
 }
 
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -39,6 +39,9 @@
   for (const auto& [service, count] : ejected_by_service) {
     AddMetricValue(ejected, count, {{"service", service}});
   }
+  auto forwarded =
+      MakeMetricFamily("lovagedale_forwarded_calls_total", MetricType::Counter);
+  AddMetricValue(forwarded, static_cast<double>(state.forwarded_calls));
   auto active = MakeMetricFamily("lovagedale_calls_active", MetricType::Gauge);
   AddMetricValue(active, static_cast<double>(state.active_calls));
   auto answer_memory =
@@ -58,8 +61,8 @@
                                   MetricType::Counter);
   AddMetricValue(crashes, static_cast<double>(state.crashes.crashes()));
   return prometheus::TextSerializer().Serialize(
-      {calls, attempts, durations, first_events, ejected, active, answer_memory,
-       revision, list, suppressed, crashes});
+      {calls, attempts, durations, first_events, ejected, forwarded, active,
+       answer_memory, revision, list, suppressed, crashes});
 }
 
 }  // namespace lovagedale
--- a/src/route_entry/settings.cpp
+++ b/src/route_entry/settings.cpp
@@ -21,6 +21,9 @@
     settings.callers = ReadEndpoint(root, "callers");
     settings.ready = ReadEndpoint(root, "ready");
     settings.metrics_port = ReadPort(root, "metrics_port");
+    if (root.Has("entry_port")) {
+      settings.entry_port = ReadPort(root, "entry_port");
+    }
     settings.control_port = ReadPort(root, "control_port");
     settings.seeds = root.StringList("seeds");
     root.ForEach("server_addresses", [&](object_reader& item) {
--- a/tests/configuration/budget_test.cpp
+++ b/tests/configuration/budget_test.cpp
@@ -70,6 +70,30 @@
   return Encode(heartbeat).size() + Encode(response).size() - before;
 }
 
+/// What a cut between entries and servers adds: the entry's report, and its
+/// helpers each time that they change.
+auto CutBytes() -> std::size_t {
+  // The services of one deployment.
+  constexpr std::size_t kServices = 8;
+  // The reports of a zone's entries arrive within two heartbeats; one for the
+  // end.
+  constexpr std::size_t kHelperChanges = 3;
+  const std::string address = "10.255.255.255:65535";
+  entry_heartbeat heartbeat;
+  heartbeat.relay.emplace();
+  heartbeat_response response;
+  response.relay.emplace();
+  const auto before = Encode(heartbeat).size() + Encode(response).size();
+  heartbeat.relay->reach = {address, std::vector<std::uint32_t>(kServices, 1)};
+  const auto report =
+      Encode(heartbeat).size() + Encode(response).size() - before;
+  heartbeat.relay->reach.reset();
+  response.relay->helpers.emplace(helper_table::kMaxHelpers, address);
+  const auto helpers =
+      Encode(heartbeat).size() + Encode(response).size() - before;
+  return 2 * report + kHelperChanges * helpers;
+}
+
 /// The largest report of a crash.
 auto CrashReportBytes() -> std::size_t {
   crash_report report{"i-3565864fdc", {}, "0123456789abcdef"};
@@ -93,8 +117,10 @@
   const auto reports =
       static_cast<double>(CrashReportBytes()) * kCrashReportsPerSecond;
   const auto limits = static_cast<double>(LimitBytes(/*customers=*/0));
+  constexpr double kCutsPerSecond = 1.0 / 60;
+  const auto cuts = static_cast<double>(CutBytes()) * kCutsPerSecond;
   CHECK(heartbeats + position + views + static_cast<double>(RelayBytes()) +
-            limits + reports <=
+            limits + reports + cuts <=
         kBudgetBytesPerSecond);
 }
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -131,7 +131,9 @@
       : state_(context_, std::move(settings)),
         relay_(state_, {}),
         server_(context_, "127.0.0.1", 0, false, http_limits{},
-                [this](http_exchange& exchange) { relay_.Handle(exchange); }) {
+                [this](http_exchange& exchange) {
+                  relay_.Handle(exchange, call_origin::kCaller);
+                }) {
     fleet_view view;
     view.revision = 1;
     view.routes.version = 1;
--- a/tests/relay/server_prober_test.cpp
+++ b/tests/relay/server_prober_test.cpp
@@ -25,7 +25,8 @@
   boost::asio::io_context context(1);
   server_table table;
   table.Update({1, {ListedServer("far", silent), ListedServer("near", other)}});
-  server_prober prober(context, table);
+  connection_pool pool(context, std::chrono::milliseconds(1'500));
+  server_prober prober(context, table, pool);
   const system_monotonic_clock clock;
   const auto far = table.All().at("far");
   const auto run_for = [&](monotonic_ms duration_ms) {
@@ -55,7 +56,8 @@
   boost::asio::io_context context(1);
   server_table table;
   table.Update({1, {ListedServer("far", other), ListedServer("near", other)}});
-  server_prober prober(context, table);
+  connection_pool pool(context, std::chrono::milliseconds(1'500));
+  server_prober prober(context, table, pool);
   const system_monotonic_clock clock;
   const auto far = table.All().at("far");
   table.RecordRoundTrip("near", clock.Now(), clock.Now());
--- a/tests/route_entry/server_limit_fleet_test.cpp
+++ b/tests/route_entry/server_limit_fleet_test.cpp
@@ -79,7 +79,9 @@
         link_(context, settings_, state_, {}, [] {}),
         relay_(state_, {}),
         server_(context, "127.0.0.1", 0, false, http_limits{},
-                [this](http_exchange& exchange) { relay_.Handle(exchange); }) {
+                [this](http_exchange& exchange) {
+                  relay_.Handle(exchange, call_origin::kCaller);
+                }) {
     link_.Start();
   }
 
--- a/tests/support/plain_protocol.h
+++ b/tests/support/plain_protocol.h
@@ -36,6 +36,20 @@
     }
     return server_request;
   }
+  auto ForwardedRequest(const http_request& request,
+                        const call_dispatch& dispatch) const -> http_request {
+    auto forwarded = request;
+    std::erase_if(forwarded.headers, [](const auto& header) {
+      return header.first == "Limit" || header.first == "After";
+    });
+    forwarded.headers.emplace_back("Limit",
+                                   std::to_string(dispatch.remaining_ms));
+    if (dispatch.after_event) {
+      forwarded.headers.emplace_back("After",
+                                     std::to_string(*dispatch.after_event));
+    }
+    return forwarded;
+  }
   auto ReadAnswer(const http_response_head& head) const
       -> server_answer_metadata {
     server_answer_metadata metadata;
