Take no refusal for an answer that may be an earlier one

What operators of systems like this saw: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran (REFUSED), or such a request ran at a second server (TWICE). Refusals of other requests were skipped here already, by their id. Two cases were left: a call that the same server had refused was sent again on the same connection, where the earlier refusal has the right id; and a refusal without an id counted on any connection.

A call is sent to a server that has refused it on a new connection only. A refusal without an id counts on a connection that carries its first request; otherwise the request may have run.

--- a/include/lovagedale/relay/connection_pool.h
+++ b/include/lovagedale/relay/connection_pool.h
@@ -34,6 +34,8 @@
   /// by the server, or a new one that is not connected yet.
   auto Acquire(const listed_server& server, monotonic_ms max_idle_ms)
       -> pooled_connection;
+  /// A connection that has carried no request and is not connected yet.
+  auto Create(const listed_server& server) -> pooled_connection;
   /// Returns a connection to the pool if it can be reused. `keep_alive` is the
   /// idle timeout that the server sent, if any.
   auto Release(const std::string& server_id,
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -482,9 +482,13 @@
 auto relayed_call<Protocol>::SendTo(const server_handle& server)
     -> http_response_head {
   const bool is_once = !MayRepeat();
-  auto pooled = state_.pool.Acquire(
-      server->listed, is_once ? kMaxIdleOnceMs : kMaxIdleRepeatableMs);
+  auto pooled =
+      refusing_servers_.contains(server->listed.id)
+          ? state_.pool.Create(server->listed)
+          : state_.pool.Acquire(server->listed, is_once ? kMaxIdleOnceMs
+                                                        : kMaxIdleRepeatableMs);
   connection_ = std::move(pooled.connection);
+  is_connection_fresh_ = pooled.is_fresh;
   const auto deadlines = Deadlines();
   if (pooled.is_fresh) {
     connect_began_ms_ = clock_.Now();
@@ -541,6 +545,16 @@
       .With("per_second", metadata.limit_per_s.value_or(0));
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::CheckRefusal(
+    const server_answer_metadata& metadata) -> void {
+  if (!metadata.request_id.empty() || is_connection_fresh_) return;
+  // Not a crash of the server.
+  is_settled_ = true;
+  throw http_call_error(http_call_error::stage::kSent,
+                        "a refusal without an id on a used connection");
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::Attempt(const server_handle& server)
     -> attempt_result {
@@ -582,6 +596,8 @@
     const auto metadata = protocol_.ReadAnswer(head);
     RecordLimit(server, head, metadata);
     if (metadata.not_run || metadata.address_reassigned) {
+      CheckRefusal(metadata);
+      refusing_servers_.insert(server->listed.id);
       --runs_;
       attempt_reason_ = "refused with " + std::to_string(head.status);
       result = attempt_result::kNotRun;
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -120,6 +121,8 @@
   auto RelayForwardedAnswer(const http_response_head& head) -> attempt_result;
   /// Headers of a server's answer, as sent on.
   auto AnswerHeaders(const http_response_head& head) const -> header_list;
+  /// Throws http_call_error if a refusal may be that of another request.
+  auto CheckRefusal(const server_answer_metadata& metadata) -> void;
   /// Skips answers to other requests; `deadlines` are those of the request.
   /// Throws http_call_error.
   auto ReadMatchingHead(http_response_head head,
@@ -250,6 +253,10 @@
   std::vector<crash_candidate> crash_candidates_;
   std::uint32_t broken_unanswered_ = 0;  ///< attempts; see RecordBroken
   std::vector<std::string> tried_servers_;
+  /// Servers that have refused the call. A later attempt there needs a
+  /// connection that carried no refusal: the server may write one twice.
+  std::set<std::string> refusing_servers_;
+  bool is_connection_fresh_ = false;  ///< of the current attempt
   bool may_have_run_ = false;
   bool caller_disconnected_ = false;
   std::unique_ptr<http_connection> connection_;
--- a/src/relay/connection_pool.cpp
+++ b/src/relay/connection_pool.cpp
@@ -24,6 +24,10 @@
       return {std::move(idle.connection), /*is_fresh=*/false};
     }
   }
+  return Create(server);
+}
+
+auto connection_pool::Create(const listed_server& server) -> pooled_connection {
   return {std::make_unique<http_connection>(context_, server.host, server.port,
                                             dead_after_),
           /*is_fresh=*/true};
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -378,6 +378,46 @@
   CHECK(relay.Call().body == "mine");
 }
 
+// Guards against a request that runs twice, or whose caller is told that it did
+// not run: the server writes an earlier refusal of it once more, and runs it.
+TEST_CASE(
+    "an earlier refusal is not taken for the answer to a second attempt") {
+  std::atomic<int> connections = 0;
+  std::atomic<int> runs = 0;
+  const auto refusal =
+      "HTTP/1.1 503 Full\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  raw_server server([&](raw_server::peer& client, const std::string&) {
+    if (++connections > 1) {
+      ++runs;
+      client.Send(Answer("200 OK", "", "done"));
+      return;
+    }
+    client.Send(refusal);
+    if (client.ReadRequest().empty()) return;
+    ++runs;
+    client.Send(refusal);
+  });
+  const running_relay relay(MakeRoute(route_kind::kOnce), {server.port()});
+  CHECK(relay.Call().body == "done");
+  CHECK(runs == 1);
+}
+
+// The same by a server whose refusals name no request.
+TEST_CASE("a refusal without an id on a used connection promises nothing") {
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 1\r\n\r\nx";
+  const std::string refusal =
+      "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  raw_server server([&](raw_server::peer& client, const std::string&) {
+    client.Send(answer);
+    if (!client.ReadRequest().empty()) client.Send(refusal);
+    client.AwaitClose();
+  });
+  const running_relay relay(MakeRoute(route_kind::kOnce), {server.port()});
+  CHECK(relay.Call().head.status == 200);
+  CHECK(relay.Call().head.status == 502);
+}
+
 TEST_CASE("a stream resumes at another server after a broken connection") {
   const auto script = [](const std::string& request) {
     if (request.find("After: 2") == std::string::npos) {
