Resume streams with events of the same type only

Here errors with a failure status were kept out already. An error with status 200 was not: as another content type, as a head or text inside a stream, or as an answer without events and length, which ended the caller's stream as complete.

What resumes a stream must have the content type that the caller got, consist of events whose lines are fields or comments, and bring an event or a length. Otherwise the attempt has failed; the events before it were passed on, and the next attempt goes on after them.

--- a/include/lovagedale/http/client.h
+++ b/include/lovagedale/http/client.h
@@ -121,6 +121,8 @@
   /// exceeds `max_bytes`.
   auto SkipRest(const http_deadlines& deadlines, std::size_t max_bytes,
                 boost::asio::yield_context yield) -> bool;
+  /// Whether the answer has no length, so that it ends with the connection.
+  auto EndsWithConnection() const -> bool;
   /// Whether the answer has been read completely and another request may
   /// follow.
   auto IsReusable() const -> bool;
--- a/include/lovagedale/relay/event_splitter.h
+++ b/include/lovagedale/relay/event_splitter.h
@@ -21,6 +21,11 @@
   /// with a number up to last_event() are dropped as duplicates. The view is
   /// valid until the next call.
   auto Feed(std::string_view bytes) -> std::string_view;
+  /// Whether the bytes fed since RequireFields hold something that is no event.
+  auto HasMalformedEvent() const -> bool { return is_malformed_; }
+  /// From now on an event must satisfy HasOnlyFields. It is dropped with all
+  /// that follows if it does not.
+  auto RequireFields() -> void { requires_fields_ = true; }
   /// Whether the bytes so far end within an event.
   auto HasPartialEvent() const -> bool { return !partial_.empty(); }
   /// Bytes of the event that is incomplete so far.
@@ -37,6 +42,7 @@
     partial_.clear();
     line_start_ = 0;
     searched_bytes_ = 0;
+    is_malformed_ = false;
   }
 
  private:
@@ -47,10 +53,16 @@
   std::size_t line_start_ = 0;
   std::size_t searched_bytes_ = 0;
   std::string complete_;
+  bool requires_fields_ = false;
+  bool is_malformed_ = false;
   std::size_t event_count_ = 0;
   std::optional<std::uint64_t> last_event_;
 };
 
+/// Whether each line is a comment or a field whose name has only lower-case
+/// letters, digits and hyphens.
+auto HasOnlyFields(std::string_view event) -> bool;
+
 /// The number in the `id` field of an event; nothing if it has none.
 auto EventNumber(std::string_view event) -> std::optional<std::uint64_t>;
 
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -176,6 +176,10 @@
   /// Called at the first event or the end of an attempt: the server has
   /// processed the prompt.
   auto ReleasePromptWork() -> void;
+  /// Throws http_call_error.
+  [[noreturn]] auto FailMalformed() -> void;
+  /// Starts the caller's stream if that has not been done yet.
+  auto StartStream(const http_response_head& head) -> void;
   auto IsStreamAnswer(const http_response_head& head) const -> bool;
   auto AllowsAnotherAttempt(attempt_result result) -> bool;
   /// Listed servers of the service that are not leaving.
@@ -269,6 +273,7 @@
   monotonic_ms prompt_sent_ms_ = 0;
   std::optional<kept_failure> kept_failure_;
   event_splitter events_;
+  std::string stream_content_type_;  ///< as the caller got it
   std::string attempt_reason_;  ///< why the latest attempt failed, for the log
 };
 
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -96,8 +96,24 @@
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::IsStreamAnswer(
     const http_response_head& head) const -> bool {
+  // What resumes a stream must be one of the same type.
   return match_.matched_route->kind == route_kind::kStream &&
-         head.status == 200;
+         head.status == 200 &&
+         (!exchange_.HasStarted() || head.content_type == stream_content_type_);
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::FailMalformed() -> void {
+  throw http_call_error(http_call_error::stage::kAnswerBroken,
+                        "a resumed stream has text that is no event");
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::StartStream(const http_response_head& head)
+    -> void {
+  if (exchange_.HasStarted()) return;
+  stream_content_type_ = head.content_type;
+  exchange_.StartStream(head.status, head.content_type, AnswerHeaders(head));
 }
 
 template <call_protocol Protocol>
@@ -151,7 +167,10 @@
 auto relayed_call<Protocol>::RelayStream(const server_handle& server,
                                          const http_response_head& head)
     -> attempt_result {
+  const bool is_resumed = exchange_.HasStarted();
   events_.Restart();
+  // An error that the next server writes must not become a part of the stream.
+  if (is_resumed) events_.RequireFields();
   std::uint64_t reads_with_events = 0;
   byte_reservation memory(state_.answer_memory);
   auto last_event_ms = clock_.Now();
@@ -169,7 +188,11 @@
                                 " bytes is not complete");
     }
     if (events_.event_count() > event_count) last_event_ms = clock_.Now();
-    if (events.empty()) continue;
+    const bool is_malformed = events_.HasMalformedEvent();
+    if (events.empty()) {
+      if (is_malformed) FailMalformed();
+      continue;
+    }
     ++reads_with_events;
     if (reads_with_events == 1) {
       CountFirstEvent(server);
@@ -179,11 +202,10 @@
     }
     ReleasePromptWork();
     if (clock_.Now() - *first_event_ms_ >= kAnswerSettledMs) RecordSettled();
-    if (!exchange_.HasStarted()) {
-      exchange_.StartStream(head.status, head.content_type,
-                            AnswerHeaders(head));
-    }
+    StartStream(head);
     exchange_.Write(events);
+    // The caller has the events before it, after which the next server resumes.
+    if (is_malformed) FailMalformed();
     // The caller's reading takes no time from the server.
     last_event_ms = clock_.Now();
   }
@@ -191,9 +213,13 @@
     throw http_call_error(http_call_error::stage::kAnswerBroken,
                           "stream ended in the middle of an event");
   }
-  if (!exchange_.HasStarted()) {
-    exchange_.StartStream(head.status, head.content_type, AnswerHeaders(head));
+  if (is_resumed && reads_with_events == 0 &&
+      connection_->EndsWithConnection()) {
+    throw http_call_error(
+        http_call_error::stage::kAnswerBroken,
+        "a resumed stream ended without an event or a length");
   }
+  StartStream(head);
   exchange_.EndStream();
   if (reads_with_events > 0) {
     RecordSettled();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -321,6 +321,10 @@
   throw http_call_error(failed_at, reason, timed_out);
 }
 
+auto http_connection::EndsWithConnection() const -> bool {
+  return impl_->parser && impl_->parser->need_eof();
+}
+
 auto http_connection::IsReusable() const -> bool {
   return !impl_->failed && impl_->write && impl_->write->done &&
          !impl_->write->error && impl_->parser && impl_->parser->is_done() &&
--- a/src/relay/event_splitter.cpp
+++ b/src/relay/event_splitter.cpp
@@ -21,7 +21,28 @@
   return std::nullopt;
 }
 
+auto HasOnlyFields(std::string_view event) -> bool {
+  constexpr std::string_view kNameCharacters =
+      "abcdefghijklmnopqrstuvwxyz0123456789-";
+  for (std::size_t start = 0; start < event.size();) {
+    auto end = event.find('\n', start);
+    if (end == std::string_view::npos) end = event.size();
+    const auto line = event.substr(start, end - start);
+    start = end + 1;
+    if (line.empty() || line == "\r") continue;
+    const auto name_end = line.find_first_not_of(kNameCharacters);
+    if (name_end == std::string_view::npos || line[name_end] != ':') {
+      return false;
+    }
+  }
+  return true;
+}
+
 auto event_splitter::AppendEvent(std::string_view event) -> void {
+  if (requires_fields_ && (is_malformed_ || !HasOnlyFields(event))) {
+    is_malformed_ = true;
+    return;
+  }
   const auto number = EventNumber(event);
   if (number) {
     // A duplicate from a server that resumed before the last event.
--- a/tests/relay/event_splitter_test.cpp
+++ b/tests/relay/event_splitter_test.cpp
@@ -50,4 +50,22 @@
   CHECK_FALSE(EventNumber("data: id: 7\n\n"));
 }
 
+// Guards against events that the caller never gets: what precedes malformed
+// text is complete, and the stream resumes after it.
+TEST_CASE("malformed text ends a resumed stream after the events before it") {
+  event_splitter splitter;
+  CHECK(splitter.Feed("id: 1\ndata: x\n\n") == "id: 1\ndata: x\n\n");
+  splitter.Restart();
+  splitter.RequireFields();
+  const std::string next = "x-version: 2\r\nid: 2\r\ndata: y\r\n\r\n";
+  const auto events = std::string(
+      splitter.Feed(next + "HTTP/1.1 503 Full\r\n\r\n" + "id: 3\ndata: z\n\n"));
+  CHECK(events == next);
+  CHECK(splitter.HasMalformedEvent());
+  CHECK(splitter.last_event() == 2);
+  splitter.Restart();
+  CHECK_FALSE(splitter.HasMalformedEvent());
+  CHECK(splitter.Feed(": comment\nid: 3\ndata: z\n\n").size() > 0);
+}
+
 }  // namespace lovagedale::testing
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
@@ -238,6 +239,20 @@
   return end;
 }
 
+/// All bytes of the answer to a call, until the connection ends.
+auto ReadRawAnswer(const running_relay& relay) -> std::string {
+  asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect({asio::ip::make_address("127.0.0.1"), relay.port()});
+  asio::write(socket, asio::buffer(std::string(
+                          "GET / HTTP/1.1\r\nHost: h\r\nId: r1\r\n"
+                          "Limit: 1000\r\nConnection: close\r\n\r\n")));
+  std::string bytes;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(bytes), error);
+  return bytes;
+}
+
 /// How late a call may end after its time limit.
 constexpr monotonic_ms kMaxLateMs = 500;
 
@@ -418,6 +433,39 @@
   CHECK(relay.Call().head.status == 502);
 }
 
+// Guards against an error's text, or its whole head, in the middle of a stream,
+// and against a stream that then looks complete.
+TEST_CASE("an error of the next server does not become part of a stream") {
+  const std::string errors[] = {
+      Answer("500 Internal Server Error", "Content-Type: text/plain\r\n",
+             "oops: failed\n\n"),
+      Answer("404 Not Found", "", "oops: failed\n\n"),
+      Answer("200 OK", "Content-Type: application/json\r\n",
+             "{\"error\": \"oops\"}\n\n"),
+      kStreamHead + "\r\n" +
+          Chunk("HTTP/1.1 503 Full\r\nReason: oops\r\n\r\noops\n\n") +
+          "0\r\n\r\n",
+      kStreamHead + "\r\n" + Chunk("{\"error\": \"oops\"}\n\n") + "0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n\r\n",
+  };
+  for (const auto& error : errors) {
+    CAPTURE(error);
+    const auto script = [&](const std::string& request) {
+      return request.find("After: 2") == std::string::npos
+                 ? kStreamHead + "\r\n" + Chunk(Event(1) + Event(2) + "id: 3")
+                 : error;
+    };
+    scripted_server a(script);
+    scripted_server b(script);
+    const running_relay relay(MakeRoute(route_kind::kStream, true),
+                              {a.port(), b.port()});
+    const auto bytes = ReadRawAnswer(relay);
+    CHECK(bytes.find(Event(1) + Event(2)) != std::string::npos);
+    CHECK(bytes.find("oops") == std::string::npos);
+    CHECK(bytes.find("\r\n0\r\n\r\n") == std::string::npos);
+  }
+}
+
 TEST_CASE("a stream resumes at another server after a broken connection") {
   const auto script = [](const std::string& request) {
     if (request.find("After: 2") == std::string::npos) {
