Heed servers that leave, ask for a pause or are brittle

Before, an entry sent calls to a leaving server until the list showed it, asked one that wants a pause again after 60 ms, and repeated what a full server rejects without regard to what it bears.

--- a/include/lovagedale/relay/call.h
+++ b/include/lovagedale/relay/call.h
@@ -67,6 +67,16 @@
   /// if it names no limit.
   std::optional<double> limit_per_s;
   bool is_limit_unreadable = false;  ///< it names one that cannot be parsed
+  bool is_leaving = false;           ///< the server is shutting down
+  /// How long the server wants no more requests of this entry, in seconds; only
+  /// of a server that turns a request away.
+  std::optional<double> pause_s;
+  /// Requests a second that the server can reject; nothing if it names no
+  /// number.
+  std::optional<std::uint32_t> max_rejections_per_s;
+  /// Names of notices that cannot be parsed, separated by commas; empty if
+  /// none.
+  std::string unreadable_notices;
   /// The confidence that the model reports, 0 to 1.
   std::optional<double> confidence;
 
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
+#include <cmath>
 
 #include "lovagedale/common/fiber_event.h"
 #include "lovagedale/common/hash.h"
@@ -188,7 +189,7 @@
 auto relayed_call<Protocol>::RecordBroken(const server_handle& server,
                                           const http_call_error& failure)
     -> void {
-  if (failure.timed_out() || is_settled_ || server->listed.leaving) return;
+  if (failure.timed_out() || is_settled_ || !server->TakesCalls()) return;
   ++broken_unanswered_;
   state_.crashes.RecordBroken(server, crash_candidates_);
 }
@@ -197,11 +198,12 @@
 auto relayed_call<Protocol>::CollectServers() const
     -> std::vector<server_handle> {
   const auto* rollout = view_->RolloutOf(service_);
+  const auto now = clock_.Now();
   const auto collect = [&](bool include_all_versions, bool include_tried) {
     std::vector<server_handle> servers;
     for (const auto& server : state_.servers.Servers(service_)) {
       const auto& listed = server->listed;
-      if (listed.leaving || server->address_reassigned ||
+      if (!server->TakesCalls() || now < server->paused_until_ms ||
           !state_.servers.IsReachable(*server)) {
         continue;
       }
@@ -263,6 +265,7 @@
   input.prompt = PromptWork();
   input.report_fraction = ReportFraction(state_.servers.loads_period_ms());
   limited_until_ms_.reset();
+  if (servers.empty()) LimitByPauses();
   while (const auto chosen = ChooseServer(candidates, input)) {
     if (PassesLimit(servers[*chosen])) return servers[*chosen];
     const auto index = static_cast<std::ptrdiff_t>(*chosen);
@@ -272,15 +275,35 @@
   return nullptr;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::LimitUntil(monotonic_ms until_ms) -> void {
+  limited_until_ms_ = std::min(limited_until_ms_.value_or(until_ms), until_ms);
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::LimitByPauses() -> void {
+  const auto now = clock_.Now();
+  for (const auto& server : state_.servers.Servers(service_)) {
+    if (server->TakesCalls() && now < server->paused_until_ms &&
+        state_.servers.IsReachable(*server)) {
+      LimitUntil(server->paused_until_ms);
+    }
+  }
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::PassesLimit(const server_handle& server) -> bool {
   const auto now = clock_.Now();
+  if (!server->rejections.MaySend(server->in_flight, server->listed.capacity,
+                                  state_.entries, now)) {
+    LimitUntil(server->rejections.RetryAtMs(now));
+    return false;
+  }
   auto& limit = server->limit;
   if (!std::exchange(is_demand_counted_, true)) limit.RecordDemand(now);
   const auto draw = LimitDraw(Hash64(call_.id), now);
   if (limit.TryTake(draw, state_.entries, now)) return true;
-  const auto until_ms = now + limit.RetryAfterMs(state_.entries, now);
-  limited_until_ms_ = std::min(limited_until_ms_.value_or(until_ms), until_ms);
+  LimitUntil(now + limit.RetryAfterMs(state_.entries, now));
   return false;
 }
 
@@ -377,9 +400,8 @@
 auto relayed_call<Protocol>::CountAvailableServers() const -> std::size_t {
   const auto& servers = state_.servers.Servers(service_);
   return static_cast<std::size_t>(
-      std::count_if(servers.begin(), servers.end(), [](const auto& server) {
-        return !server->listed.leaving && !server->address_reassigned;
-      }));
+      std::count_if(servers.begin(), servers.end(),
+                    [](const auto& server) { return server->TakesCalls(); }));
 }
 
 template <call_protocol Protocol>
@@ -522,19 +544,42 @@
   return head;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::RecordNotices(
+    const server_handle& server, const http_response_head& head,
+    const server_answer_metadata& metadata) -> void {
+  // Otherwise another server has answered.
+  if (metadata.address_reassigned) return;
+  const auto now = clock_.Now();
+  if (!metadata.unreadable_notices.empty() && state_.log.AllowFailure(now)) {
+    log_line(log_level::kWarning, "notice_unreadable")
+        .With("server", server->listed.id)
+        .With("names", metadata.unreadable_notices);
+  }
+  if (metadata.is_leaving && !server->has_announced_leaving) {
+    server->has_announced_leaving = true;
+    log_line(log_level::kInfo, "server_leaving_announced")
+        .With("server", server->listed.id);
+  }
+  if (metadata.pause_s) {
+    const auto until_ms =
+        now + static_cast<monotonic_ms>(std::ceil(*metadata.pause_s * 1'000));
+    server->paused_until_ms = std::max(server->paused_until_ms, until_ms);
+  }
+  server->rejections.RecordAnswer(metadata.max_rejections_per_s, now);
+  if (metadata.not_run) {
+    server->rejections.RecordRejection(state_.entries, now);
+  }
+  RecordLimit(server, head, metadata);
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::RecordLimit(const server_handle& server,
                                          const http_response_head& head,
                                          const server_answer_metadata& metadata)
     -> void {
-  if (metadata.address_reassigned) return;
-  if (metadata.is_limit_unreadable) {
-    if (state_.log.AllowFailure(clock_.Now())) {
-      log_line(log_level::kWarning, "limit_unreadable")
-          .With("server", server->listed.id);
-    }
-    return;
-  }
+  // A limit that cannot be parsed leaves the former one in force.
+  if (metadata.is_limit_unreadable) return;
   const bool is_success = !metadata.not_run && IsSuccess(head.status);
   const limit_answer answer{metadata.limit_per_s, is_success, sent_ms_};
   if (!server->limit.RecordAnswer(answer, clock_.Now())) return;
@@ -594,7 +639,7 @@
   try {
     const auto head = SendTo(server);
     const auto metadata = protocol_.ReadAnswer(head);
-    RecordLimit(server, head, metadata);
+    RecordNotices(server, head, metadata);
     if (metadata.not_run || metadata.address_reassigned) {
       CheckRefusal(metadata);
       refusing_servers_.insert(server->listed.id);
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -38,7 +38,7 @@
   kBadGateway,      ///< it may have run; the answer is lost
   kTimeout,         ///< it may have run; the time limit passed
   kQuarantined,     ///< requests like it crash the servers
-  kServersLimited,  ///< the servers' limits are used up
+  kServersLimited,  ///< the servers take no more for now, and say so
 };
 
 struct refusal_answer {
@@ -127,6 +127,10 @@
   /// Throws http_call_error.
   auto ReadMatchingHead(http_response_head head,
                         const http_deadlines& deadlines) -> http_response_head;
+  /// Records what the server says of itself in an answer.
+  auto RecordNotices(const server_handle& server,
+                     const http_response_head& head,
+                     const server_answer_metadata& metadata) -> void;
   /// Records the limit that the answer names, or that it names none.
   auto RecordLimit(const server_handle& server, const http_response_head& head,
                    const server_answer_metadata& metadata) -> void;
@@ -155,6 +159,11 @@
   /// Whether the server's limit lets the call pass. Counts the next attempt as
   /// demand for the server that was chosen first.
   auto PassesLimit(const server_handle& server) -> bool;
+  /// The next attempt is prevented until `until_ms`, or earlier if that was
+  /// said before.
+  auto LimitUntil(monotonic_ms until_ms) -> void;
+  /// Called if no server is left: some may want no requests for a while.
+  auto LimitByPauses() -> void;
   auto CountReachableServers() const -> std::size_t;
   /// Servers that may run the call, including those that have.
   auto MaxAttempts() const -> std::uint32_t;
@@ -245,8 +254,8 @@
   /// The retry budget has counted the next attempt already.
   bool has_reserved_attempt_ = false;
   bool is_demand_counted_ = false;  ///< of the next attempt
-  /// When a server's limit will let a call pass, if only limits have prevented
-  /// the next attempt.
+  /// When a server will take a call, if only limits and pauses that servers
+  /// name have prevented the next attempt.
   std::optional<monotonic_ms> limited_until_ms_;
   /// Runs while the current attempt waits for bytes; null if the call must not
   /// be repeated.
--- a/include/lovagedale/relay/relay_forwarding-inl.h
+++ b/include/lovagedale/relay/relay_forwarding-inl.h
@@ -37,8 +37,7 @@
   const auto& servers = state_.servers.Servers(service_);
   return static_cast<std::size_t>(
       std::count_if(servers.begin(), servers.end(), [&](const auto& server) {
-        return !server->listed.leaving && !server->address_reassigned &&
-               state_.servers.IsReachable(*server);
+        return server->TakesCalls() && state_.servers.IsReachable(*server);
       }));
 }
 
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lovagedale/admission/rejection_guard.h"
 #include "lovagedale/admission/server_limit.h"
 #include "lovagedale/common/time.h"
 #include "lovagedale/discovery/server_list.h"
@@ -33,13 +34,22 @@
   std::uint32_t fleet_work = 0;
   std::uint32_t reported_work = 0;
   server_health health;
-  server_limit limit;               ///< that the server names
+  server_limit limit;  ///< that the server names
+  rejection_guard rejections;
   bool address_reassigned = false;  ///< another server has the address now
-  bool is_probed = false;           ///< by a running task of server_prober
+  /// An answer of it said that it is shutting down; the list may show it later.
+  bool has_announced_leaving = false;
+  /// Until then it wants no requests of this entry.
+  monotonic_ms paused_until_ms = 0;
+  bool is_probed = false;  ///< by a running task of server_prober
   /// Each one cancels an attempt if it can be repeated at another server now;
   /// false if the attempt goes on.
   std::list<std::function<bool()>> attempt_cancellers;
 
+  /// Whether it takes new calls, as far as it is known.
+  auto TakesCalls() const -> bool {
+    return !listed.leaving && !has_announced_leaving && !address_reassigned;
+  }
   /// Work of the other entries by the last update.
   auto OtherEntriesWork() const -> double {
     return fleet_work - std::min(fleet_work, reported_work);
--- a/src/relay/server_table.cpp
+++ b/src/relay/server_table.cpp
@@ -72,7 +72,7 @@
   std::vector<std::uint32_t> keys;
   for (const auto& [service, servers] : by_service_) {
     const auto available = [](const auto& server) {
-      return !server->listed.leaving && !server->address_reassigned;
+      return server->TakesCalls();
     };
     if (std::none_of(servers.begin(), servers.end(), available)) continue;
     if (std::none_of(servers.begin(), servers.end(), [&](const auto& server) {
--- a/tests/platform/caller_protocol_test.cpp
+++ b/tests/platform/caller_protocol_test.cpp
@@ -129,7 +129,8 @@
                   {"X-Lovagedale-Confidence", "42"},
                   {"Server-Limit", "2.5"}};
   CHECK(kProtocol.ReadAnswer(head) ==
-        server_answer_metadata{"r1", false, false, 2.5, false, 0.42});
+        server_answer_metadata{
+            .request_id = "r1", .limit_per_s = 2.5, .confidence = 0.42});
   head.headers = {{"Server-Limit", "many"}};
   CHECK(kProtocol.ReadAnswer(head).is_limit_unreadable);
   head = {};
@@ -143,4 +144,29 @@
   CHECK(kProtocol.ReadAnswer(head).not_run);
 }
 
+TEST_CASE("a server's notices of its state are read, and bad ones are named") {
+  http_response_head head;
+  head.status = 503;
+  head.headers = {
+      {"Server-Leaving", "1"}, {"Server-Brittle", "4"}, {"Retry-After", "1.5"}};
+  auto metadata = kProtocol.ReadAnswer(head);
+  CHECK(metadata.is_leaving);
+  CHECK(metadata.max_rejections_per_s == 4);
+  CHECK(metadata.pause_s == 1.5);
+  CHECK(metadata.unreadable_notices.empty());
+  head.headers = {{"Server-Leaving", "soon"},
+                  {"Server-Brittle", "0"},
+                  {"Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT"}};
+  metadata = kProtocol.ReadAnswer(head);
+  CHECK_FALSE(metadata.is_leaving);
+  CHECK_FALSE(metadata.max_rejections_per_s);
+  CHECK_FALSE(metadata.pause_s);
+  CHECK(metadata.unreadable_notices ==
+        "Server-Leaving,Server-Brittle,Retry-After");
+  // A failure of the request's own says nothing about the next one.
+  head.status = 500;
+  head.headers = {{"Retry-After", "1"}};
+  CHECK_FALSE(kProtocol.ReadAnswer(head).pause_s);
+}
+
 }  // namespace lovagedale::testing
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -992,6 +992,62 @@
   CHECK(limited.requests() == 1);
 }
 
+// Guards against requests to a server that has said that it shuts down, while
+// the list does not show it yet.
+TEST_CASE("a server that announces its end gets no more requests") {
+  scripted_server leaving([](const std::string&) {
+    return Answer("200 OK", "Leaving: 1\r\n", "last");
+  });
+  scripted_server other(
+      [](const std::string&) { return Answer("200 OK", "", "other"); });
+  const running_relay relay(MakeRoute(route_kind::kOnce),
+                            {leaving.port(), other.port()});
+  constexpr int kCalls = 20;
+  for (int i = 0; i < kCalls; ++i) CHECK(relay.Call().head.status == 200);
+  CHECK(leaving.requests() == 1);
+  CHECK(other.requests() == kCalls - 1);
+}
+
+// Guards against requests to a server that wants none for a while.
+TEST_CASE("a server that asks for a pause gets no requests until it ends") {
+  std::atomic<bool> is_paused = true;
+  scripted_server server([&](const std::string&) {
+    return is_paused ? Answer("503 Service Unavailable",
+                              "Not-Run: 1\r\nPause: 0.6\r\n", "")
+                     : Answer("200 OK", "", "x");
+  });
+  const running_relay relay(MakeRoute(route_kind::kRepeatable),
+                            {server.port()});
+  for (int i = 0; i < 10; ++i) {
+    const auto refused = CallWithin(relay, 2'000);
+    REQUIRE(refused.answer.has_value());
+    CHECK(refused.answer->head.status == 503);
+    CHECK(refused.took_ms < 200);
+    const auto after_s =
+        std::stod(std::string(refused.answer->head.Header("Retry-After")));
+    CHECK(after_s > 0);
+    CHECK(after_s <= 0.6);
+  }
+  CHECK(server.requests() == 1);
+  is_paused = false;
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  CHECK(relay.Call().head.status == 200);
+}
+
+// Guards against a brittle server that falls over as one entry repeats what it
+// rejects for want of room.
+TEST_CASE("a brittle server that rejects a request gets no more for a while") {
+  scripted_server full([](const std::string&) {
+    return Answer("503 Full", "Not-Run: 1\r\nMax-Rejections: 2\r\n", "");
+  });
+  scripted_server good(
+      [](const std::string&) { return Answer("200 OK", "", "done"); });
+  const running_relay relay(MakeRoute(route_kind::kOnce),
+                            {full.port(), good.port()}, /*retries=*/100);
+  for (int i = 0; i < 20; ++i) CHECK(relay.Call().body == "done");
+  CHECK(full.requests() <= 1);
+}
+
 // Guards against limits that end with the next failure and begin again with the
 // next answer.
 TEST_CASE("a refusal that names no limit does not end one") {
--- a/tests/support/plain_protocol.h
+++ b/tests/support/plain_protocol.h
@@ -2,6 +2,7 @@
 
 #include <charconv>
 
+#include "lovagedale/admission/rejection_guard.h"
 #include "lovagedale/admission/server_limit.h"
 #include "lovagedale/relay/call.h"
 
@@ -58,6 +59,11 @@
     const auto limit = head.Header("Server-Limit");
     metadata.limit_per_s = ParseServerLimit(limit);
     metadata.is_limit_unreadable = !limit.empty() && !metadata.limit_per_s;
+    metadata.is_leaving = !head.Header("Leaving").empty();
+    const auto pause = head.Header("Pause");
+    if (!pause.empty()) metadata.pause_s = std::stod(std::string(pause));
+    metadata.max_rejections_per_s =
+        ParseMaxRejections(head.Header("Max-Rejections"));
     const auto confidence = head.Header("Confidence");
     if (!confidence.empty()) {
       metadata.confidence = std::stod(std::string(confidence));
