--- a/src/rpc/connection.cpp
+++ b/src/rpc/connection.cpp
@@ -14,7 +14,6 @@
 
 constexpr int kKeepaliveIdleSeconds = 5;
 constexpr int kKeepaliveIntervalSeconds = 2;
-constexpr int kKeepaliveProbes = 3;
 
 auto SetTcpOption(int fd, int option, int value) -> void {
   // A failure is ignored: without the option, call timeouts still apply.
@@ -31,7 +30,6 @@
   const int fd = socket.native_handle();
   SetTcpOption(fd, TCP_KEEPIDLE, kKeepaliveIdleSeconds);
   SetTcpOption(fd, TCP_KEEPINTVL, kKeepaliveIntervalSeconds);
-  SetTcpOption(fd, TCP_KEEPCNT, kKeepaliveProbes);
   SetTcpOption(fd, TCP_USER_TIMEOUT, ack_timeout_ms);
 }
 
