--- a/tests/replication/log_store_power_loss_test.cpp
+++ b/tests/replication/log_store_power_loss_test.cpp
@@ -42,4 +42,30 @@
   CHECK(store.recovered().entries.size() == 3);
 }
 
+// Guards against a gap in the log: of three segments that a snapshot replaces,
+// the first is removed, and the others have entries after the snapshot.
+TEST_CASE("a store that was killed while it removed segments opens again") {
+  for (int removals = 0; removals < 3; ++removals) {
+    CAPTURE(removals);
+    temporary_folder folder;
+    InitializeDataFolder(folder.path(), {"r0"});
+    power_loss_disk disk;
+    constexpr log_index kEntries = 3;
+    for (log_index index = 1; index <= kEntries; ++index) {
+      test_store store(disk, folder.path());
+      store.Persist(Append(index));
+      if (index < kEntries) continue;
+      // The removal of an earlier temporary file comes first.
+      disk.KillAfterRemovals(1 + removals);
+      CHECK_THROWS_AS(
+          store.SaveSnapshot({1, 1, {}, "state"}, {1, "r0"},
+                             {Append(2).appended[0], Append(3).appended[0]}),
+          process_killed);
+    }
+    test_store store(disk, folder.path());
+    CHECK(store.recovered().snapshot.index == 1);
+    CHECK(store.recovered().entries.size() == 2);
+  }
+}
+
 }  // namespace lovagedale::testing
--- a/tests/support/power_loss_disk.h
+++ b/tests/support/power_loss_disk.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <filesystem>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -48,6 +49,10 @@
     durable_bytes_.erase(from);
   }
   auto Remove(const std::string& path) -> void {
+    if (removals_left_ && (*removals_left_)-- == 0) {
+      removals_left_.reset();
+      throw process_killed();
+    }
     disk_.Remove(path);
     durable_bytes_.erase(path);
   }
@@ -56,6 +61,8 @@
     durable_bytes_[path] = bytes;
   }
 
+  /// The Remove after so many others throws process_killed.
+  auto KillAfterRemovals(int count) -> void { removals_left_ = count; }
   /// The next SyncFile throws process_killed instead of syncing.
   auto KillAtNextSync() -> void { is_killed_at_sync_ = true; }
   auto LosePower() -> void {
@@ -73,6 +80,7 @@
   std::map<std::string, std::size_t> durable_bytes_;  ///< by path
   std::map<int, std::string> paths_;                  ///< of open files
   bool is_killed_at_sync_ = false;
+  std::optional<int> removals_left_;
 };
 
 }  // namespace lovagedale::testing
