--- a/src/relay/server_table.cpp
+++ b/src/relay/server_table.cpp
@@ -62,8 +62,9 @@
   std::vector<std::string> lost;
   for (const auto& zone : zones) {
     auto& reach = zones_[zone];
-    if (!reach.HasRoundTripSince(began_ms) && reach.Lose())
+    if (!reach.HasRoundTripSince(began_ms) && reach.Lose()) {
       lost.push_back(zone);
+    }
   }
   return lost;
 }
