--- a/include/lovagedale/replication/log_store-inl.h
+++ b/include/lovagedale/replication/log_store-inl.h
@@ -153,8 +153,8 @@
 auto basic_log_store<Disk>::RemoveOldSegments() -> void {
   auto numbers = ListSegments(folder_, kLogPrefix);
   std::erase_if(numbers, [&](auto number) { return number >= segment_; });
-  // The newest first, each removal made durable: the segments that are left after a
-  // crash have no gap between them.
+  // The newest first, each removal made durable: the segments that are left
+  // after a crash have no gap between them.
   for (auto number = numbers.rbegin(); number != numbers.rend(); ++number) {
     disk_.Remove(SegmentPath(folder_, kLogPrefix, *number));
     disk_.SyncFolder(folder_);
--- a/include/lovagedale/rpc/connection.h
+++ b/include/lovagedale/rpc/connection.h
@@ -14,8 +14,9 @@
 namespace lovagedale {
 
 /// Sets TCP_NODELAY, keepalive and TCP_USER_TIMEOUT, so that a connection
-/// whose peer no longer acknowledges data fails after `ack_timeout_ms`. That time
-/// also decides when keepalive probes give up; their count has no effect then.
+/// whose peer no longer acknowledges data fails after `ack_timeout_ms`. That
+/// time also decides when keepalive probes give up; their count has no effect
+/// then.
 auto ConfigureSocket(boost::asio::ip::tcp::socket& socket, int ack_timeout_ms)
     -> void;
 
