Tell callers to come back soon if all servers of a service are leaving

A service of which all servers leave was refused like one that cannot be reached, with a Retry-After of 2 s, since servers announce their end.

--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -31,7 +31,7 @@
   kNoRoute,
   kUnknownKey,
   kStopping,        ///< this process stops before the call could end
-  kNoServer,        ///< no server of the service is known
+  kNoServer,        ///< no server of the service is known that takes calls
   kUnreachable,     ///< no server of the service can be reached
   kServersRefuse,   ///< every server that was asked refused to run it
   kExpired,         ///< the time limit passed before it was sent
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -300,7 +300,6 @@
     return;
   }
   const bool is_late = RemainingMs() < kMinUsefulMs;
-  const auto& servers = state_.servers.Servers(service_);
   if (!may_have_run_ && IsQuarantined()) {
     Refuse(refusal::kQuarantined, attempt_reason_);
   } else if (may_have_run_) {
@@ -310,7 +309,7 @@
   } else if (limited_until_ms_) {
     Refuse(refusal::kServersLimited, attempt_reason_);
   } else {
-    Refuse(servers.empty()                ? refusal::kNoServer
+    Refuse(CountAvailableServers() == 0   ? refusal::kNoServer
            : CountReachableServers() == 0 ? refusal::kUnreachable
                                           : refusal::kServersRefuse,
            attempt_reason_);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1008,6 +1008,20 @@
   CHECK(other.requests() == kCalls - 1);
 }
 
+// Guards against callers who are told to come back late, as in a partition,
+// though other servers of a service that is replaced are about to be listed.
+TEST_CASE("callers come back soon if all servers are leaving") {
+  scripted_server leaving([](const std::string&) {
+    return Answer("200 OK", "Leaving: 1\r\n", "last");
+  });
+  const running_relay relay(MakeRoute(route_kind::kOnce), {leaving.port()});
+  CHECK(relay.Call().body == "last");
+  const auto refused = relay.Call();
+  CHECK(refused.head.status == 503);
+  CHECK(std::stod(std::string(refused.head.Header("Retry-After"))) < 0.5);
+  CHECK(leaving.requests() == 1);
+}
+
 // Guards against requests to a server that wants none for a while.
 TEST_CASE("a server that asks for a pause gets no requests until it ends") {
   std::atomic<bool> is_paused = true;
