Let entries help that miss a service which nobody reaches

Its calls of all services would have been refused.

Failed before: helper_table_test, "a service that nobody reaches does not keep others from helping": 0 == 2.

--- a/include/lovagedale/forwarding/helper_pool.h
+++ b/include/lovagedale/forwarding/helper_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,7 +17,8 @@
   /// the address.
   listed_server listed;
   std::uint32_t in_flight = 0;
-  monotonic_ms avoided_until_ms = 0;
+  monotonic_ms unreached_until_ms = 0;
+  std::map<std::string, monotonic_ms> refusing_until_ms;  ///< by service
 };
 
 using helper_handle = std::shared_ptr<helper_record>;
@@ -27,13 +29,19 @@
   /// Replaces the helpers. Keeps the records of those that stay. Skips what is
   /// not of the form IP:PORT.
   auto Set(const std::vector<std::string>& addresses) -> void;
-  auto Candidates(monotonic_ms now) const -> std::vector<helper_candidate>;
+  /// For a call of the service.
+  auto Candidates(const std::string& service, monotonic_ms now) const
+      -> std::vector<helper_candidate>;
   auto At(std::size_t index) const -> const helper_handle& {
     return helpers_[index];
   }
-  /// Called when the helper was not reached or could not serve a call.
-  static auto Avoid(helper_record& helper, monotonic_ms now) -> void {
-    helper.avoided_until_ms = now + kAvoidMs;
+  static auto RecordUnreached(helper_record& helper, monotonic_ms now) -> void {
+    helper.unreached_until_ms = now + kAvoidMs;
+  }
+  /// The helper cannot serve calls of the service either.
+  static auto RecordRefusal(helper_record& helper, const std::string& service,
+                            monotonic_ms now) -> void {
+    helper.refusing_until_ms[service] = now + kAvoidMs;
   }
 
  private:
--- a/include/lovagedale/forwarding/helper_table.h
+++ b/include/lovagedale/forwarding/helper_table.h
@@ -38,10 +38,10 @@
   auto Report(const std::string& entry, std::optional<reach_report> report,
               monotonic_ms now) -> void;
   auto Forget(const std::string& entry) -> void { reports_.erase(entry); }
-  /// Addresses of up to kMaxHelpers other entries that reach every service
-  /// which `entry` does not; while it reaches all, of entries that reach all.
-  /// Each entry gets its own selection, which changes little when entries come
-  /// and go.
+  /// Addresses of up to kMaxHelpers other entries: of those that reach most of
+  /// the services which `entry` does not, one at least; while it reaches all,
+  /// most services at all. Each entry gets its own selection, which changes
+  /// little when entries come and go.
   auto HelpersFor(const std::string& entry, monotonic_ms now) const
       -> std::vector<std::string>;
 
--- a/include/lovagedale/forwarding/path_choice.h
+++ b/include/lovagedale/forwarding/path_choice.h
@@ -9,7 +9,7 @@
 /// Another entry that can pass a call on to the servers.
 struct helper_candidate {
   std::uint32_t in_flight = 0;  ///< calls that this entry forwards to it
-  /// It was not reached or could not serve a call within the last second.
+  /// It was not reached, or refused a call of the service, a short time ago.
   bool is_avoided = false;
 
   auto operator==(const helper_candidate&) const -> bool = default;
--- a/include/lovagedale/relay/relay_forwarding-inl.h
+++ b/include/lovagedale/relay/relay_forwarding-inl.h
@@ -46,7 +46,7 @@
   const auto choice =
       ChoosePath({CountAvailableServers(), CountReachableServers(),
                   origin_ == call_origin::kEntry, forwards_, state_.random(),
-                  state_.helpers.Candidates(clock_.Now())});
+                  state_.helpers.Candidates(service_, clock_.Now())});
   return choice.path == call_path::kThroughEntry
              ? state_.helpers.At(choice.helper)
              : nullptr;
@@ -80,7 +80,7 @@
   if (caller_disconnected_) return attempt_result::kAnswered;
   attempt_reason_ = failure->what();
   state_.pool.Drop(helper->listed.id);
-  helper_pool::Avoid(*helper, clock_.Now());
+  helper_pool::RecordUnreached(*helper, clock_.Now());
   if (failure->failure_stage() == http_call_error::stage::kNotSent) {
     if (was_sent_) --runs_;
     return attempt_result::kNotReached;
@@ -126,7 +126,7 @@
     --runs_;
     attempt_reason_ =
         "the other entry refused with " + std::to_string(head.status);
-    helper_pool::Avoid(*helper, clock_.Now());
+    helper_pool::RecordRefusal(*helper, service_, clock_.Now());
     auto rest = deadlines;
     rest.body = std::min(rest.body, kMaxRefusalBodyTime);
     connection_->SkipRest(rest, kMaxSkippedBytes, exchange_.yield());
--- a/src/forwarding/helper_pool.cpp
+++ b/src/forwarding/helper_pool.cpp
@@ -32,11 +32,15 @@
   helpers_ = std::move(next);
 }
 
-auto helper_pool::Candidates(monotonic_ms now) const
+auto helper_pool::Candidates(const std::string& service, monotonic_ms now) const
     -> std::vector<helper_candidate> {
   std::vector<helper_candidate> candidates;
   for (const auto& helper : helpers_) {
-    candidates.push_back({helper->in_flight, now < helper->avoided_until_ms});
+    const auto refusing = helper->refusing_until_ms.find(service);
+    const bool is_refusing =
+        refusing != helper->refusing_until_ms.end() && now < refusing->second;
+    candidates.push_back(
+        {helper->in_flight, is_refusing || now < helper->unreached_until_ms});
   }
   return candidates;
 }
--- a/src/forwarding/helper_table.cpp
+++ b/src/forwarding/helper_table.cpp
@@ -1,6 +1,7 @@
 #include "lovagedale/forwarding/helper_table.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "lovagedale/common/hash.h"
@@ -8,11 +9,12 @@
 namespace lovagedale {
 namespace {
 
-auto HaveCommonElement(const std::vector<std::uint32_t>& ascending,
-                       const std::vector<std::uint32_t>& keys) -> bool {
-  return std::any_of(keys.begin(), keys.end(), [&](std::uint32_t key) {
-    return std::binary_search(ascending.begin(), ascending.end(), key);
-  });
+auto CountCommon(const std::vector<std::uint32_t>& ascending,
+                 const std::vector<std::uint32_t>& keys) -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(keys.begin(), keys.end(), [&](std::uint32_t key) {
+        return std::binary_search(ascending.begin(), ascending.end(), key);
+      }));
 }
 
 }  // namespace
@@ -42,30 +44,42 @@
     -> std::vector<std::string> {
   const auto own = reports_.find(entry);
   const auto own_hash = Hash64(entry);
-  std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
+  const auto& needed = own == reports_.end()
+                           ? std::vector<std::uint32_t>{}
+                           : own->second.report.unreachable_services;
+  struct candidate {
+    std::size_t unreachable = 0;  ///< services that it does not reach either
+    std::uint64_t rank = 0;
+    const std::string* address = nullptr;
+  };
+  std::vector<candidate> candidates;
   for (const auto& [name, stored] : reports_) {
     const auto& report = stored.report;
     if (name == entry || report.address.empty() ||
         now - stored.at_ms > kReportMaxAgeMs) {
       continue;
     }
-    const bool is_cut_off = own != reports_.end() &&
-                            !own->second.report.unreachable_services.empty();
-    const bool helps =
-        is_cut_off ? !HaveCommonElement(report.unreachable_services,
-                                        own->second.report.unreachable_services)
-                   : report.unreachable_services.empty();
-    if (helps) {
-      ranked.emplace_back(MixBits(stored.name_hash ^ MixBits(own_hash)),
-                          &report.address);
-    }
+    const auto unreachable =
+        needed.empty() ? report.unreachable_services.size()
+                       : CountCommon(report.unreachable_services, needed);
+    if (!needed.empty() && unreachable == needed.size()) continue;
+    candidates.push_back({unreachable,
+                          MixBits(stored.name_hash ^ MixBits(own_hash)),
+                          &report.address});
   }
-  const auto count = std::min(kMaxHelpers, ranked.size());
-  std::partial_sort(ranked.begin(),
-                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                    ranked.end(), std::greater<>());
+  std::sort(candidates.begin(), candidates.end(),
+            [](const candidate& a, const candidate& b) {
+              return std::tie(a.unreachable, b.rank) <
+                     std::tie(b.unreachable, a.rank);
+            });
   std::vector<std::string> helpers;
-  for (std::size_t i = 0; i < count; ++i) helpers.push_back(*ranked[i].second);
+  for (const auto& item : candidates) {
+    if (helpers.size() == kMaxHelpers ||
+        item.unreachable > candidates.front().unreachable) {
+      break;
+    }
+    helpers.push_back(*item.address);
+  }
   return helpers;
 }
 
