--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -118,6 +118,8 @@
   auto AttemptThrough(const helper_handle& helper) -> attempt_result;
   /// Throws http_call_error.
   auto ForwardTo(const helper_handle& helper) -> attempt_result;
+  /// Adds the servers that the helper has tried, beyond the first.
+  auto CountHelperAttempts(const http_response_head& head) -> void;
   auto RelayForwardedAnswer(const http_response_head& head) -> attempt_result;
   /// Headers of a server's answer, as sent on.
   auto AnswerHeaders(const http_response_head& head) const -> header_list;
@@ -167,6 +169,8 @@
   auto CountReachableServers() const -> std::size_t;
   /// Servers that may run the call, including those that have.
   auto MaxAttempts() const -> std::uint32_t;
+  /// Servers that another entry may still try; at least 1.
+  auto AttemptsLeft() const -> std::uint32_t;
   auto MayRepeat() const -> bool;
   /// Whether the call, or a part of its prompt, is known to crash servers.
   auto IsQuarantined() -> bool;
--- a/include/lovagedale/relay/relay_forwarding-inl.h
+++ b/include/lovagedale/relay/relay_forwarding-inl.h
@@ -10,6 +10,10 @@
 
 namespace lovagedale {
 
+/// Status of a refusal that says that nothing has run, and nothing will.
+inline constexpr unsigned kNotRunStatus = 503;
+
+/// 0 if `text` is not a number.
 inline auto ParseForwardingNumber(std::string_view text) -> std::uint64_t {
   std::uint64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
@@ -32,6 +36,11 @@
                          std::min<std::uint64_t>(configured, left));
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::AttemptsLeft() const -> std::uint32_t {
+  return MaxAttempts() > runs_ ? MaxAttempts() - runs_ : 1;
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::CountReachableServers() const -> std::size_t {
   const auto& servers = state_.servers.Servers(service_);
@@ -111,7 +120,7 @@
   if (!dispatch.after_event) dispatch.after_event = call_.after_event;
   auto request = protocol_.ForwardedRequest(exchange_.request(), dispatch);
   request.headers.emplace_back(forwarding_header::kAttemptsLeft,
-                               std::to_string(MaxAttempts() - runs_));
+                               std::to_string(AttemptsLeft()));
   request.headers.emplace_back(forwarding_header::kRevision,
                                std::to_string(view_->revision));
   ++runs_;
@@ -119,10 +128,13 @@
   sent_ms_ = clock_.Now();
   const auto head = ReadMatchingHead(
       connection_->Send(request, deadlines, exchange_.yield()), deadlines);
-  const bool is_refused =
-      head.Header(forwarding_header::kRefusedBy) == kEntryRefuses;
+  const auto refused_by = head.Header(forwarding_header::kRefusedBy);
+  const bool is_not_run = !refused_by.empty() && head.status == kNotRunStatus;
+  const bool is_refused = is_not_run && refused_by == kEntryRefuses;
   auto result = attempt_result::kNotReached;
-  if (is_refused) {
+  // That nothing has run holds for this attempt, but not for the call if an
+  // earlier attempt may have run.
+  if (is_refused || (is_not_run && may_have_run_)) {
     --runs_;
     attempt_reason_ =
         "the other entry refused with " + std::to_string(head.status);
@@ -131,12 +143,8 @@
     rest.body = std::min(rest.body, kMaxRefusalBodyTime);
     connection_->SkipRest(rest, kMaxSkippedBytes, exchange_.yield());
   } else {
-    may_have_run_ = true;
-    runs_ +=
-        static_cast<std::uint32_t>(std::max<std::uint64_t>(
-            1,
-            ParseForwardingNumber(head.Header(forwarding_header::kAttempts)))) -
-        1;
+    may_have_run_ |= !is_not_run;
+    CountHelperAttempts(head);
     result = IsStreamAnswer(head) ? RelayStream(nullptr, head)
                                   : RelayForwardedAnswer(head);
   }
@@ -145,6 +153,15 @@
   return result;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::CountHelperAttempts(const http_response_head& head)
+    -> void {
+  const auto attempts =
+      ParseForwardingNumber(head.Header(forwarding_header::kAttempts));
+  // One has been counted as the call was sent.
+  if (attempts > 1) runs_ += static_cast<std::uint32_t>(attempts - 1);
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::RelayForwardedAnswer(
     const http_response_head& head) -> attempt_result {
--- a/include/lovagedale/replication/replica_node-inl.h
+++ b/include/lovagedale/replication/replica_node-inl.h
@@ -182,8 +182,8 @@
   const auto now = clock_.Now();
   storage_failed_at_ = now;
   storage_retry_at_ = now + kStorageRetryMs;
-  // The messages depend on what is not stored; the others have gone on by the
-  // time that it is.
+  // The messages must not be sent before the output is stored, and are outdated
+  // by then.
   output.messages.clear();
   unstored_ = std::move(output);
   core_.StepDown(now);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -180,6 +180,13 @@
     request.body = body;
     return BlockingHttpCall("127.0.0.1", server_.port(), request, {});
   }
+  /// Entries that take the calls while no server can be reached.
+  auto SetHelper(std::uint16_t port) -> void {
+    OnItsThread([&] {
+      state_.helpers.Set({"127.0.0.1:" + std::to_string(port)});
+      return true;
+    });
+  }
   /// Cancels the attempts that can be repeated, as when their zone is lost.
   auto CancelAttempts() -> cancelled_attempts {
     return OnItsThread([this] { return state_.servers.CancelAttempts(""); });
@@ -992,6 +999,26 @@
   CHECK(limited.requests() == 1);
 }
 
+// Guards against callers that are told "not run" by another entry's refusal,
+// although this entry's attempt may have run.
+TEST_CASE("a refusal by another entry promises nothing after an attempt ran") {
+  scripted_server server([](const std::string&) { return std::string(); },
+                         std::chrono::milliseconds(0), "",
+                         std::chrono::milliseconds(1'500));
+  scripted_server helper([](const std::string& request) {
+    CHECK(request.find("Lovagedale-Attempts-Left: 2") != std::string::npos);
+    return Answer("503 Service Unavailable", "Lovagedale-Refused-By: fleet\r\n",
+                  "");
+  });
+  running_relay relay(MakeRoute(route_kind::kRepeatable), {server.port()});
+  relay.SetHelper(helper.port());
+  CHECK(relay.Call().head.status == 502);
+  CHECK(server.requests() == 1);
+  CHECK(helper.requests() == 1);
+  // The server is still down, so nothing of this call has run.
+  CHECK(relay.CountUnreachableServers() == 1);
+}
+
 // Guards against requests to a server that has said that it shuts down, while
 // the list does not show it yet.
 TEST_CASE("a server that announces its end gets no more requests") {
