Log that an entry is cut off, not also that its own link is suspected

An operator saw both zone_cut_off and own_link_suspected for one event, although the first says that control answers and the own link works. Only the log changes.

--- a/src/relay/server_prober.cpp
+++ b/src/relay/server_prober.cpp
@@ -62,6 +62,7 @@
     if (failed && failed->was_refused) ReportUnreachable(other, *failed);
     const auto failures = std::exchange(unjudged_failures_, {});
     const auto first_began_ms = failures.front().second;
+    // Control has answered meanwhile, so this entry's own link works.
     const bool is_cut_off = is_own_link_suspected_ &&
                             !servers_.HasRoundTripSince(first_began_ms) &&
                             control_round_trip_began_ms_ >= first_began_ms;
@@ -73,8 +74,7 @@
             .With("list", servers_.number());
         HandleLostZone(zone);
       }
-    }
-    if (is_own_link_suspected_) {
+    } else if (is_own_link_suspected_) {
       log_line(log_level::kWarning, "own_link_suspected")
           .With("failures", failures.size())
           .With("zone", server->listed.zone)
