Give messages and files a format, so that two builds can run side by side

Cause: our messages and files are read by position and did not say which format they have.

What builds of an older format would misunderstand waits for the fleet's format, which is replicated state and raised by a command of the log once every member and entry reads it; data folders are marked then. None needs it yet.

Ruled out: negotiation per connection, cereal's class versions, numbered fields throughout; see docs/DESIGN.md, Formats.

--- a/include/lovagedale/claim/claim_machine.h
+++ b/include/lovagedale/claim/claim_machine.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "lovagedale/claim/messages.h"
+#include "lovagedale/common/format.h"
 #include "lovagedale/replication/messages.h"
 
 namespace lovagedale {
@@ -19,6 +20,7 @@
   auto Apply(const log_entry& entry) -> std::string;
   auto Decide(const claim_command& command) -> claim_result;
   auto TakeSnapshot() const -> std::string;
+  auto RequiredFormat() const -> format_number { return kFirstFormat; }
   auto Restore(const std::string& state) -> void;
   auto size() const -> std::size_t { return claims_.size(); }
 
--- a/include/lovagedale/configuration/changes.h
+++ b/include/lovagedale/configuration/changes.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "lovagedale/common/format.h"
 #include "lovagedale/configuration/fleet_view.h"
 #include "lovagedale/route/route_config.h"
 
@@ -172,8 +173,21 @@
   }
 };
 
-/// A command of control's replicated log.
-using control_command = std::variant<change, register_node, remove_node>;
+/// Allows what needs `format`: from then on every control replica and entry
+/// must run a build of that format or a later one. Never lowered.
+struct raise_fleet_format {
+  format_number format = kFirstFormat;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(format);
+  }
+};
+
+/// A command of control's replicated log. The position of each alternative is
+/// part of the format; new ones follow the others and are proposed only once
+/// the fleet's format has them.
+using control_command =
+    std::variant<change, register_node, remove_node, raise_fleet_format>;
 
 enum class change_status : std::uint8_t {
   kApplied,
--- a/include/lovagedale/configuration/control_machine.h
+++ b/include/lovagedale/configuration/control_machine.h
@@ -47,10 +47,15 @@
   static constexpr std::size_t kMaxRevertedPerService = 8;
 
   /// Applies a control_command; returns an encoded change_result.
+  /// Throws codec_error for a command that this build does not know.
   auto Apply(const log_entry& entry) -> std::string;
+  /// The same state gives the same bytes with every build.
   auto TakeSnapshot() const -> std::string;
   auto Restore(const std::string& state) -> void;
 
+  /// The fleet's format: what needs a later one is not used yet.
+  auto RequiredFormat() const -> format_number { return fleet_format_; }
+
   auto view() const -> const fleet_view& { return view_; }
   /// The registered entries, by name.
   auto entries() const -> const std::map<std::string, register_node>& {
@@ -79,6 +84,7 @@
   auto MutableStatus(const std::string& version) -> version_status&;
 
   fleet_view view_;
+  format_number fleet_format_ = kFirstFormat;
   std::string route_source_;
   std::map<std::string, register_node> entries_;
   std::deque<change_record> history_;
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -7,10 +7,12 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "lovagedale/configuration/control_machine.h"
 #include "lovagedale/configuration/in_force.h"
+#include "lovagedale/control/format_census.h"
 #include "lovagedale/control/messages.h"
 #include "lovagedale/control/settings.h"
 #include "lovagedale/discovery/server_feed.h"
@@ -62,6 +64,12 @@
   auto TimeSinceHeartbeat(const std::string& node) const -> monotonic_ms;
   auto IsLeader() const -> bool { return tracker_.has_value(); }
   auto evidence() const -> const evidence_table& { return evidence_.Total(); }
+  /// Formats of the members' and entries' builds, as this replica was told.
+  auto formats() const -> const format_census& { return formats_; }
+  /// Messages that could not be decoded since the process started.
+  auto unreadable_messages() const -> std::uint64_t {
+    return server_.unreadable_messages();
+  }
 
  private:
   /// A heartbeat whose response is deferred until there is an update (long
@@ -79,6 +87,11 @@
   auto HasStaleList(const entry_heartbeat& heartbeat) const -> bool;
   /// How long the response to an entry that relays is deferred, in ms.
   auto LoadExchangePeriod() const -> monotonic_ms;
+  auto HandleJoin(const join_request& request, format_number format,
+                  const rpc_reply& reply) -> void;
+  /// Raises the fleet's format if the settings allow it and every member and
+  /// entry can read it.
+  auto RaiseFleetFormat() -> void;
   auto TrackDemand(const entry_heartbeat& heartbeat) -> void;
   auto ReportLimits(const entry_heartbeat& heartbeat) -> void;
   auto RegisterIfNew(const entry_heartbeat& heartbeat) -> void;
@@ -149,6 +162,10 @@
   /// Present while leading.
   std::optional<limit_allocator> limit_allocator_;
   server_limit_total server_limits_;
+  format_census formats_;
+  /// Joining replicas whose build is too old, each logged once.
+  std::set<std::string> refused_joins_;
+  bool raise_pending_ = false;
   monotonic_ms allocated_at_ = 0;
   guard_options guard_options_;
   service_rollout_limits service_rollout_limits_;
--- a/include/lovagedale/control/settings.h
+++ b/include/lovagedale/control/settings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "lovagedale/common/format.h"
 #include "lovagedale/replication/replica_core.h"
 #include "lovagedale/rpc/channel.h"
 
@@ -26,6 +27,8 @@
   /// Set for the first start of a new group: the seeds are its initial voters.
   bool bootstrap = false;
   replication_options replication;
+  /// Highest format that this replica, as the leader, raises the fleet to.
+  format_number raise_fleet_format_to = kFirstFormat;
   std::string log_file;
   std::string log_level;
 
--- a/include/lovagedale/replication/log_store-inl.h
+++ b/include/lovagedale/replication/log_store-inl.h
@@ -11,6 +11,7 @@
 namespace lovagedale {
 
 inline constexpr std::string_view kLogPrefix = "log";
+inline constexpr const char* kIdentityFile = "identity";
 
 /// Content of one batch of the log.
 struct log_batch {
@@ -37,18 +38,23 @@
 /// State read from a data folder, its segments and the number of the last one.
 struct opened_folder {
   stored_state state;
+  format_number required_format = kFirstFormat;
   std::vector<recovered_segment> segments;
   std::uint64_t last_segment = 0;
 };
 
 auto OpenDataFolder(const std::string& folder) -> opened_folder;
 auto EncodeLogBatch(const log_batch& batch) -> std::string;
+/// Content of the file `identity`, which says who may open the folder.
+auto EncodeIdentity(incarnation_id incarnation, format_number required_format)
+    -> std::string;
 
 template <durable_disk Disk>
 basic_log_store<Disk>::basic_log_store(Disk& disk, std::string folder)
     : disk_(disk), folder_(std::move(folder)) {
   auto opened = OpenDataFolder(folder_);
   recovered_ = std::move(opened.state);
+  required_format_ = opened.required_format;
   SyncRecovered(opened.segments);
   segment_ = opened.last_segment;
   StartSegment();
@@ -143,6 +149,13 @@
   RemoveOldSegments();
 }
 
+template <durable_disk Disk>
+auto basic_log_store<Disk>::RequireFormat(format_number format) -> void {
+  ReplaceFile(disk_, folder_, kIdentityFile,
+              EncodeIdentity(recovered_.incarnation, format));
+  required_format_ = format;
+}
+
 template <durable_disk Disk>
 auto basic_log_store<Disk>::WriteSnapshotFile(const log_snapshot& snapshot)
     -> void {
--- a/include/lovagedale/replication/log_store.h
+++ b/include/lovagedale/replication/log_store.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "lovagedale/common/format.h"
 #include "lovagedale/replication/disk.h"
 #include "lovagedale/replication/messages.h"
 #include "lovagedale/replication/replica_core.h"
@@ -26,7 +27,8 @@
   /// Opens the folder and reads its state. A missing folder is created empty,
   /// under a new incarnation. An incomplete last batch is truncated. Syncs what
   /// was read, since an earlier process may have been killed before it did.
-  /// Throws storage_error for any other damage.
+  /// Throws storage_error for any other damage, and without changing anything
+  /// if the folder needs a later format than this build has.
   basic_log_store(Disk& disk, std::string folder);
   ~basic_log_store();
   basic_log_store(const basic_log_store&) = delete;
@@ -34,6 +36,10 @@
 
   /// State that was read when the folder was opened.
   auto recovered() const -> const stored_state& { return recovered_; }
+  /// Oldest format whose builds may open the folder.
+  auto required_format() const -> format_number { return required_format_; }
+  /// Makes builds of an older format refuse the folder. Throws storage_error.
+  auto RequireFormat(format_number format) -> void;
   /// Writes the durable parts of `output` as one batch and syncs it. Writes
   /// nothing if there are none. After a storage_error the same output may be
   /// stored again: what was written of it is truncated first.
@@ -57,6 +63,7 @@
   Disk& disk_;
   std::string folder_;
   stored_state recovered_;
+  format_number required_format_ = kFirstFormat;
   std::uint64_t segment_ = 0;
   int fd_ = -1;
   std::size_t synced_bytes_ = 0;  ///< of the current segment
--- a/include/lovagedale/replication/replica_node-inl.h
+++ b/include/lovagedale/replication/replica_node-inl.h
@@ -227,9 +227,28 @@
   ApplyCommitted(output.committed);
   if (core_.role() != replica_role::kLeader) FailLostProposals();
   LogRole();
+  MarkRequiredFormat();
   MaybeCompact();
 }
 
+template <replicated_machine Machine, durable_disk Disk>
+auto replica_node<Machine, Disk>::MarkRequiredFormat() -> void {
+  const auto format = machine_.RequiredFormat();
+  if (format <= store_.required_format() || clock_.Now() < mark_retry_at_) {
+    return;
+  }
+  try {
+    store_.RequireFormat(format);
+  } catch (const storage_error& error) {
+    mark_retry_at_ = clock_.Now() + kSnapshotRetryMs;
+    log_line(log_level::kError, "folder_format_not_stored")
+        .With("format", format)
+        .With("reason", error.what());
+    return;
+  }
+  log_line(log_level::kInfo, "folder_format_raised").With("format", format);
+}
+
 template <replicated_machine Machine, durable_disk Disk>
 auto replica_node<Machine, Disk>::LogRole() -> void {
   if (core_.role() == logged_role_) return;
--- a/include/lovagedale/replication/replica_node.h
+++ b/include/lovagedale/replication/replica_node.h
@@ -18,13 +18,15 @@
 namespace lovagedale {
 
 /// A deterministic state machine that executes the replicated commands. `Apply`
-/// must depend only on the machine's state and the entry.
+/// must depend only on the machine's state and the entry. `RequiredFormat` is
+/// the oldest format whose builds understand the machine's state and commands.
 template <typename T>
 concept replicated_machine = requires(T& machine, const log_entry& entry,
                                       const std::string& state) {
   { machine.Apply(entry) } -> std::same_as<std::string>;
   { machine.TakeSnapshot() } -> std::same_as<std::string>;
   { machine.Restore(state) } -> std::same_as<void>;
+  { machine.RequiredFormat() } -> std::same_as<format_number>;
 };
 
 enum class propose_status {
@@ -103,6 +105,8 @@
   auto ApplyCommitted(const std::vector<log_entry>& entries) -> void;
   auto FailLostProposals() -> void;
   auto MaybeCompact() -> void;
+  /// Marks the data folder if the machine needs a later format than before.
+  auto MarkRequiredFormat() -> void;
 
   boost::asio::io_context& context_;
   basic_log_store<Disk>& store_;
@@ -123,6 +127,8 @@
   monotonic_ms storage_retry_at_ = 0;
   /// When a snapshot that could not be stored is tried again.
   std::optional<monotonic_ms> snapshot_retry_at_;
+  /// When marking the data folder is tried again after it failed.
+  monotonic_ms mark_retry_at_ = 0;
   replica_role logged_role_ = replica_role::kFollower;
   bool flush_scheduled_ = false;
   bool stopped_ = false;
--- a/include/lovagedale/rpc/connection.h
+++ b/include/lovagedale/rpc/connection.h
@@ -31,10 +31,10 @@
 
   /// Reads frames until the connection closes, then calls `on_close` once.
   auto Start(frame_handler on_frame, close_handler on_close) -> void;
-  /// Queues a frame. Closes the connection if the peer reads so slowly that
-  /// more than kMaxFrameBytes would be queued.
-  auto Send(std::uint64_t call_id, frame_kind kind, const std::string& body)
-      -> void;
+  /// Queues a frame; see EncodeFrame. Closes the connection if the peer reads
+  /// so slowly that more than kMaxFrameBytes would be queued.
+  auto Send(std::uint64_t call_id, frame_kind kind, const std::string& body,
+            bool of_first_format = false) -> void;
   auto Close() -> void;
   auto IsOpen() const -> bool { return open_; }
   /// When bytes last arrived, also of an incomplete frame; at first, when this
--- a/include/lovagedale/rpc/server.h
+++ b/include/lovagedale/rpc/server.h
@@ -9,6 +9,8 @@
 #include <set>
 #include <string>
 
+#include "lovagedale/rpc/message_faults.h"
+
 namespace lovagedale {
 
 class frame_connection;
@@ -19,7 +21,10 @@
 using rpc_handler = std::function<void(std::string body, rpc_reply reply)>;
 
 /// Accepts framed connections and passes each request to the handler, on the
-/// thread that runs `context`. A handler that throws closes the connection.
+/// thread that runs `context`. A handler that throws has not understood the
+/// message: that is counted, and logged once for each peer and reason. A
+/// request then gets no answer and the connection is closed; after a one-way
+/// message it stays open.
 class rpc_server {
  public:
   /// Starts to listen; port 0 selects a free port. Throws std::runtime_error
@@ -34,6 +39,7 @@
     return acceptor_.local_endpoint().port();
   }
   auto Stop() -> void;
+  auto unreadable_messages() const -> std::uint64_t { return faults_->count(); }
 
  private:
   auto AcceptLoop(boost::asio::yield_context yield) -> void;
@@ -41,6 +47,7 @@
 
   boost::asio::ip::tcp::acceptor acceptor_;
   std::shared_ptr<rpc_handler> handler_;
+  std::shared_ptr<message_faults> faults_;
   std::shared_ptr<std::set<std::shared_ptr<frame_connection>>> connections_;
 };
 
--- a/src/configuration/control_machine.cpp
+++ b/src/configuration/control_machine.cpp
@@ -17,6 +17,31 @@
 template <typename... Handlers>
 overloaded(Handlers...) -> overloaded<Handlers...>;
 
+/// State of the machine as a snapshot stores it.
+struct snapshot_content {
+  static constexpr std::uint16_t kFleetFormatField = 1;
+
+  fleet_view view;
+  std::string route_source;
+  std::vector<register_node> nodes;
+  std::vector<change_record> records;
+  std::uint64_t evicted_records = 0;
+  format_number fleet_format = kFirstFormat;
+
+  auto AddedFields() const -> added_fields {
+    return {{kFleetFormatField, EncodeFixed(fleet_format)}};
+  }
+  auto SetAddedFields(const added_fields& fields) -> void {
+    const auto found = fields.find(kFleetFormatField);
+    if (found == fields.end()) return;
+    fleet_format = DecodeFixed<format_number>(found->second);
+  }
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(view, route_source, nodes, records, evicted_records);
+  }
+};
+
 constexpr std::size_t kMaxStages = 16;
 constexpr std::ptrdiff_t kMaxQuarantines = 1'000;
 
@@ -137,13 +162,17 @@
           [&](const remove_node& node) {
             entries_.erase(node.name);
             return change_result{change_status::kApplied, view_.revision, ""};
+          },
+          [&](const raise_fleet_format& raise) {
+            fleet_format_ = std::max(fleet_format_, raise.format);
+            return change_result{change_status::kApplied, view_.revision, ""};
           }},
       command));
 }
 
 auto control_machine::ApplyChange(const change& proposed, log_index index)
     -> change_result {
-  const auto content_hash = Hash64(Encode(proposed.action));
+  const auto content_hash = Hash64(EncodeFixed(proposed.action));
   if (const auto* record = FindRecord(proposed.change_id)) {
     if (record->content_hash == content_hash) return record->result;
     return {change_status::kInvalid, view_.revision,
@@ -435,26 +464,25 @@
 }
 
 auto control_machine::TakeSnapshot() const -> std::string {
-  std::vector<change_record> records(history_.begin(), history_.end());
-  std::vector<register_node> nodes;
-  for (const auto& [name, node] : entries_) nodes.push_back(node);
-  std::ostringstream out;
-  cereal::PortableBinaryOutputArchive archive(out);
-  archive(view_, route_source_, nodes, records, evicted_records_);
-  return std::move(out).str();
+  snapshot_content content{view_, route_source_, {}, {}, evicted_records_};
+  for (const auto& [name, node] : entries_) content.nodes.push_back(node);
+  content.records.assign(history_.begin(), history_.end());
+  content.fleet_format = fleet_format_;
+  // Before the first raise, older builds must get the same bytes.
+  if (fleet_format_ == kFirstFormat) return EncodeFixed(content);
+  return Encode(content, fleet_format_);
 }
 
 auto control_machine::Restore(const std::string& state) -> void {
   *this = control_machine{};
   if (state.empty()) return;
-  memory_streambuf buffer(state);
-  std::istream in(&buffer);
-  cereal::PortableBinaryInputArchive archive(in);
-  std::vector<change_record> records;
-  std::vector<register_node> nodes;
-  archive(view_, route_source_, nodes, records, evicted_records_);
-  for (auto& node : nodes) entries_[node.name] = node;
-  for (auto& record : records) {
+  auto content = Decode<snapshot_content>(state);
+  view_ = std::move(content.view);
+  route_source_ = std::move(content.route_source);
+  fleet_format_ = content.fleet_format;
+  evicted_records_ = content.evicted_records;
+  for (auto& node : content.nodes) entries_[node.name] = node;
+  for (auto& record : content.records) {
     by_id_[record.change_id] = evicted_records_ + history_.size();
     history_.push_back(std::move(record));
   }
--- a/src/configuration/view_update.cpp
+++ b/src/configuration/view_update.cpp
@@ -23,7 +23,7 @@
   if (!kept_.empty() && kept_.back().config.version == view.routes.version) {
     return;
   }
-  latest_routes_ = Encode(view.routes);
+  latest_routes_ = EncodeFixed(view.routes);
   changes_.clear();
   kept_.push_back({view.routes, Hash64(latest_routes_), latest_routes_.size()});
   kept_bytes_ += latest_routes_.size();
@@ -42,8 +42,8 @@
   auto cached = changes_.find(held);
   if (cached == changes_.end()) {
     cached = changes_
-                 .emplace(held, Encode(FindRouteChanges(kept->config,
-                                                        kept_.back().config)))
+                 .emplace(held, EncodeFixed(FindRouteChanges(
+                                    kept->config, kept_.back().config)))
                  .first;
   }
   return cached->second.size() < latest_routes_.size() ? &cached->second
@@ -72,8 +72,8 @@
 auto held_view::RoutesAfter(const view_update& update) const
     -> std::optional<route_config> {
   if (update.form == routes_form::kChanges) {
-    auto routes =
-        ApplyRouteChanges(Decode<route_changes>(update.routes), view_.routes);
+    auto routes = ApplyRouteChanges(DecodeFixed<route_changes>(update.routes),
+                                    view_.routes);
     if (!routes || HashRoutes(*routes) != update.routes_hash) {
       throw codec_error("the changes lead to other routes");
     }
@@ -84,7 +84,7 @@
                         : position_.routes_hash;
   if (hash != update.routes_hash) throw codec_error("these are other routes");
   if (update.form == routes_form::kUnchanged) return std::nullopt;
-  return Decode<route_config>(update.routes);
+  return DecodeFixed<route_config>(update.routes);
 }
 
 auto held_view::Apply(const view_update& update) -> std::optional<std::string> {
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -98,18 +98,58 @@
 
 auto control_service::HandleRpc(const std::string& body, rpc_reply reply)
     -> void {
-  auto request = Decode<control_request>(body);
+  auto [request, footer] = DecodeWithFormat<control_request>(body);
   if (const auto* envelope = std::get_if<replica_envelope>(&request)) {
+    formats_.Report(envelope->from, footer.written);
     node_.Receive(*envelope);
     return;
   }
   if (const auto* join = std::get_if<join_request>(&request)) {
-    node_.AddLearner(join->name, join->incarnation);
-    reply(Encode(join_response{node_.core().leader()}));
+    HandleJoin(*join, footer.written, reply);
     return;
   }
-  HandleHeartbeat(std::get<entry_heartbeat>(std::move(request)),
-                  std::move(reply));
+  auto& heartbeat = std::get<entry_heartbeat>(request);
+  formats_.Report(heartbeat.node, footer.written);
+  HandleHeartbeat(std::move(heartbeat), std::move(reply));
+}
+
+auto control_service::HandleJoin(const join_request& request,
+                                 format_number format, const rpc_reply& reply)
+    -> void {
+  if (format < machine_.RequiredFormat()) {
+    if (refused_joins_.insert(request.name).second) {
+      log_line(log_level::kWarning, "join_refused")
+          .With("replica", request.name)
+          .With("format", format)
+          .With("fleet_format", machine_.RequiredFormat());
+    }
+  } else {
+    node_.AddLearner(request.name, request.incarnation);
+  }
+  reply(Encode(join_response{node_.core().leader()}));
+}
+
+auto control_service::RaiseFleetFormat() -> void {
+  const auto wanted = settings_.raise_fleet_format_to;
+  const auto current = machine_.RequiredFormat();
+  if (raise_pending_ || wanted <= current || !node_.IsCurrent()) return;
+  std::vector<std::string> processes;
+  for (const auto& member : node_.core().members().members) {
+    if (member.name != settings_.name) processes.push_back(member.name);
+  }
+  for (const auto& [name, node] : machine_.entries()) processes.push_back(name);
+  if (!formats_.AllRead(wanted, processes)) return;
+  raise_pending_ = true;
+  log_line(log_level::kInfo, "fleet_format_proposed")
+      .With("format", wanted)
+      .With("fleet_format", current);
+  node_.Propose(Encode(control_command(raise_fleet_format{wanted}), wanted),
+                [this](const propose_result& result) {
+                  raise_pending_ = false;
+                  if (result.status != propose_status::kCommitted) return;
+                  log_line(log_level::kInfo, "fleet_format_raised")
+                      .With("fleet_format", machine_.RequiredFormat());
+                });
 }
 
 auto control_service::HandleHeartbeat(entry_heartbeat heartbeat,
@@ -400,6 +440,7 @@
   EvaluateServiceRollouts();
   SendEngineOrders();
   AllocateLimits();
+  RaiseFleetFormat();
 }
 
 auto control_service::AllocateLimits() -> void {
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -67,6 +67,8 @@
       settings.replication = ReadReplication(reader);
     });
     settings.replication.zone = settings.zone;
+    settings.raise_fleet_format_to = static_cast<format_number>(root.Integer(
+        "raise_fleet_format_to", kFirstFormat, kFormat, kFirstFormat));
     if (!settings.seeds.empty() && settings.http_port == 0) {
       const auto own = ParseEndpoint(settings.name);
       if (own) {
--- a/src/operator_api/operator_api.cpp
+++ b/src/operator_api/operator_api.cpp
@@ -63,6 +63,13 @@
           {"message", record.result.message}};
 }
 
+/// Format of a process's build; null if it has not sent a message here.
+auto FormatJson(const control_service& service, const std::string& process)
+    -> json::value {
+  const auto format = service.formats().FormatOf(process);
+  return format ? json::value(*format) : json::value(nullptr);
+}
+
 auto ParseUnsigned(std::string_view text) -> std::optional<std::uint64_t> {
   std::uint64_t number = 0;
   const auto result =
@@ -195,12 +202,16 @@
     members.push_back({{"name", member.name},
                        {"voter", member.voter},
                        {"incarnation", member.incarnation},
+                       {"format", member.name == service_.settings().name
+                                      ? json::value(kFormat)
+                                      : FormatJson(service_, member.name)},
                        {"match_index", core.MatchIndex(member.name)}});
   }
   json::array entries;
   for (const auto& [name, node] : service_.machine().entries()) {
     entries.push_back({{"name", name},
                        {"zone", node.zone},
+                       {"format", FormatJson(service_, name)},
                        {"silent_ms", service_.TimeSinceHeartbeat(name)}});
   }
   json::array versions;
@@ -220,6 +231,9 @@
                {"zone", service_.settings().zone},
                {"role", RoleName(core.role())},
                {"incarnation", core.incarnation()},
+               {"format", kFormat},
+               {"fleet_format", service_.machine().RequiredFormat()},
+               {"unreadable_messages", service_.unreadable_messages()},
                {"has_lease", service_.node().HasLease()},
                {"storage_failing_ms", service_.node().StorageFailingMs()},
                {"leader", core.leader()},
--- a/src/replication/log_store.cpp
+++ b/src/replication/log_store.cpp
@@ -46,17 +46,27 @@
   return std::max<incarnation_id>(high | device(), kFirstIncarnation + 1);
 }
 
-auto ReadOrCreateIdentity(const std::string& folder) -> folder_identity {
-  const auto payload = ReadSingleBatch(folder + "/identity");
-  if (payload) return Decode<folder_identity>(*payload);
+auto ReadIdentity(const std::string& folder, const std::string& payload)
+    -> decoded_message<folder_identity> {
+  try {
+    return DecodeWithFormat<folder_identity>(payload);
+  } catch (const codec_error& error) {
+    throw storage_error(folder + ": " + error.what());
+  }
+}
+
+auto ReadOrCreateIdentity(const std::string& folder)
+    -> decoded_message<folder_identity> {
+  const auto payload = ReadSingleBatch(folder + "/" + kIdentityFile);
+  if (payload) return ReadIdentity(folder, *payload);
   if (!ListSegments(folder, kLogPrefix).empty() ||
       fs::exists(folder + "/snapshot")) {
     throw storage_error(folder + ": has a log but no identity file");
   }
   const folder_identity identity{NewIncarnation()};
   posix_disk disk;
-  ReplaceFile(disk, folder, "identity", Encode(identity));
-  return identity;
+  ReplaceFile(disk, folder, kIdentityFile, Encode(identity));
+  return {identity, {}};
 }
 
 auto ApplyBatch(const log_batch& batch, stored_state& state) -> void {
@@ -98,10 +108,17 @@
   return EncodeBatch(Encode(batch));
 }
 
+auto EncodeIdentity(incarnation_id incarnation, format_number required_format)
+    -> std::string {
+  return Encode(folder_identity{incarnation}, required_format);
+}
+
 auto OpenDataFolder(const std::string& folder) -> opened_folder {
   CreateFolder(folder);
   opened_folder opened;
-  opened.state.incarnation = ReadOrCreateIdentity(folder).incarnation;
+  const auto identity = ReadOrCreateIdentity(folder);
+  opened.state.incarnation = identity.message.incarnation;
+  opened.required_format = identity.footer.oldest_reader;
   if (const auto payload = ReadSingleBatch(folder + "/snapshot")) {
     opened.state.snapshot = Decode<log_snapshot>(*payload);
   }
@@ -136,7 +153,7 @@
   }
   posix_disk disk;
   ReplaceFile(disk, folder, "snapshot", Encode(snapshot));
-  ReplaceFile(disk, folder, "identity",
+  ReplaceFile(disk, folder, kIdentityFile,
               Encode(folder_identity{kFirstIncarnation}));
 }
 
--- a/src/route/route_changes.cpp
+++ b/src/route/route_changes.cpp
@@ -75,7 +75,7 @@
 }
 
 auto HashRoutes(const route_config& config) -> std::uint64_t {
-  return Hash64(Encode(config));
+  return Hash64(EncodeFixed(config));
 }
 
 }  // namespace lovagedale
--- a/src/rpc/connection.cpp
+++ b/src/rpc/connection.cpp
@@ -72,18 +72,19 @@
     if (!header) return;
     std::string body(header->body_bytes, '\0');
     if (!ReadFully(asio::buffer(body), yield)) return;
-    if (on_frame_) on_frame_(*header, std::move(body));
+    if (on_frame_) on_frame_(*header, RestoreBody(*header, std::move(body)));
   }
 }
 
 auto frame_connection::Send(std::uint64_t call_id, frame_kind kind,
-                            const std::string& body) -> void {
+                            const std::string& body, bool of_first_format)
+    -> void {
   if (!open_) return;
   if (queued_.size() + body.size() > kMaxFrameBytes) {
     Close();
     return;
   }
-  queued_ += EncodeFrame(call_id, kind, body);
+  queued_ += EncodeFrame(call_id, kind, body, of_first_format);
   if (!write_active_) WriteQueued();
 }
 
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -2,7 +2,6 @@
 
 #include <sys/socket.h>
 
-#include "lovagedale/common/log.h"
 #include "lovagedale/common/spawn.h"
 #include "lovagedale/rpc/connection.h"
 
@@ -41,6 +40,7 @@
                        std::uint16_t port, rpc_handler handler)
     : acceptor_(Listen(context, host, port, /*share_port=*/false)),
       handler_(std::make_shared<rpc_handler>(std::move(handler))),
+      faults_(std::make_shared<message_faults>()),
       connections_(
           std::make_shared<std::set<std::shared_ptr<frame_connection>>>()) {
   SpawnTask(context, [this](asio::yield_context yield) { AcceptLoop(yield); });
@@ -61,11 +61,14 @@
 
 auto rpc_server::Serve(tcp::socket socket) -> void {
   ConfigureSocket(socket, kAckTimeoutMs);
+  boost::system::error_code error;
+  const auto peer = socket.remote_endpoint(error).address().to_string();
   auto connection = std::make_shared<frame_connection>(std::move(socket));
   connections_->insert(connection);
   std::weak_ptr<frame_connection> weak = connection;
   connection->Start(
-      [weak, handler = handler_](const frame_header& header, std::string body) {
+      [weak, peer, handler = handler_, faults = faults_](
+          const frame_header& header, std::string body) {
         if (header.kind == frame_kind::kPing) {
           if (auto open = weak.lock()) {
             open->Send(header.call_id, frame_kind::kPong, "");
@@ -75,14 +78,15 @@
         rpc_reply reply = [weak, header](const std::string& answer) {
           if (header.kind != frame_kind::kRequest) return;
           if (auto open = weak.lock()) {
-            open->Send(header.call_id, frame_kind::kResponse, answer);
+            open->Send(header.call_id, frame_kind::kResponse, answer,
+                       header.format.written == kFirstFormat);
           }
         };
         try {
           (*handler)(std::move(body), std::move(reply));
         } catch (const std::exception& error) {
-          log_line(log_level::kWarning, "rpc_request_failed")
-              .With("reason", error.what());
+          faults->Record(peer, error.what());
+          if (header.kind != frame_kind::kRequest) return;
           if (auto open = weak.lock()) open->Close();
         }
       },
--- a/tests/configuration/budget_test.cpp
+++ b/tests/configuration/budget_test.cpp
@@ -3,6 +3,7 @@
 #include "lovagedale/common/codec.h"
 #include "lovagedale/control/messages.h"
 #include "lovagedale/quality/evidence.h"
+#include "lovagedale/rpc/frame.h"
 
 namespace lovagedale::testing {
 namespace {
@@ -11,8 +12,14 @@
 constexpr std::size_t kControlReplicas = 7;
 constexpr double kChangesPerDay = 310;
 constexpr double kSecondsPerDay = 86'400;
-/// Frame header, TCP and IP headers, in both directions.
-constexpr std::size_t kOverheadBytes = 2 * (13 + 40);
+/// TCP and IP headers, in both directions.
+constexpr std::size_t kOverheadBytes = 2 * 40;
+
+/// Bytes of a message with its frame.
+template <typename Message>
+auto FrameBytes(const Message& message) -> std::size_t {
+  return EncodeFrame(1, frame_kind::kRequest, Encode(message)).size();
+}
 
 auto HeartbeatBytes() -> std::size_t {
   entry_heartbeat heartbeat;
@@ -20,7 +27,7 @@
   heartbeat.zone = "semarang-c";
   heartbeat_response response;
   response.leader = "control-semarang-c";
-  return Encode(control_request(heartbeat)).size() + Encode(response).size() +
+  return FrameBytes(control_request(heartbeat)) + FrameBytes(response) +
          kOverheadBytes;
 }
 
@@ -98,7 +105,7 @@
 auto CrashReportBytes() -> std::size_t {
   crash_report report{"i-3565864fdc", {}, "0123456789abcdef"};
   report.candidates.resize(crash_attribution::kMaxCandidates);
-  return Encode(report).size();
+  return EncodeFixed(report).size();
 }
 
 }  // namespace
@@ -111,7 +118,8 @@
   constexpr double kCrashReportsPerSecond = 24.0 / 60;
   const auto heartbeats =
       static_cast<double>(kControlReplicas * HeartbeatBytes());
-  const auto position = static_cast<double>(Encode(update_request{}).size());
+  const auto position =
+      static_cast<double>(EncodeFixed(update_request{}).size());
   const auto views =
       static_cast<double>(ViewBytes()) * kChangesPerDay / kSecondsPerDay;
   const auto reports =
@@ -132,7 +140,8 @@
   const auto heartbeats =
       static_cast<double>(kControlReplicas * HeartbeatBytes());
   // An entry tells only the replica that it asks what it holds.
-  const auto position = static_cast<double>(Encode(update_request{}).size());
+  const auto position =
+      static_cast<double>(EncodeFixed(update_request{}).size());
   const auto views =
       static_cast<double>(ViewBytes()) * kChangesPerDay / kSecondsPerDay;
   // Limits are exchanged with the leader only.
