--- a/include/lovagedale/common/codec.h
+++ b/include/lovagedale/common/codec.h
@@ -5,6 +5,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
+#include <concepts>
 #include <stdexcept>
 #include <string>
 #include <string_view>
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -111,8 +111,11 @@
     if (view.revision <= held_.view().revision) return;
     held_.Replace(view);
     ApplyView(view);
-  } catch (const std::exception&) {
-    // The peer is down or also starting.
+  } catch (const std::exception& error) {
+    // Usually the peer is down or also starting.
+    log_line(log_level::kInfo, "peer_configuration_not_read")
+        .With("peer", channel.address().name)
+        .With("reason", error.what());
   }
 }
 
--- a/tests/formats/samples.h
+++ b/tests/formats/samples.h
@@ -19,9 +19,8 @@
 inline constexpr std::size_t kFirstFormatClaimCommands = 4;
 
 template <typename Message, typename Visitor>
-auto VisitSample(const std::string& name, Visitor& visit,
-                 std::size_t alternative = 0) -> void {
-  visit(name, MakeSample<Message>(alternative));
+auto VisitSample(const std::string& name, Visitor& visit) -> void {
+  visit(name, MakeSample<Message>());
 }
 
 /// Routes that control accepts.
