Take memory for the part of a frame that has arrived

Cause: the body of a frame was allocated, and filled with zeros, at the length that its header announces, up to 64 MB.

The body now grows in steps of 64 KB as it arrives. Large bodies still arrive whole (connection_test, channel_test).

--- a/include/lovagedale/rpc/connection.h
+++ b/include/lovagedale/rpc/connection.h
@@ -47,6 +47,9 @@
   /// Reads until `buffer` is full; false if the connection ended first.
   auto ReadFully(boost::asio::mutable_buffer buffer,
                  boost::asio::yield_context yield) -> bool;
+  /// Reads a body of `bytes`; false if the connection ended first.
+  auto ReadBody(std::size_t bytes, std::string& body,
+                boost::asio::yield_context yield) -> bool;
   auto ReadLoop(boost::asio::yield_context yield) -> void;
   auto WriteQueued() -> void;
 
--- a/src/rpc/connection.cpp
+++ b/src/rpc/connection.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -14,6 +15,8 @@
 
 constexpr int kKeepaliveIdleSeconds = 5;
 constexpr int kKeepaliveIntervalSeconds = 2;
+/// A body takes memory in steps of this size, as it arrives.
+constexpr std::size_t kBodyReadBytes = 64UL << 10U;
 
 auto SetTcpOption(int fd, int option, int value) -> void {
   // A failure is ignored: without the option, call timeouts still apply.
@@ -64,14 +67,24 @@
   return true;
 }
 
+auto frame_connection::ReadBody(std::size_t bytes, std::string& body,
+                                asio::yield_context yield) -> bool {
+  while (body.size() < bytes) {
+    const auto begin = body.size();
+    body.resize(std::min(bytes, begin + kBodyReadBytes));
+    if (!ReadFully(asio::buffer(body) + begin, yield)) return false;
+  }
+  return true;
+}
+
 auto frame_connection::ReadLoop(asio::yield_context yield) -> void {
   while (open_) {
     std::array<char, kFrameHeaderBytes> bytes{};
     if (!ReadFully(asio::buffer(bytes), yield)) return;
     const auto header = DecodeFrameHeader(bytes);
     if (!header) return;
-    std::string body(header->body_bytes, '\0');
-    if (!ReadFully(asio::buffer(body), yield)) return;
+    std::string body;
+    if (!ReadBody(header->body_bytes, body, yield)) return;
     if (on_frame_) on_frame_(*header, RestoreBody(*header, std::move(body)));
   }
 }
