--- a/tests/processes/mixed_builds_routes.sh
+++ b/tests/processes/mixed_builds_routes.sh
@@ -36,7 +36,6 @@
 {"directory":"127.0.0.1:$list_port","product":{"name":"entry-$index",
  "zone":"${zones[$index]}","callers":"127.0.0.1:$(port "$index" 0)",
  "ready":"127.0.0.1:$(port "$index" 1)","metrics_port":$(port "$index" 2),
- "entry_port":$(port "$index" 3),
  "control_port":$rpc_port,"seeds":["127.0.0.1:$control_port"],
  "log_file":"$run/logs/entry-$index.log"}}
 JSON
