Show what passes a server's limit as first and as second choice, and the demand

Neither logs nor metrics could tell whether requests that exceed a limit come from other servers' overflow, from a demand that control has not heard of, or from a limit that ends and begins again. An entry that relays now has metrics of each server that names a limit, and logs the counts when the limit ends.

--- a/include/lovagedale/admission/server_limit.h
+++ b/include/lovagedale/admission/server_limit.h
@@ -108,6 +108,16 @@
   auto RecordDemand(monotonic_ms now) -> void { demand_.Add(now); }
 
   auto IsLimited() const -> bool { return limit_per_s_ > 0; }
+  auto limit_per_s() const -> double { return limit_per_s_; }
+  /// Requests a second that would go to the server without a limit, by this
+  /// entry's own average.
+  auto OwnDemand(monotonic_ms now) const -> double {
+    return demand_.PerSecond(now);
+  }
+  /// The same of all entries as control told last; nothing before.
+  auto FleetDemand() const -> std::optional<double> {
+    return fleet_ ? std::optional(fleet_->per_s) : std::nullopt;
+  }
   /// Whether a request may go to the server now; takes its place in the share.
   /// `draw`: uniform in [0, 1), the same for repeated questions of one request.
   /// `entries`: number of entries, used until control has told the demand.
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -300,9 +300,12 @@
     return false;
   }
   auto& limit = server->limit;
-  if (!std::exchange(is_demand_counted_, true)) limit.RecordDemand(now);
+  const bool is_first = !std::exchange(is_demand_counted_, true);
+  if (is_first) limit.RecordDemand(now);
   const auto draw = LimitDraw(Hash64(call_.id), now);
-  if (limit.TryTake(draw, state_.entries, now)) return true;
+  const bool passes = limit.TryTake(draw, state_.entries, now);
+  if (limit.IsLimited()) server->limited.Count(passes, is_first);
+  if (passes) return true;
   LimitUntil(now + limit.RetryAfterMs(state_.entries, now));
   return false;
 }
@@ -587,7 +590,10 @@
   log_line(log_level::kInfo,
            metadata.limit_per_s ? "limit_named" : "limit_ended")
       .With("server", server->listed.id)
-      .With("per_second", metadata.limit_per_s.value_or(0));
+      .With("per_second", metadata.limit_per_s.value_or(0))
+      .With("passed_first", server->limited.passed_first)
+      .With("passed_other", server->limited.passed_other)
+      .With("held_back", server->limited.held_back);
 }
 
 template <call_protocol Protocol>
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -22,6 +22,18 @@
 
 namespace lovagedale {
 
+/// Requests that were offered to a server while it named a limit.
+struct limited_requests {
+  std::uint64_t passed_first = 0;  ///< it was the first server they asked
+  std::uint64_t passed_other = 0;  ///< another server had not taken them
+  std::uint64_t held_back = 0;
+
+  auto Count(bool passes, bool is_first) -> void {
+    ++(!passes ? held_back : is_first ? passed_first : passed_other);
+  }
+  auto operator==(const limited_requests&) const -> bool = default;
+};
+
 /// A discovered server and its state at this entry. Requests in flight keep the
 /// record alive after the server has left the list.
 struct server_record {
@@ -35,6 +47,7 @@
   std::uint32_t reported_work = 0;
   server_health health;
   server_limit limit;  ///< that the server names
+  limited_requests limited;
   rejection_guard rejections;
   bool address_reassigned = false;  ///< another server has the address now
   /// An answer of it said that it is shutting down; the list may show it later.
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -5,8 +5,41 @@
 
 namespace lovagedale {
 
+namespace {
+
+using prometheus::MetricType;
+
+/// Figures of the servers that name a limit, or have named one.
+struct limit_metrics {
+  prometheus::MetricFamily requests = MakeMetricFamily(
+      "lovagedale_limited_requests_total", MetricType::Counter);
+  prometheus::MetricFamily limit =
+      MakeMetricFamily("lovagedale_server_limit_per_second", MetricType::Gauge);
+  prometheus::MetricFamily demand = MakeMetricFamily(
+      "lovagedale_server_demand_per_second", MetricType::Gauge);
+
+  auto Add(const server_record& server, monotonic_ms now) -> void {
+    const auto& name = server.listed.id;
+    const auto& counts = server.limited;
+    const auto add = [&](std::uint64_t count, const char* result) {
+      AddMetricValue(requests, static_cast<double>(count),
+                     {{"server", name}, {"result", result}});
+    };
+    add(counts.passed_first, "passed_first");
+    add(counts.passed_other, "passed_other");
+    add(counts.held_back, "held_back");
+    AddMetricValue(limit, server.limit.limit_per_s(), {{"server", name}});
+    AddMetricValue(demand, server.limit.OwnDemand(now),
+                   {{"server", name}, {"of", "entry"}});
+    if (const auto fleet = server.limit.FleetDemand()) {
+      AddMetricValue(demand, *fleet, {{"server", name}, {"of", "fleet"}});
+    }
+  }
+};
+
+}  // namespace
+
 auto FormatRelayMetrics(const relay_state& state) -> std::string {
-  using prometheus::MetricType;
   auto calls = MakeMetricFamily("lovagedale_calls_total", MetricType::Counter);
   for (const auto& [key, count] : state.call_counts) {
     AddMetricValue(calls, static_cast<double>(count),
@@ -31,10 +64,14 @@
   auto ejected =
       MakeMetricFamily("lovagedale_servers_held_out", MetricType::Gauge);
   std::map<std::string, int> ejected_by_service;
+  limit_metrics limits;
   const auto now = system_monotonic_clock{}.Now();
   for (const auto& [id, server] : state.servers.All()) {
     ejected_by_service[server->listed.service] +=
         server->health.IsEjected(now) ? 1 : 0;
+    if (server->limit.IsLimited() || server->limited != limited_requests{}) {
+      limits.Add(*server, now);
+    }
   }
   for (const auto& [service, count] : ejected_by_service) {
     AddMetricValue(ejected, count, {{"service", service}});
@@ -62,7 +99,8 @@
   AddMetricValue(crashes, static_cast<double>(state.crashes.crashes()));
   return prometheus::TextSerializer().Serialize(
       {calls, attempts, durations, first_events, ejected, forwarded, active,
-       answer_memory, revision, list, suppressed, crashes});
+       answer_memory, revision, list, suppressed, crashes, limits.requests,
+       limits.limit, limits.demand});
 }
 
 }  // namespace lovagedale
--- a/tests/route_entry/server_limit_fleet_test.cpp
+++ b/tests/route_entry/server_limit_fleet_test.cpp
@@ -1,212 +1,11 @@
 #include <doctest/doctest.h>
 
-#include <memory>
-#include <random>
-#include <vector>
-
-#include "lovagedale/common/fiber_event.h"
-#include "lovagedale/common/spawn.h"
-#include "lovagedale/relay/relay.h"
-#include "lovagedale/route_entry/fleet_link.h"
-#include "lovagedale/standin/arrival_windows.h"
-#include "support/local_control.h"
-#include "support/plain_protocol.h"
+#include "support/relaying_fleet.h"
 
 namespace lovagedale::testing {
-namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::size_t kEntries = 6;
-constexpr std::size_t kServers = 4;
-constexpr double kRequestsPerSecond = 40;
-constexpr double kMeanAnswerMs = 200;
-/// Fraction of requests that fail; these answers name no limit.
-constexpr double kFailedFraction = 0.1;
-
-/// A server that may name a limit, and counts what arrives.
-class limiting_server {
- public:
-  limiting_server(boost::asio::io_context& context, std::mt19937_64& random)
-      : context_(context),
-        random_(random),
-        server_(context, "127.0.0.1", 0, false, http_limits{},
-                [this](http_exchange& exchange) { Handle(exchange); }) {}
-
-  auto Listed(std::size_t index) const -> listed_server {
-    listed_server listed;
-    listed.id = "s" + std::to_string(index);
-    listed.service = "engines";
-    listed.host = "127.0.0.1";
-    listed.port = server_.port();
-    listed.zone = "zone-a";
-    listed.version = "v1";
-    listed.capacity = 64;
-    return listed;
-  }
-
-  std::string limit;  ///< that it names; empty for none
-  arrival_windows arrivals;
-
- private:
-  auto Handle(http_exchange& exchange) -> void {
-    arrivals.Add(clock_.Now());
-    header_list headers = {
-        {"Id", std::string(exchange.request().Header("Id"))}};
-    const bool fails = std::bernoulli_distribution(kFailedFraction)(random_);
-    if (!limit.empty() && !fails) headers.emplace_back("Server-Limit", limit);
-    const milliseconds delay(static_cast<int>(
-        std::exponential_distribution<double>(1 / kMeanAnswerMs)(random_)));
-    Pause(context_.get_executor(), delay, exchange.yield());
-    exchange.Respond(fails ? 500 : 200, "text/plain", "x", headers);
-  }
-
-  boost::asio::io_context& context_;
-  std::mt19937_64& random_;
-  system_monotonic_clock clock_;
-  http_server server_;
-};
-
-/// An entry that relays, with its link to control.
-class relaying_entry {
- public:
-  relaying_entry(boost::asio::io_context& context, std::size_t index,
-                 std::uint16_t control_port)
-      : settings_(
-            EntrySettings("entry-" + std::to_string(index), control_port)),
-        state_(context, settings_.relay),
-        link_(context, settings_, state_, {}, [] {}),
-        relay_(state_, {}),
-        server_(context, "127.0.0.1", 0, false, http_limits{},
-                [this](http_exchange& exchange) {
-                  relay_.Handle(exchange, call_origin::kCaller);
-                }) {
-    link_.Start();
-  }
-
-  auto port() const -> std::uint16_t { return server_.port(); }
-  auto IsReady() const -> bool {
-    return state_.view && state_.view->routes.version() > 0 &&
-           state_.servers.All().size() == kServers;
-  }
-
- private:
-  route_entry_settings settings_;
-  relay_state state_;
-  fleet_link link_;
-  relay<plain_protocol> relay_;
-  http_server server_;
-};
-
-/// Control, entries and servers on one thread, and a load on all entries.
-class relaying_fleet {
- public:
-  relaying_fleet()
-      : control_(context_,
-                 [this](boost::asio::yield_context) { return List(); }) {
-    for (std::size_t i = 0; i < kServers; ++i) {
-      servers_.push_back(std::make_unique<limiting_server>(context_, random_));
-    }
-    RunUntil([this] { return control_.IsLeader(); });
-    SetRoutes();
-    for (std::size_t i = 0; i < kEntries; ++i) {
-      entries_.push_back(
-          std::make_unique<relaying_entry>(context_, i, control_.rpc_port()));
-    }
-    RunUntil([this] {
-      return std::all_of(entries_.begin(), entries_.end(),
-                         [](const auto& entry) { return entry->IsReady(); });
-    });
-    SpawnTask(context_,
-              [this](boost::asio::yield_context yield) { SendLoad(yield); });
-  }
-  ~relaying_fleet() { context_.stop(); }
-
-  auto Run(milliseconds duration) -> void { context_.run_for(duration); }
-  auto Server(std::size_t index) -> limiting_server& {
-    return *servers_[index];
-  }
-  /// Counts arrivals at a server in windows that end from `delay` on.
-  auto CountFrom(limiting_server& server, monotonic_ms delay) const -> void {
-    server.arrivals.CountFrom(clock_.Now() + delay);
-  }
-  auto refused() const -> int { return refused_; }
-  auto answered() const -> int { return answered_; }
-
- private:
-  auto List() const -> std::vector<listed_server> {
-    std::vector<listed_server> list;
-    for (std::size_t i = 0; i < servers_.size(); ++i) {
-      list.push_back(servers_[i]->Listed(i));
-    }
-    return list;
-  }
-  auto SetRoutes() -> void {
-    route_config config;
-    config.version = 1;
-    config.services.push_back({"engines", 100, {}});
-    route item;
-    item.name = "route";
-    item.host = "h";
-    item.prefix = "/";
-    item.open = true;
-    item.timeout_ms = 3'000;
-    item.objective_ms = 500;
-    item.max_attempts = 3;
-    item.services.push_back({"engines", 1});
-    config.routes.push_back(item);
-    control_.SetRoutes(std::move(config));
-  }
-  template <typename Condition>
-  auto RunUntil(Condition holds) -> void {
-    const auto deadline = std::chrono::steady_clock::now() + seconds(30);
-    while (!holds() && std::chrono::steady_clock::now() < deadline) {
-      context_.run_for(milliseconds(10));
-    }
-    REQUIRE(holds());
-  }
-  auto SendLoad(boost::asio::yield_context yield) -> void {
-    std::uint64_t next = 0;
-    for (;;) {
-      const milliseconds gap(
-          static_cast<int>(std::exponential_distribution<double>(
-              kRequestsPerSecond / 1'000)(random_)));
-      Pause(context_.get_executor(), gap, yield);
-      const auto number = next++;
-      SpawnTask(context_, [this, number](boost::asio::yield_context call) {
-        SendOne(number, call);
-      });
-    }
-  }
-  auto SendOne(std::uint64_t number, boost::asio::yield_context yield) -> void {
-    http_request request;
-    request.method = "GET";
-    request.target = "/";
-    request.headers = {{"Host", "h"}, {"Id", "r" + std::to_string(number)}};
-    const auto& entry = *entries_[number % entries_.size()];
-    try {
-      const auto answer = HttpCall(context_, "127.0.0.1", entry.port(), request,
-                                   http_deadlines{}, yield);
-      ++(answer.head.status == 503 ? refused_ : answered_);
-    } catch (const http_call_error& error) {
-      MESSAGE("a call broke off: ", error.what());
-      ++refused_;
-    }
-  }
-
-  boost::asio::io_context context_{1};
-  std::mt19937_64 random_{20'261'204};
-  system_monotonic_clock clock_;
-  std::vector<std::unique_ptr<limiting_server>> servers_;
-  local_control control_;
-  std::vector<std::unique_ptr<relaying_entry>> entries_;
-  int refused_ = 0;
-  int answered_ = 0;
-};
-
-}  // namespace
-
 // Guards against a server in need that gets more from entries that relay than
 // the limit that it names, though each entry knows of it.
 TEST_CASE("entries that relay keep to the limits that servers name") {
@@ -222,13 +21,22 @@
   CHECK(limited.arrivals.most() <= kMostAllowed);
   CHECK(static_cast<double>(limited.arrivals.total()) >= kLimit * 15 / 3);
   CHECK(fleet.refused() == 0);
+  const auto metrics = fleet.Entry(0).Metrics();
+  for (const auto* text :
+       {"lovagedale_server_limit_per_second{server=\"s0\"} 2",
+        "lovagedale_server_demand_per_second{server=\"s0\",of=\"fleet\"}",
+        "lovagedale_limited_requests_total{server=\"s0\",result=\"held_"
+        "back\"}"}) {
+    CAPTURE(text);
+    CHECK(metrics.find(text) != std::string::npos);
+  }
 
   limited.limit.clear();
   fleet.CountFrom(limited, /*delay=*/5'000);
   fleet.Run(seconds(9));
   // Half of an even part of the load.
   CHECK(static_cast<double>(limited.arrivals.total()) >=
-        kRequestsPerSecond / kServers * 4 / 2);
+        fleet.load().requests_per_s / kRelayedServers * 4 / 2);
 }
 
 }  // namespace lovagedale::testing
