--- a/tests/admission/server_limit_test.cpp
+++ b/tests/admission/server_limit_test.cpp
@@ -2,160 +2,38 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
-#include <deque>
-#include <map>
-#include <random>
 #include <set>
 
+#include "support/limit_fleet.h"
+
 namespace lovagedale::testing {
 namespace {
 
 constexpr std::uint32_t kServer = 7;
-constexpr monotonic_ms kStepMs = 10;
 /// Entries must keep to a limit from this time after it was first named.
 constexpr monotonic_ms kConnectedMs = 3'000;
-/// Mean time from a request to its answer.
-constexpr double kMeanAnswerMs = 500;
-/// Fraction of requests that fail; these answers name no limit.
-constexpr double kFailedFraction = 0.1;
 /// Requests of an entry count from this time after it was told.
 constexpr monotonic_ms kToldMs = 500;
-constexpr monotonic_ms kWindowMs = 4'000;
-
-/// The most requests that a server with a limit may get in a window.
-auto MostAllowed(double limit_per_s) -> std::size_t {
-  return static_cast<std::size_t>(1.5 * limit_per_s * kWindowMs / 1'000 + 5);
-}
-
-/// Entries, one server and control, with heartbeats in turn.
-class fleet {
- public:
-  fleet(std::size_t entries, monotonic_ms heartbeat_ms)
-      : heartbeat_ms_(heartbeat_ms),
-        entries_(entries),
-        demand_per_s_(entries, 0) {}
-
-  /// Demand of all entries together, evenly among the first `senders`.
-  auto SetDemand(double per_s, std::size_t senders) -> void {
-    std::fill(demand_per_s_.begin(), demand_per_s_.end(), 0);
-    std::fill_n(demand_per_s_.begin(), senders,
-                per_s / static_cast<double>(senders));
-  }
-  auto Run(monotonic_ms duration_ms) -> void {
-    for (const auto end = now_ + duration_ms; now_ < end; now_ += kStepMs) {
-      ReceiveAnswers();
-      for (std::size_t i = 0; i < entries_.size(); ++i) {
-        SendRequests(i);
-        const auto phase = static_cast<monotonic_ms>(i) * kStepMs;
-        if (has_control && (now_ + phase) % heartbeat_ms_ < kStepMs) {
-          Heartbeat(i);
-        }
-      }
-    }
-  }
-  /// Counts from now on; windows still reach back to requests before.
-  auto RestartCount() -> void {
-    most_ = 0;
-    passed_ = 0;
-  }
-  auto most() const -> std::size_t { return most_; }
-  auto passed() const -> std::size_t { return passed_; }
-  auto LimitedEntries() const -> std::ptrdiff_t {
-    return std::count_if(entries_.begin(), entries_.end(),
-                         [](const auto& entry) { return entry.IsLimited(); });
-  }
-
-  std::optional<double> limit_per_s;  ///< that the server names
-  bool has_control = true;
-
- private:
-  auto SendRequests(std::size_t i) -> void {
-    const auto count = std::poisson_distribution<int>(demand_per_s_[i] *
-                                                      kStepMs / 1'000)(random_);
-    for (int request = 0; request < count; ++request) {
-      auto& entry = entries_[i];
-      entry.RecordDemand(now_);
-      const auto draw = std::uniform_real_distribution<double>()(random_);
-      if (!entry.TryTake(draw, entries_.size(), now_)) continue;
-      ++passed_;
-      window_.push_back(now_);
-      while (now_ - window_.front() >= kWindowMs) window_.pop_front();
-      most_ = std::max(most_, window_.size());
-      const auto delay_ms =
-          std::exponential_distribution<double>(1 / kMeanAnswerMs)(random_);
-      const bool is_success =
-          std::bernoulli_distribution(1 - kFailedFraction)(random_);
-      answers_.emplace(
-          now_ + static_cast<monotonic_ms>(delay_ms),
-          answer{i,
-                 {is_success ? limit_per_s : std::nullopt, is_success, now_}});
-    }
-  }
-  auto ReceiveAnswers() -> void {
-    while (!answers_.empty() && answers_.begin()->first <= now_) {
-      const auto received = answers_.begin()->second;
-      answers_.erase(answers_.begin());
-      const bool has_changed =
-          entries_[received.entry].RecordAnswer(received.limit, now_);
-      if (has_changed && has_control) Heartbeat(received.entry);
-    }
-  }
-  auto Heartbeat(std::size_t i) -> void {
-    std::vector<server_limit_report> reports;
-    if (const auto report = entries_[i].Report(kServer, now_)) {
-      reports.push_back(*report);
-    }
-    const bool is_news = total_.Report(std::to_string(i), reports, now_);
-    for (std::size_t j = 0; j < entries_.size(); ++j) {
-      if (j != i && !is_news) continue;
-      const auto statuses =
-          total_.StatusesFor(std::to_string(j), entries_.size(), now_);
-      for (const auto& status : statuses) entries_[j].Adopt(status, now_);
-    }
-  }
-
-  /// A server decides when it begins a request whether its answer names a
-  /// limit.
-  struct answer {
-    std::size_t entry = 0;
-    limit_answer limit;
-  };
-
-  std::multimap<monotonic_ms, answer> answers_;  ///< by time of arrival
-  std::mt19937_64 random_{20'261'204};
-  monotonic_ms heartbeat_ms_;
-  monotonic_ms now_ = 0;
-  std::vector<server_limit> entries_;
-  std::vector<double> demand_per_s_;
-  server_limit_total total_;
-  std::deque<monotonic_ms> window_;
-  std::size_t most_ = 0;
-  std::size_t passed_ = 0;
-};
 
-struct fleet_size {
-  std::size_t entries;
-  monotonic_ms heartbeat_ms;
-};
-constexpr fleet_size kFleetSizes[] = {{6, 200}, {60, 200}, {360, 1'000}};
+constexpr limit_fleet_size kFleetSizes[] = {{6, 200}, {60, 200}, {360, 1'000}};
 
 }  // namespace
 
 // Guards against a server in need that gets the requests that it got before.
 TEST_CASE("entries keep to a limit together and use it") {
   constexpr monotonic_ms kRunMs = 60'000;
-  for (const auto& [entries, heartbeat_ms] : kFleetSizes) {
+  for (const auto& size : kFleetSizes) {
+    const auto entries = size.entries;
     for (const double limit : {1.0, 2.0, 2.4, 20.0}) {
       for (const double demand : {3.0, 10.0, 40.0}) {
         CAPTURE(entries);
         CAPTURE(limit);
         CAPTURE(demand);
-        fleet all(entries, heartbeat_ms);
+        limit_fleet all(size);
         all.SetDemand(demand, entries);
         all.Run(10'000);
         all.limit_per_s = limit;
-        all.Run(kToldMs + kWindowMs);
+        all.Run(kToldMs + kLimitWindowMs);
         all.RestartCount();
         all.Run(kRunMs);
         CHECK(all.most() <= MostAllowed(limit));
@@ -169,11 +47,12 @@
 // Guards against shares that leave out what the server got before it named its
 // limit: the first window reaches back to a second before.
 TEST_CASE("entries make up for what a server got before it named its limit") {
-  for (const auto& [entries, heartbeat_ms] : kFleetSizes) {
+  for (const auto& size : kFleetSizes) {
+    const auto entries = size.entries;
     for (const double limit : {2.1, 2.4, 20.0}) {
       CAPTURE(entries);
       CAPTURE(limit);
-      fleet all(entries, heartbeat_ms);
+      limit_fleet all(size);
       all.SetDemand(7, entries);
       all.Run(10'000);
       all.limit_per_s = limit;
@@ -188,9 +67,10 @@
 // Guards against shares that stay where there is no demand.
 TEST_CASE("the share of a limit follows the demand to the entry that sends") {
   constexpr double kLimit = 2;
-  for (const auto& [entries, heartbeat_ms] : kFleetSizes) {
+  for (const auto& size : kFleetSizes) {
+    const auto entries = size.entries;
     CAPTURE(entries);
-    fleet all(entries, heartbeat_ms);
+    limit_fleet all(size);
     all.limit_per_s = kLimit;
     all.SetDemand(10, entries);
     all.Run(10'000);
@@ -206,13 +86,14 @@
 
 TEST_CASE("entries that lose control keep to the limit, with more demand too") {
   constexpr double kLimit = 2;
-  for (const auto& [entries, heartbeat_ms] : kFleetSizes) {
+  for (const auto& size : kFleetSizes) {
+    const auto entries = size.entries;
     CAPTURE(entries);
-    fleet all(entries, heartbeat_ms);
+    limit_fleet all(size);
     all.limit_per_s = kLimit;
     all.SetDemand(8, entries);
     all.Run(20'000);
-    all.has_control = false;
+    all.CutFromControl(entries);
     all.RestartCount();
     all.Run(20'000);
     CHECK(all.most() <= MostAllowed(kLimit));
@@ -226,12 +107,13 @@
 TEST_CASE("entries without control keep to a limit that is named then") {
   constexpr double kLimit = 2;
   constexpr monotonic_ms kRunMs = 40'000;
-  for (const auto& [entries, heartbeat_ms] : kFleetSizes) {
+  for (const auto& size : kFleetSizes) {
+    const auto entries = size.entries;
     // At 360 entries with 10 requests a second hardly any entry hears of it.
     if (entries > 60) continue;
     CAPTURE(entries);
-    fleet all(entries, heartbeat_ms);
-    all.has_control = false;
+    limit_fleet all(size);
+    all.CutFromControl(entries);
     all.SetDemand(10, entries);
     all.Run(20'000);
     all.limit_per_s = kLimit;
@@ -247,9 +129,10 @@
 }
 
 TEST_CASE("a limit ends at all entries once an answer names none") {
-  for (const auto& [entries, heartbeat_ms] : kFleetSizes) {
+  for (const auto& size : kFleetSizes) {
+    const auto entries = size.entries;
     CAPTURE(entries);
-    fleet all(entries, heartbeat_ms);
+    limit_fleet all(size);
     all.limit_per_s = 2;
     all.SetDemand(10, entries);
     all.Run(20'000);
@@ -263,11 +146,11 @@
 }
 
 TEST_CASE("a limit ends at the entries without control too") {
-  fleet all(6, 200);
+  limit_fleet all({6, 200});
   all.limit_per_s = 2;
   all.SetDemand(10, 6);
   all.Run(20'000);
-  all.has_control = false;
+  all.CutFromControl(6);
   all.limit_per_s.reset();
   // Each entry asks the server at the rate of its share, once in some seconds.
   all.Run(60'000);
