Count a request as demand of each limited server that it is offered to

What callers and servers saw: where all entries prefer one server, the others got up to the number of entries times the limit that they named (LIMIT).

The demand of the next ones, as control summed it, stayed below their limits, so each entry took the whole limit for its own. A second attempt was and is counted again; a forwarded request is counted by the entry that sends it to a server.

It works since what a server is asked for is what its limit is divided by.

--- a/include/lovagedale/entry/dispatcher.h
+++ b/include/lovagedale/entry/dispatcher.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -81,8 +82,8 @@
     /// Whether a server may have received the request in any attempt.
     bool was_sent = false;
     monotonic_ms queued_since = -1;
-    /// Whether the next attempt has been counted as demand for a server.
-    bool is_demand_counted = false;
+    /// Servers that have counted the next attempt as demand.
+    std::set<const server_state*> demand_counted_at;
   };
   /// A server chosen for one attempt, and the routing table it belongs to.
   struct placed_attempt {
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -300,8 +300,10 @@
     return false;
   }
   auto& limit = server->limit;
-  const bool is_first = !std::exchange(is_demand_counted_, true);
-  if (is_first) limit.RecordDemand(now);
+  const bool is_first = demand_counted_at_.empty();
+  if (demand_counted_at_.insert(server->id_hash).second) {
+    limit.RecordDemand(now);
+  }
   const auto draw = LimitDraw(Hash64(call_.id), now);
   const bool passes = limit.TryTake(draw, state_.entries, now);
   if (limit.IsLimited()) server->limited.Count(passes, is_first);
@@ -615,7 +617,7 @@
   first_event_ms_.reset();
   is_settled_ = false;
   tried_servers_.push_back(server->listed.id);
-  is_demand_counted_ = false;
+  demand_counted_at_.clear();
   ++sends_;
   ++server->in_flight;
   if (const auto prompt = PromptWork()) {
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -257,7 +257,8 @@
   give_up_reason given_up_ = give_up_reason::kNone;  ///< the current attempt
   /// The retry budget has counted the next attempt already.
   bool has_reserved_attempt_ = false;
-  bool is_demand_counted_ = false;  ///< of the next attempt
+  /// Servers, by id_hash, that have counted the next attempt as demand.
+  std::set<std::uint64_t> demand_counted_at_;
   /// When a server will take a call, if only limits and pauses that servers
   /// name have prevented the next attempt.
   std::optional<monotonic_ms> limited_until_ms_;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -147,7 +147,7 @@
   const auto load = ExpectedLoad({choice->server, server.slots, choice->state},
                                  request.now, placement_options{});
   if (load >= MaxLoad(job.patience)) return std::nullopt;
-  state.is_demand_counted = false;
+  state.demand_counted_at.clear();
   return placed_attempt{std::move(table), *choice, &server};
 }
 
@@ -165,7 +165,8 @@
     const auto choice =
         ChooseServer(group, context_.prefixes, request, placement_options{});
     if (!choice) break;
-    const bool counts_demand = !std::exchange(state.is_demand_counted, true);
+    const bool counts_demand =
+        state.demand_counted_at.insert(choice->state).second;
     const auto wait_ms = choice->state->limit.Use(
         [&](server_limit& limit) -> std::optional<monotonic_ms> {
           if (counts_demand) limit.RecordDemand(request.now);
