Follow control's word on a limit at once if it has heard the entry's own

What servers saw: entries that kept a limit for seconds, at 360 entries for up to a minute, after it had ended at all others.

Cause: an entry takes news from control only if it is 100 ms newer than its own word, as messages take time. If the limit ended within 100 ms after an entry had heard it named, the entry waited for an answer of its own. Control has compared both words if the entry has reported its own, so no tolerance is needed then.

Evidence: the new case of server_limit_test fails before (the entry is still limited).

--- a/include/lovagedale/admission/server_limit.h
+++ b/include/lovagedale/admission/server_limit.h
@@ -126,7 +126,7 @@
   /// share: of this entry if it is paced, else on average over the entries.
   auto RetryAfterMs(std::size_t entries, monotonic_ms now) -> monotonic_ms;
   /// For the next heartbeat; nothing if there is nothing to tell.
-  auto Report(std::uint32_t server, monotonic_ms now) const
+  auto Report(std::uint32_t server, monotonic_ms now)
       -> std::optional<server_limit_report>;
 
  private:
@@ -154,6 +154,7 @@
   /// When an answer told the limit, or that there is none; nothing if there has
   /// never been one.
   std::optional<monotonic_ms> known_at_;
+  std::optional<monotonic_ms> reported_known_at_;
   rate_estimate demand_;
   std::optional<fleet_demand> fleet_;
   std::optional<token_bucket> bucket_;
--- a/src/admission/server_limit.cpp
+++ b/src/admission/server_limit.cpp
@@ -137,7 +137,9 @@
 auto server_limit::Adopt(const server_limit_status& status, monotonic_ms now)
     -> void {
   const auto known_at = now - kMsPerCs * status.age_cs;
-  if (!known_at_ || known_at > *known_at_ + kMaxTransitMs) {
+  // Control has compared what it tells with what it was told.
+  const auto tolerance_ms = reported_known_at_ == known_at_ ? 0 : kMaxTransitMs;
+  if (!known_at_ || known_at > *known_at_ + tolerance_ms) {
     SetLimit(status.limit_per_s, now);
     known_at_ = known_at;
   }
@@ -202,11 +204,12 @@
   return std::max(begins_in_ms, bucket_->WaitMs(now));
 }
 
-auto server_limit::Report(std::uint32_t server, monotonic_ms now) const
+auto server_limit::Report(std::uint32_t server, monotonic_ms now)
     -> std::optional<server_limit_report> {
   if (!known_at_) return std::nullopt;
   const auto age_ms = now - *known_at_;
   if (!IsLimited() && age_ms > kEndReportedMs) return std::nullopt;
+  reported_known_at_ = known_at_;
   return server_limit_report{server, static_cast<float>(limit_per_s_),
                              ToCs(age_ms),
                              static_cast<float>(demand_.PerSecond(now))};
--- a/tests/admission/server_limit_test.cpp
+++ b/tests/admission/server_limit_test.cpp
@@ -206,6 +206,19 @@
   CHECK(limit.IsLimited());
 }
 
+// Guards against an entry that keeps a limit which control knows to have ended,
+// because it ended just after the entry had heard of it.
+TEST_CASE("an entry follows control if control has heard its word") {
+  server_limit limit;
+  limit.RecordAnswer({2.0}, 10'000);
+  const server_limit_status ended{kServer, 0, 1, 5};
+  limit.Adopt(ended, 10'060);
+  CHECK(limit.IsLimited());
+  REQUIRE(limit.Report(kServer, 10'060).has_value());
+  limit.Adopt(ended, 10'060);
+  CHECK_FALSE(limit.IsLimited());
+}
+
 TEST_CASE("entries that have not reported a server count as the others do") {
   server_limit_total total;
   total.Report("a", {{kServer, 2, 0, 3}}, 1'000);
