Make up only for the time without a limit when it is named again

What callers saw: up to 4 s in which nothing went to a server whose limit had ended, if an answer to an earlier request named the limit once more.

Cause: a limit that begins makes up for what the server got in the 4 s before, also where the former limit was in force for a part of them.

Evidence: the new case of server_limit_test fails before (no request passes at 1.3 s after the limit is named again).

--- a/include/lovagedale/admission/server_limit.h
+++ b/include/lovagedale/admission/server_limit.h
@@ -150,7 +150,9 @@
   auto ShareAt(std::size_t entries, monotonic_ms now) const -> entry_share;
 
   double limit_per_s_ = 0;
-  monotonic_ms limited_since_ = 0;  ///< as far as this entry knows
+  monotonic_ms limited_since_ = 0;        ///< as far as this entry knows
+  std::optional<monotonic_ms> ended_at_;  ///< the limit before
+  monotonic_ms catch_up_ms_ = 0;          ///< made up for after limited_since_
   /// When an answer told the limit, or that there is none; nothing if there has
   /// never been one.
   std::optional<monotonic_ms> known_at_;
--- a/src/admission/server_limit.cpp
+++ b/src/admission/server_limit.cpp
@@ -36,8 +36,9 @@
 /// How long an entry reports that a server has no limit any more.
 constexpr monotonic_ms kEndReportedMs = 5'000;
 /// A server that names a limit has got too much for some time before. For this
-/// time, less what the limit allowed in it, no requests pass.
-constexpr double kCatchUpMs = 4'000;
+/// time, or since a former limit ended, less what the limit allowed in it, no
+/// requests pass.
+constexpr monotonic_ms kCatchUpMs = 4'000;
 constexpr double kMaxRetryAfterMs = 30'000;
 
 /// In hundredths of a second; at most what the message holds.
@@ -110,8 +111,11 @@
 auto server_limit::SetLimit(double limit_per_s, monotonic_ms now) -> void {
   if (!IsLimited()) {
     limited_since_ = now;
+    catch_up_ms_ =
+        ended_at_ ? std::min(now - *ended_at_, kCatchUpMs) : kCatchUpMs;
     bucket_.reset();
   }
+  if (IsLimited() && limit_per_s <= 0) ended_at_ = now;
   limit_per_s_ = limit_per_s;
 }
 
@@ -167,7 +171,7 @@
   if (total <= shared) return {1, shared, /*is_paced=*/true, limited_since_};
   const auto fraction = shared / total;
   const auto rate = fraction * demand_.PerSecond(now);
-  const auto excess_ms = kCatchUpMs * (1 - fraction);
+  const auto excess_ms = static_cast<double>(catch_up_ms_) * (1 - fraction);
   return {fraction, rate, rate >= kMinPacedPerS,
           limited_since_ + static_cast<monotonic_ms>(excess_ms)};
 }
--- a/tests/admission/server_limit_test.cpp
+++ b/tests/admission/server_limit_test.cpp
@@ -219,6 +219,20 @@
   CHECK_FALSE(limit.IsLimited());
 }
 
+// Guards against entries that send nothing for seconds because an answer to an
+// earlier request names a limit again that has just ended.
+TEST_CASE("a limit that is named again makes up for the time without it") {
+  constexpr double kPasses = 0;  // The draw of a request that any share takes.
+  server_limit limit;
+  for (monotonic_ms now = 0; now < 20'000; now += 100) limit.RecordDemand(now);
+  limit.RecordAnswer({2.0}, 20'000);
+  CHECK_FALSE(limit.TryTake(kPasses, 1, 21'000));
+  CHECK(limit.RecordAnswer({std::nullopt, true, 24'500}, 25'000));
+  CHECK(limit.RecordAnswer({2.0, true, 23'000}, 25'200));
+  CHECK_FALSE(limit.TryTake(kPasses, 1, 25'250));
+  CHECK(limit.TryTake(kPasses, 1, 26'500));
+}
+
 TEST_CASE("entries that have not reported a server count as the others do") {
   server_limit_total total;
   total.Report("a", {{kServer, 2, 0, 3}}, 1'000);
