Grant requests to limited servers, and share a limit by the last word of control

What servers saw: far more requests than the limit that they named (LIMIT) for some seconds after the demand had grown.

The bound of the whole fleet held only while that sum was the present demand; it follows a growth some seconds later.

Now the bound does not depend on the demand. The leader of control grants each request to a limited server from one token bucket (grant_request, format 3; entries ask only a leader of that format). An entry without a grant takes places in a share that follows from what control told last; places that nobody uses end, so that few are saved. Grants leave room for entries that use shares.

The cases and bounds of server_limit_test are unchanged. limit_fleet asks control as the relay does. LimitDraw is gone: a request that waits takes no chance again.

--- a/benchmark/micro_main.cpp
+++ b/benchmark/micro_main.cpp
@@ -108,8 +108,7 @@
   for (auto _ : state) {
     ++now;
     limit.RecordDemand(now);
-    ::benchmark::DoNotOptimize(limit.TryTake(
-        LimitDraw(static_cast<std::uint64_t>(now), now), 360, now));
+    ::benchmark::DoNotOptimize(limit.TryTake(0.5, 360, now));
   }
 }
 BENCHMARK(PassServerLimit);
--- a/include/lovagedale/admission/server_limit.h
+++ b/include/lovagedale/admission/server_limit.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "lovagedale/admission/expiring_places.h"
 #include "lovagedale/admission/token_bucket.h"
 #include "lovagedale/common/time.h"
 
@@ -19,8 +20,8 @@
  public:
   auto Add(monotonic_ms now) -> void;
   auto PerSecond(monotonic_ms now) const -> double;
-  /// By how much the estimate may exceed a true rate of `per_s` by chance.
-  static auto MaxErrorPerSecond(double per_s) -> double;
+  /// What PerSecond was before an event that was added just now.
+  auto PerSecondBefore(monotonic_ms now) const -> double;
 
  private:
   static constexpr double kTimeConstantMs = 5'000;
@@ -74,10 +75,6 @@
 /// negative.
 auto ParseServerLimit(std::string_view text) -> std::optional<double>;
 
-/// The draw for server_limit::TryTake of a request, the same for a second, so
-/// that a request that waits does not pass by asking often.
-auto LimitDraw(std::uint64_t request_hash, monotonic_ms now) -> double;
-
 /// What an answer of a server tells of its limit.
 struct limit_answer {
   std::optional<double> limit_per_s;  ///< that it names, if any
@@ -89,14 +86,30 @@
   auto operator==(const limit_answer&) const -> bool = default;
 };
 
+/// Control's answer to an entry that has a request for a limited server.
+struct server_grant {
+  /// Whether the entry may send one request now.
+  bool is_granted = false;
+  /// If not: when the entry may ask again.
+  std::uint32_t retry_after_ms = 0;
+  server_limit_status status;
+
+  auto operator==(const server_grant&) const -> bool = default;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(is_granted, retry_after_ms, status);
+  }
+};
+
 /// One server's limit and this entry's share of it. A server in need names in
 /// its answers how many requests a second it takes from all entries together.
-/// Each entry lets the same fraction of its demand pass: the limit divided by
-/// the demand of all entries. So shares follow the demand without being
-/// granted, and an entry that loses control keeps its share: if its demand
-/// grows, it assumes that the others' grows likewise. As a server names a limit
-/// when it has got too much, what exceeded the limit in the seconds before is
-/// made up for first. Does no I/O and reads no clock; not thread-safe.
+/// An entry asks control for a grant before each request to it. While control
+/// grants none, it takes places in a share: a part of the limit that follows
+/// from what control told last and not from the demand now, so that the shares
+/// sum to less than the limit however the demand grows. As a server names a
+/// limit when it has got too much, what exceeded the limit in the seconds
+/// before is made up for first. Does no I/O and reads no clock; not
+/// thread-safe.
 class server_limit {
  public:
   /// Records an answer of the server. Whether the server has a limit now and
@@ -118,12 +131,15 @@
   auto FleetDemand() const -> std::optional<double> {
     return fleet_ ? std::optional(fleet_->per_s) : std::nullopt;
   }
-  /// Whether a request may go to the server now; takes its place in the share.
-  /// `draw`: uniform in [0, 1), the same for repeated questions of one request.
+  /// Whether control may be asked for a grant, or a place in the share taken.
   /// `entries`: number of entries, used until control has told the demand.
+  auto MayAsk(std::size_t entries, monotonic_ms now) const -> bool;
+  /// Adopts control's answer; whether the request may be sent.
+  auto Adopt(const server_grant& grant, monotonic_ms now) -> bool;
+  /// Takes a place in the share, for a request for which control was not asked
+  /// or did not answer. `draw`: uniform in [0, 1).
   auto TryTake(double draw, std::size_t entries, monotonic_ms now) -> bool;
-  /// Milliseconds after which a request that did not pass has a place in the
-  /// share: of this entry if it is paced, else on average over the entries.
+  /// Milliseconds after which a request that did not pass is likely to.
   auto RetryAfterMs(std::size_t entries, monotonic_ms now) -> monotonic_ms;
   /// For the next heartbeat; nothing if there is nothing to tell.
   auto Report(std::uint32_t server, monotonic_ms now)
@@ -131,10 +147,10 @@
 
  private:
   struct entry_share {
-    double fraction = 1;    ///< of the demand that passes
-    double rate_per_s = 0;  ///< of requests that pass
-    /// Whether a token bucket paces the requests, not a draw for each.
-    bool is_paced = false;
+    double fraction = 1;    ///< of the demand of all that passes
+    double rate_per_s = 0;  ///< of requests that pass here
+    monotonic_ms place_lasts_ms = 0;
+    monotonic_ms first_place_lasts_ms = 0;
     /// Until then no request passes; see kCatchUpMs.
     monotonic_ms begins_at = 0;
   };
@@ -159,7 +175,8 @@
   std::optional<monotonic_ms> reported_known_at_;
   rate_estimate demand_;
   std::optional<fleet_demand> fleet_;
-  std::optional<token_bucket> bucket_;
+  monotonic_ms refused_until_ = 0;  ///< by control
+  std::optional<expiring_places> places_;
 };
 
 /// A server_limit that threads use in turn.
@@ -196,6 +213,12 @@
   /// as the others.
   auto StatusesFor(const std::string& entry, std::size_t live_entries,
                    monotonic_ms now) -> std::vector<server_limit_status>;
+  /// Answers an entry that has a request for a server that it has reported. The
+  /// requests of a server are granted at the part of its limit that is not left
+  /// to entries which use shares. `registered_entries`: live ones and others.
+  auto Grant(const std::string& entry, std::uint32_t server,
+             std::size_t live_entries, std::size_t registered_entries,
+             monotonic_ms now) -> server_grant;
 
  private:
   /// An entry that is silent for a while keeps its share.
@@ -209,15 +232,28 @@
   };
   struct entry_record {
     std::map<std::uint32_t, received_report> reports;  ///< by server
-    server_limit_turns turns;  ///< of what the entry is told
+    server_limit_turns turns;              ///< of what the entry is told
+    std::optional<monotonic_ms> asked_at;  ///< last, for a grant
+
+    /// Whether it uses grants and no shares.
+    auto AsksForGrants(monotonic_ms now) const -> bool {
+      return asked_at && now - *asked_at <= kReportMaxAgeMs;
+    }
   };
   struct server_record {
-    float limit_per_s = 0;      ///< by the latest word of any entry
-    monotonic_ms known_at = 0;  ///< when an answer told so
-    float demand_per_s = 0;     ///< sum over the entries
+    float limit_per_s = 0;          ///< by the latest word of any entry
+    monotonic_ms known_at = 0;      ///< when an answer told so
+    float demand_per_s = 0;         ///< sum over the entries
+    float asking_demand_per_s = 0;  ///< of those that ask for grants
     std::size_t reporters = 0;
+    std::optional<token_bucket> grants;
+    std::size_t refused = 0;  ///< since the last grant
   };
 
+  auto StatusOf(std::uint32_t key, const server_record& server,
+                std::size_t live_entries, monotonic_ms now) const
+      -> server_limit_status;
+
   /// Sums the demands of the recent reports; forgets servers without any.
   auto UpdateSums(monotonic_ms now) -> void;
 
--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -7,6 +7,7 @@
 
 #include "lovagedale/admission/limit_shares.h"
 #include "lovagedale/admission/server_limit.h"
+#include "lovagedale/common/format.h"
 #include "lovagedale/common/hash.h"
 #include "lovagedale/configuration/update_parts.h"
 #include "lovagedale/discovery/list_changes.h"
@@ -170,7 +171,31 @@
   }
 };
 
-using control_request =
-    std::variant<replica_envelope, entry_heartbeat, join_request>;
+/// Oldest format of control replicas that know grant_request.
+inline constexpr format_number kGrantFormat = 3;
+
+/// An entry's request to send one request to a server that has a limit.
+struct grant_request {
+  std::string node;
+  server_limit_report server;
+
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(node, server);
+  }
+};
+
+struct grant_response {
+  std::optional<server_grant> grant;  ///< nothing from a replica without lease
+
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(grant);
+  }
+};
+
+/// Later formats add alternatives at the end.
+using control_request = std::variant<replica_envelope, entry_heartbeat,
+                                     join_request, grant_request>;
 
 }  // namespace lovagedale
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -87,6 +87,8 @@
   auto HasStaleList(const entry_heartbeat& heartbeat) const -> bool;
   /// How long the response to an entry that relays is deferred, in ms.
   auto LoadExchangePeriod() const -> monotonic_ms;
+  auto HandleGrant(const grant_request& request, const rpc_reply& reply)
+      -> void;
   auto HandleJoin(const join_request& request, format_number format,
                   const rpc_reply& reply) -> void;
   /// Raises the fleet's format if the settings allow it and every member and
@@ -102,6 +104,8 @@
   auto Answer(const deferred_heartbeat& due) -> void;
   auto AddLimits(const std::string& node, heartbeat_response& response) -> void;
   /// Adds the entry's helpers if it has others.
+  /// Entries with a recent heartbeat.
+  auto CountLiveEntries() const -> std::size_t;
   auto AddHelpers(const entry_heartbeat& heartbeat, relay_update& update) const
       -> void;
   auto AddEvidence(const std::string& node, heartbeat_response& response)
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -304,14 +304,34 @@
   if (demand_counted_at_.insert(server->id_hash).second) {
     limit.RecordDemand(now);
   }
-  const auto draw = LimitDraw(Hash64(call_.id), now);
-  const bool passes = limit.TryTake(draw, state_.entries, now);
-  if (limit.IsLimited()) server->limited.Count(passes, is_first);
+  if (!limit.IsLimited()) return true;
+  const bool passes = TakeFromLimit(server);
+  server->limited.Count(passes, is_first);
   if (passes) return true;
-  LimitUntil(now + limit.RetryAfterMs(state_.entries, now));
+  const auto asked_at = clock_.Now();
+  LimitUntil(asked_at + limit.RetryAfterMs(state_.entries, asked_at));
   return false;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::TakeFromLimit(const server_handle& server)
+    -> bool {
+  auto& limit = server->limit;
+  if (!limit.MayAsk(state_.entries, clock_.Now())) return false;
+  const auto report = limit.Report(ServerKey(server->id_hash), clock_.Now());
+  const auto grant =
+      report ? state_.ask_for_grant(*report, exchange_.yield()) : std::nullopt;
+  const auto now = clock_.Now();
+  // Much may have changed while control was asked.
+  if (caller_disconnected_ || !server->TakesCalls() ||
+      now < server->paused_until_ms || !state_.servers.IsReachable(*server)) {
+    return false;
+  }
+  if (grant) return limit.Adopt(*grant, now);
+  const auto draw = ToUnitInterval(state_.random());
+  return limit.TryTake(draw, state_.entries, now);
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::ModelCost() const -> double {
   const auto& models = match_.matched_route->models;
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -161,6 +161,8 @@
   /// Whether the server's limit lets the call pass. Counts the next attempt as
   /// demand for the server that was chosen first.
   auto PassesLimit(const server_handle& server) -> bool;
+  /// The same for a server that has a limit; asks control.
+  auto TakeFromLimit(const server_handle& server) -> bool;
   /// The next attempt is prevented until `until_ms`, or earlier if that was
   /// said before.
   auto LimitUntil(monotonic_ms until_ms) -> void;
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -129,6 +129,12 @@
   /// Called when an answer names a limit of a server that had none, or the
   /// reverse.
   std::function<void()> on_limit_changed = [] {};
+  /// Asks control whether one request may go to a server that has a limit.
+  /// Suspends the fiber for a part of a second at most; nothing if control does
+  /// not answer.
+  std::function<std::optional<server_grant>(const server_limit_report&,
+                                            boost::asio::yield_context)>
+      ask_for_grant = [](const auto&, auto) { return std::nullopt; };
   std::size_t entries = 0;       ///< registered at control; 0 if not told yet
   std::size_t active_calls = 0;  ///< calls in progress
   /// Until this time calls wait for the first routes, which control sends as
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -55,6 +55,10 @@
                 boost::asio::yield_context yield) -> heartbeat_response;
   /// Sends the leader a heartbeat at once.
   auto ReportAtOnce() -> void;
+  /// Asks the leader; see relay_state::ask_for_grant.
+  auto AskForGrant(const server_limit_report& server,
+                   boost::asio::yield_context yield)
+      -> std::optional<server_grant>;
   /// Applies the routes, control replicas, loads and servers of a response.
   auto Adopt(const heartbeat_response& response, const std::string& replica)
       -> void;
@@ -78,6 +82,8 @@
   /// Channels are never removed, as fibers use them.
   std::map<std::string, std::unique_ptr<rpc_channel>> replicas_;
   std::string leader_;
+  format_number leader_format_ = kFirstFormat;
+  monotonic_ms no_grants_until_ms_ = 0;
   /// Answer counters that the replica `answers_reported_to_` has received.
   version_answers_table reported_answers_;
   std::string answers_reported_to_;
--- a/src/admission/server_limit.cpp
+++ b/src/admission/server_limit.cpp
@@ -6,27 +6,26 @@
 #include <limits>
 #include <set>
 
-#include "lovagedale/common/hash.h"
-
 namespace lovagedale {
 namespace {
 
 constexpr double kMsPerSecond = 1'000;
 constexpr monotonic_ms kMsPerCs = 10;
-/// Fraction of a limit that is shared out, as the sum of the entries' requests
-/// varies.
+/// Fraction of a limit that is shared out, as requests come at random.
 constexpr double kSharedFraction = 0.8;
-/// The same while what control has told of the other entries' demand is older
-/// than kFleetDemandMaxAgeMs: the demand may have grown.
-constexpr double kSharedFractionOutdated = 0.5;
+/// Part of what is shared out that goes to the entries by their demand; the
+/// rest goes to all alike, so that one whose demand begins has a share.
+constexpr double kSharedByDemand = 0.9;
+/// The same while what control has told is older than kFleetDemandMaxAgeMs.
+constexpr double kSharedByDemandOutdated = 0.5;
 constexpr monotonic_ms kFleetDemandMaxAgeMs = 5'000;
 /// A server that names less is still asked: only its answers tell that the
 /// limit has ended.
 constexpr double kMinLimitPerS = 0.1;
-/// A share below this is not paced: many entries with a saved token each would
-/// exceed the limit together.
-constexpr double kMinPacedPerS = 0.25;
-constexpr double kPacedBurst = 1;
+/// Below this share an entry cannot tell by itself when a request will pass.
+constexpr double kMinForecastPerS = 0.25;
+/// Requests of a mean entry in the time for which a place lasts.
+constexpr double kDemandsPerPlace = 1;
 /// Time that a message from another entry may take: older news than the own by
 /// no more than this may in truth be older still.
 constexpr monotonic_ms kMaxTransitMs = 100;
@@ -40,6 +39,12 @@
 /// requests pass.
 constexpr monotonic_ms kCatchUpMs = 4'000;
 constexpr double kMaxRetryAfterMs = 30'000;
+constexpr double kMaxPlaceMs = 600'000;
+/// Grants that are saved while no entry asks.
+constexpr double kMinGrantBurst = 2;
+constexpr double kGrantBurstS = 0.5;
+constexpr double kMinGrantsPerS = 0.01;
+constexpr double kMaxGrantWaitMs = 10'000;
 
 /// In hundredths of a second; at most what the message holds.
 auto ToCs(monotonic_ms ms) -> std::uint16_t {
@@ -59,10 +64,8 @@
          std::exp(static_cast<double>(updated_at_ - now) / kTimeConstantMs);
 }
 
-auto rate_estimate::MaxErrorPerSecond(double per_s) -> double {
-  constexpr double kDeviations = 2;
-  constexpr auto kEventPerS = kMsPerSecond / kTimeConstantMs;
-  return kEventPerS + kDeviations * std::sqrt(per_s * kEventPerS / 2);
+auto rate_estimate::PerSecondBefore(monotonic_ms now) const -> double {
+  return std::max(0.0, PerSecond(now) - kMsPerSecond / kTimeConstantMs);
 }
 
 auto ParseServerLimit(std::string_view text) -> std::optional<double> {
@@ -76,12 +79,6 @@
   return value;
 }
 
-auto LimitDraw(std::uint64_t request_hash, monotonic_ms now) -> double {
-  const auto second = static_cast<std::uint64_t>(now) /
-                      static_cast<std::uint64_t>(kMsPerSecond);
-  return ToUnitInterval(MixBits(request_hash ^ MixBits(second)));
-}
-
 auto server_limit_turns::Select(std::vector<server_limit_report>& servers)
     -> void {
   const auto turn_of = [this](const server_limit_report& server) {
@@ -113,7 +110,8 @@
     limited_since_ = now;
     catch_up_ms_ =
         ended_at_ ? std::min(now - *ended_at_, kCatchUpMs) : kCatchUpMs;
-    bucket_.reset();
+    refused_until_ = now;
+    places_.reset();
   }
   if (IsLimited() && limit_per_s <= 0) ended_at_ = now;
   limit_per_s_ = limit_per_s;
@@ -152,28 +150,53 @@
 
 auto server_limit::TotalDemand(std::size_t entries, monotonic_ms now) const
     -> double {
-  const auto count = static_cast<double>(std::max<std::size_t>(1, entries));
-  const auto own = demand_.PerSecond(now);
-  if (!fleet_) return own * count;
-  // Without own demand then, the mean of the entries stands for it.
-  const auto before = std::max(fleet_->own_per_s, fleet_->per_s / count);
-  const auto now_at_least = own - rate_estimate::MaxErrorPerSecond(before);
-  const auto growth = now_at_least > before ? now_at_least / before : 1;
-  return std::max(own, fleet_->per_s * growth);
+  if (!fleet_) {
+    // A request that asks is counted, though others count none at this time.
+    return demand_.PerSecondBefore(now) *
+           static_cast<double>(std::max<std::size_t>(1, entries));
+  }
+  return std::max(demand_.PerSecond(now), fleet_->per_s);
 }
 
 auto server_limit::ShareAt(std::size_t entries, monotonic_ms now) const
     -> entry_share {
-  const bool is_outdated = fleet_ && now - fleet_->at > kFleetDemandMaxAgeMs;
-  const auto shared =
-      limit_per_s_ * (is_outdated ? kSharedFractionOutdated : kSharedFraction);
+  const auto count = static_cast<double>(std::max<std::size_t>(1, entries));
+  const auto shared = limit_per_s_ * kSharedFraction;
   const auto total = TotalDemand(entries, now);
-  if (total <= shared) return {1, shared, /*is_paced=*/true, limited_since_};
-  const auto fraction = shared / total;
-  const auto rate = fraction * demand_.PerSecond(now);
-  const auto excess_ms = static_cast<double>(catch_up_ms_) * (1 - fraction);
-  return {fraction, rate, rate >= kMinPacedPerS,
-          limited_since_ + static_cast<monotonic_ms>(excess_ms)};
+  entry_share share;
+  share.fraction = total <= shared ? 1 : shared / total;
+  share.begins_at = limited_since_ + static_cast<monotonic_ms>(
+                                         static_cast<double>(catch_up_ms_) *
+                                         (1 - share.fraction));
+  share.place_lasts_ms = static_cast<monotonic_ms>(
+      std::min(kMaxPlaceMs, kDemandsPerPlace * kMsPerSecond * count /
+                                std::max(total, kMinLimitPerS)));
+  // As many entries have a place at first as have one after a while, when some
+  // places have been taken.
+  share.first_place_lasts_ms = static_cast<monotonic_ms>(
+      static_cast<double>(share.place_lasts_ms) *
+      (1 - std::exp(-kDemandsPerPlace)) / kDemandsPerPlace);
+  auto part = 1 / count;
+  if (fleet_ && fleet_->own_per_s > 0) {
+    const auto by_demand = now - fleet_->at > kFleetDemandMaxAgeMs
+                               ? kSharedByDemandOutdated
+                               : kSharedByDemand;
+    part = by_demand * fleet_->own_per_s /
+               std::max(fleet_->own_per_s, fleet_->per_s) +
+           (1 - by_demand) / count;
+  }
+  share.rate_per_s = shared * part;
+  return share;
+}
+
+auto server_limit::MayAsk(std::size_t entries, monotonic_ms now) const -> bool {
+  return now >= refused_until_ && now >= ShareAt(entries, now).begins_at;
+}
+
+auto server_limit::Adopt(const server_grant& grant, monotonic_ms now) -> bool {
+  Adopt(grant.status, now);
+  refused_until_ = grant.is_granted ? now : now + grant.retry_after_ms;
+  return grant.is_granted || !IsLimited();
 }
 
 auto server_limit::TryTake(double draw, std::size_t entries, monotonic_ms now)
@@ -181,31 +204,31 @@
   if (!IsLimited()) return true;
   const auto share = ShareAt(entries, now);
   if (now < share.begins_at) return false;
-  if (!share.is_paced) return draw < share.fraction;
-  // The entries' first requests are spread by chance.
-  if (!bucket_) {
-    bucket_.emplace(share.rate_per_s, kPacedBurst, share.begins_at, draw);
+  // The entries' first places are spread by chance.
+  if (!places_) {
+    places_.emplace(draw, share.rate_per_s, share.first_place_lasts_ms, now);
   }
-  bucket_->SetLimit(share.rate_per_s, kPacedBurst, now);
-  return bucket_->TryTake(now);
+  places_->Update(share.rate_per_s, now);
+  return places_->TryTake(share.place_lasts_ms, now);
 }
 
 auto server_limit::RetryAfterMs(std::size_t entries, monotonic_ms now)
     -> monotonic_ms {
   if (!IsLimited()) return 0;
+  if (now < refused_until_) return refused_until_ - now;
   const auto share = ShareAt(entries, now);
   const auto begins_in_ms = std::max<monotonic_ms>(0, share.begins_at - now);
-  if (!share.is_paced) {
+  if (share.rate_per_s < kMinForecastPerS) {
     // In this time the servers take as many requests as arrive in a second.
     return begins_in_ms + static_cast<monotonic_ms>(std::min(
                               kMaxRetryAfterMs, kMsPerSecond / share.fraction));
   }
-  if (!bucket_) {
+  if (!places_) {
     return begins_in_ms +
            static_cast<monotonic_ms>(kMsPerSecond / share.rate_per_s) + 1;
   }
-  bucket_->SetLimit(share.rate_per_s, kPacedBurst, now);
-  return std::max(begins_in_ms, bucket_->WaitMs(now));
+  places_->Update(share.rate_per_s, now);
+  return begins_in_ms + places_->NextInMs();
 }
 
 auto server_limit::Report(std::uint32_t server, monotonic_ms now)
@@ -242,15 +265,18 @@
   summed_at_ = now;
   for (auto& [key, server] : servers_) {
     server.demand_per_s = 0;
+    server.asking_demand_per_s = 0;
     server.reporters = 0;
   }
   for (auto& [entry, record] : by_entry_) {
     std::erase_if(record.reports, [&](const auto& item) {
       return now - item.second.at > kReportMaxAgeMs;
     });
+    const bool asks = record.AsksForGrants(now);
     for (const auto& [key, received] : record.reports) {
       auto& server = servers_[key];
       server.demand_per_s += received.demand_per_s;
+      if (asks) server.asking_demand_per_s += received.demand_per_s;
       ++server.reporters;
     }
   }
@@ -258,6 +284,18 @@
                 [](const auto& item) { return item.second.reporters == 0; });
 }
 
+auto server_limit_total::StatusOf(std::uint32_t key,
+                                  const server_record& server,
+                                  std::size_t live_entries,
+                                  monotonic_ms now) const
+    -> server_limit_status {
+  const auto reporters = std::max<std::size_t>(1, server.reporters);
+  const auto known_entries = std::max(live_entries, reporters);
+  return {key, server.limit_per_s, ToCs(now - server.known_at),
+          server.demand_per_s * static_cast<float>(known_entries) /
+              static_cast<float>(reporters)};
+}
+
 auto server_limit_total::StatusesFor(const std::string& entry,
                                      std::size_t live_entries, monotonic_ms now)
     -> std::vector<server_limit_status> {
@@ -265,14 +303,54 @@
   std::vector<server_limit_status> statuses;
   for (const auto& [key, server] : servers_) {
     if (server.reporters == 0) continue;
-    const auto known_entries = std::max(live_entries, server.reporters);
-    statuses.push_back(
-        {key, server.limit_per_s, ToCs(now - server.known_at),
-         server.demand_per_s * static_cast<float>(known_entries) /
-             static_cast<float>(server.reporters)});
+    statuses.push_back(StatusOf(key, server, live_entries, now));
   }
   by_entry_[entry].turns.Select(statuses);
   return statuses;
 }
 
+auto server_limit_total::Grant(const std::string& entry,
+                               std::uint32_t server_key,
+                               std::size_t live_entries,
+                               std::size_t registered_entries, monotonic_ms now)
+    -> server_grant {
+  auto& record = by_entry_[entry];
+  if (!record.AsksForGrants(now)) summed_at_.reset();
+  record.asked_at = now;
+  UpdateSums(now);
+  auto& server = servers_[server_key];
+  server_grant grant;
+  grant.status = StatusOf(server_key, server, live_entries, now);
+  if (server.limit_per_s <= 0) {
+    grant.is_granted = true;
+    return grant;
+  }
+  // The others use shares: entries of builds that do not ask, and entries that
+  // do not reach this replica.
+  const auto asking = server.demand_per_s > 0
+                          ? server.asking_demand_per_s / server.demand_per_s
+                          : 1;
+  const auto reached =
+      static_cast<double>(live_entries) /
+      static_cast<double>(std::max(live_entries, registered_entries));
+  const auto per_s = std::max(
+      kSharedFraction * server.limit_per_s * asking * reached, kMinGrantsPerS);
+  const auto burst = std::max(kMinGrantBurst, per_s * kGrantBurstS);
+  if (!server.grants) server.grants.emplace(per_s, burst, now, 1);
+  server.grants->SetLimit(per_s, burst, now);
+  grant.is_granted = server.grants->TryTake(now);
+  if (grant.is_granted) {
+    server.refused = 0;
+    return grant;
+  }
+  // Each entry gets the time of a grant of its own.
+  const auto wait_ms =
+      static_cast<double>(server.grants->WaitMs(now)) +
+      static_cast<double>(server.refused) / per_s * kMsPerSecond;
+  ++server.refused;
+  grant.retry_after_ms =
+      static_cast<std::uint32_t>(std::min(wait_ms, kMaxGrantWaitMs));
+  return grant;
+}
+
 }  // namespace lovagedale
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -108,11 +108,33 @@
     HandleJoin(*join, footer.written, reply);
     return;
   }
+  if (const auto* grant = std::get_if<grant_request>(&request)) {
+    formats_.Report(grant->node, footer.written);
+    HandleGrant(*grant, reply);
+    return;
+  }
   auto& heartbeat = std::get<entry_heartbeat>(request);
   formats_.Report(heartbeat.node, footer.written);
   HandleHeartbeat(std::move(heartbeat), std::move(reply));
 }
 
+auto control_service::HandleGrant(const grant_request& request,
+                                  const rpc_reply& reply) -> void {
+  TrackLeadership();
+  grant_response response;
+  // Two replicas that grant at the same time would grant twice the limit.
+  if (tracker_ && node_.HasLease() && !stopped_) {
+    const auto now = clock_.Now();
+    if (server_limits_.Report(request.node, {request.server}, now)) {
+      AnswerDeferred(/*all=*/true);
+    }
+    response.grant = server_limits_.Grant(request.node, request.server.server,
+                                          CountLiveEntries(),
+                                          machine_.entries().size(), now);
+  }
+  reply(Encode(response));
+}
+
 auto control_service::HandleJoin(const join_request& request,
                                  format_number format, const rpc_reply& reply)
     -> void {
@@ -355,14 +377,20 @@
       static_cast<std::uint32_t>(machine_.entries().size());
   if (response.is_leader) {
     AddEvidence(due.heartbeat.node, response);
-    for (const auto& [name, node] : machine_.entries()) {
-      if (TimeSinceHeartbeat(name) < kEntryTimeoutMs) ++response.live_entries;
-    }
+    response.live_entries = static_cast<std::uint32_t>(CountLiveEntries());
   }
   if (due.heartbeat.limits) AddLimits(due.heartbeat.node, response);
   due.reply(Encode(response));
 }
 
+auto control_service::CountLiveEntries() const -> std::size_t {
+  const auto& entries = machine_.entries();
+  return static_cast<std::size_t>(
+      std::count_if(entries.begin(), entries.end(), [&](const auto& item) {
+        return TimeSinceHeartbeat(item.first) < kEntryTimeoutMs;
+      }));
+}
+
 auto control_service::AddHelpers(const entry_heartbeat& heartbeat,
                                  relay_update& update) const -> void {
   const auto now = clock_.Now();
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -157,7 +157,7 @@
                                     std::vector<server_id>& excluded,
                                     job_state& state)
     -> std::optional<placement_choice> {
-  const auto draw = LimitDraw(Hash64(job.request_id), request.now);
+  const auto draw = ToUnitInterval(MixBits(request.random));
   const std::size_t entries = context_.state.registered_entries;
   std::optional<monotonic_ms> retry_after_ms;
   for (;;) {
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -28,6 +28,10 @@
 /// The same while no leader is known: an election ends within a few of these.
 constexpr milliseconds kSearchPeriod{60};
 constexpr milliseconds kLeaveTimeout{300};
+/// How long a call waits for the leader's answer about a limited server.
+constexpr milliseconds kGrantWait{200};
+/// After an answer that did not come in time, calls do not wait for one.
+constexpr monotonic_ms kGrantPauseMs = 500;
 /// After this long without a response from a leader, entries read the list of
 /// servers themselves, at a low rate because all entries do so at once.
 constexpr monotonic_ms kLeaderLostMs = 1'800;
@@ -56,6 +60,10 @@
   AddSeeds(settings_.seeds);
   state_.crashes.SetReportHandler([this] { ReportAtOnce(); });
   state_.on_limit_changed = [this] { ReportAtOnce(); };
+  state_.ask_for_grant = [this](const server_limit_report& server,
+                                asio::yield_context yield) {
+    return AskForGrant(server, yield);
+  };
   if (source_) {
     SpawnTask(context_,
               [this](asio::yield_context yield) { FallbackListLoop(yield); });
@@ -203,10 +211,11 @@
   heartbeat.relay->answers = sent_answers;
   const auto sent_crashes = heartbeat.crashes;
   const auto sent_reach = heartbeat.relay->reach;
-  auto response = Decode<heartbeat_response>(channel.Call(
+  auto [response, footer] = DecodeWithFormat<heartbeat_response>(channel.Call(
       Encode(control_request(std::move(heartbeat))), kHeartbeatTimeout, yield));
   state_.prober.ReportControlRoundTrip(began_ms);
   if (!response.is_leader) return response;
+  leader_format_ = footer.written;
   state_.crashes.Acknowledge(sent_crashes, name);
   if (sent_reach) {
     reported_reach_ = *sent_reach;
@@ -240,6 +249,36 @@
   });
 }
 
+auto fleet_link::AskForGrant(const server_limit_report& server,
+                             asio::yield_context yield)
+    -> std::optional<server_grant> {
+  const auto leader = replicas_.find(leader_);
+  if (leader == replicas_.end() || leader_format_ < kGrantFormat || leaving_ ||
+      clock_.Now() < no_grants_until_ms_) {
+    return std::nullopt;
+  }
+  const auto answer = std::make_shared<grant_response>();
+  const fiber_event answered(context_.get_executor());
+  // The channel closes a connection on which a call gets no answer in time, so
+  // the call may last as long as a heartbeat, and only the wait ends earlier.
+  SpawnTask(context_, [request = grant_request{settings_.name, server}, answer,
+                       answered, &channel = *leader->second](
+                          asio::yield_context call_yield) {
+    try {
+      *answer = Decode<grant_response>(channel.Call(
+          Encode(control_request(request)), kHeartbeatTimeout, call_yield));
+    } catch (const std::exception& error) {
+      log_line(log_level::kInfo, "grant_not_received")
+          .With("replica", channel.address().name)
+          .With("reason", error.what());
+    }
+    answered.Set();
+  });
+  answered.Wait(kGrantWait, yield);
+  if (!answer->grant) no_grants_until_ms_ = clock_.Now() + kGrantPauseMs;
+  return answer->grant;
+}
+
 auto fleet_link::AdoptPart(const update_part& part, const std::string& replica)
     -> void {
   sender_choice_.RecordPart(clock_.Now());
--- a/tests/admission/server_limit_demand_test.cpp
+++ b/tests/admission/server_limit_demand_test.cpp
@@ -82,6 +82,7 @@
       {"no control", {30, 200, 12}, 4, 7, 4, 30},
       {"60 entries without control", {60, 200, 2}, 4, 7, 4, 60},
       {"6 entries, ten times", {6, 200, 2}, 2.4, 3, 10, 0},
+      {"a server of 295 entries, 20 times", {295, 1'000, 2}, 4, 7, 20, 0},
       {"6 entries without control, ten times", {6, 200, 2}, 2.4, 3, 10, 6},
   };
   for (const auto& play : plays) {
@@ -94,4 +95,30 @@
   }
 }
 
+// Guards against grants and shares that together exceed a limit, while some
+// processes are of a build without grants.
+TEST_CASE("limits hold while only some entries ask for grants") {
+  for (const std::size_t asking : {0, 10, 29}) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(asking);
+      CAPTURE(seed);
+      constexpr double kLimit = 4;
+      limit_fleet all({30, 200, 2}, seed);
+      all.asking_entries = asking;
+      all.SetDemand(14, 30);
+      all.Run(10'000);
+      all.limit_per_s = kLimit;
+      all.Run(kNamedMs);
+      all.RestartCount();
+      all.Run(kRunMs);
+      CHECK(all.most() <= MostAllowed(kLimit));
+      CHECK(static_cast<double>(all.passed()) >=
+            2 * kLimit * kRunMs / 1'000 / 3);
+      all.SetDemand(56, 30);
+      all.Run(kRunMs);
+      CHECK(all.most() <= MostAllowed(kLimit));
+    }
+  }
+}
+
 }  // namespace lovagedale::testing
--- a/tests/formats/formats_test.cpp
+++ b/tests/formats/formats_test.cpp
@@ -19,6 +19,7 @@
 
 namespace fs = std::filesystem;
 using testing::ForEachSample;
+using testing::ForEachSampleOf;
 using testing::MakeSample;
 
 auto SamplesOf(format_number format) -> fs::path {
@@ -72,7 +73,7 @@
 TEST_CASE("messages and items of each released format decode") {
   for (format_number format = kFirstFormat; format <= kFormat; ++format) {
     CAPTURE(format);
-    ForEachSample([&](const std::string& name, const auto& sample) {
+    ForEachSampleOf(format, [&](const std::string& name, const auto& sample) {
       CAPTURE(name);
       using message = std::remove_cvref_t<decltype(sample)>;
       const auto stored = ReadBytes(SamplesOf(format) / (name + ".bin"));
@@ -85,7 +86,7 @@
 
 // Guards against a field that is added to a message without a new format.
 TEST_CASE("messages of this format are encoded as they were released") {
-  ForEachSample([&](const std::string& name, const auto& sample) {
+  ForEachSampleOf(kFormat, [&](const std::string& name, const auto& sample) {
     CAPTURE(name);
     CHECK(Encode(sample) == ReadBytes(SamplesOf(kFormat) / (name + ".bin")));
   });
@@ -101,7 +102,7 @@
 }
 
 TEST_CASE("fields of a later format are skipped") {
-  ForEachSample([&](const std::string& name, const auto& sample) {
+  ForEachSampleOf(kFormat, [&](const std::string& name, const auto& sample) {
     CAPTURE(name);
     using message = std::remove_cvref_t<decltype(sample)>;
     const auto decoded =
@@ -163,7 +164,7 @@
 }
 
 TEST_CASE("a message that is cut at any byte is refused or decodes") {
-  ForEachSample([&](const std::string& name, const auto& sample) {
+  ForEachSampleOf(kFormat, [&](const std::string& name, const auto& sample) {
     CAPTURE(name);
     using message = std::remove_cvref_t<decltype(sample)>;
     for (const auto& bytes :
@@ -180,7 +181,7 @@
 }
 
 TEST_CASE("a message with noise is refused or decodes") {
-  ForEachSample([&](const std::string& name, const auto& sample) {
+  ForEachSampleOf(kFormat, [&](const std::string& name, const auto& sample) {
     CAPTURE(name);
     using message = std::remove_cvref_t<decltype(sample)>;
     const auto good = EncodeAsNextFormat(sample, kFirstFormat);
--- a/tests/formats/samples.h
+++ b/tests/formats/samples.h
@@ -74,4 +74,13 @@
   visit("bill_records", MakeSample<bill_batch>().records);
 }
 
+/// The same for all messages and stored items that `format` has.
+template <typename Visitor>
+auto ForEachSampleOf(format_number format, Visitor visit) -> void {
+  ForEachSample(visit);
+  if (format < kGrantFormat) return;
+  visit("grant_request", control_request(MakeSample<grant_request>()));
+  VisitSample<grant_response>("grant_response", visit);
+}
+
 }  // namespace lovagedale::testing
--- a/tests/formats/write_samples.cpp
+++ b/tests/formats/write_samples.cpp
@@ -64,8 +64,8 @@
   }
   const std::string folder = argv[1];
   std::filesystem::create_directories(folder);
-  lovagedale::testing::ForEachSample(
-      [&](const std::string& name, const auto& message) {
+  lovagedale::testing::ForEachSampleOf(
+      kFormat, [&](const std::string& name, const auto& message) {
         std::ofstream(folder + "/" + name + ".bin", std::ios::binary)
             << Encode(message);
       });
--- a/tests/route_entry/fleet_link_test.cpp
+++ b/tests/route_entry/fleet_link_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include "lovagedale/common/spawn.h"
 #include "support/local_control.h"
 #include "support/slow_link.h"
 
@@ -74,6 +75,19 @@
     return state_.servers.All().at(server)->listed.leaving;
   }
 
+  /// Asks control as a call does.
+  auto AskForGrant(const server_limit_report& server)
+      -> std::optional<server_grant> {
+    std::optional<server_grant> grant;
+    bool is_answered = false;
+    SpawnTask(context_, [&](boost::asio::yield_context yield) {
+      grant = state_.ask_for_grant(server, yield);
+      is_answered = true;
+    });
+    REQUIRE(RunUntil([&] { return is_answered; }));
+    return grant;
+  }
+
   std::vector<listed_server> servers;  ///< as the platform lists them
 
  private:
@@ -112,4 +126,31 @@
   CHECK(entry.RoutesVersion() == 0);
 }
 
+TEST_CASE("the leader grants what a server's limit allows") {
+  entry_behind_slow_link entry;
+  REQUIRE(entry.RunUntil([&] { return entry.IsListed("s-1"); }));
+  const server_limit_report limited{7, /*limit_per_s=*/0.1F, 0, 1};
+  const auto first = entry.AskForGrant(limited);
+  REQUIRE(first.has_value());
+  CHECK(first->is_granted);
+  const auto second = entry.AskForGrant(limited);
+  REQUIRE(second.has_value());
+  CHECK_FALSE(second->is_granted);
+  CHECK(second->retry_after_ms > 5'000);
+  CHECK(second->status.server == limited.server);
+}
+
+// Guards against calls that wait for a leader that does not answer.
+TEST_CASE("a call does not wait for a grant that comes late") {
+  // A part of the configuration takes half a second on this link.
+  constexpr milliseconds kLongestWait{400};
+  entry_behind_slow_link entry;
+  REQUIRE(entry.RunUntil([&] { return entry.IsListed("s-1"); }));
+  entry.SetRoutes(RoutesOfSize(10 * kLinkBytesPerSecond, 1));
+  entry.RunUntil([] { return false; }, milliseconds(500));
+  const auto began = std::chrono::steady_clock::now();
+  CHECK_FALSE(entry.AskForGrant({7, 2, 0, 1}).has_value());
+  CHECK(std::chrono::steady_clock::now() - began < kLongestWait);
+}
+
 }  // namespace lovagedale::testing
--- a/tests/support/limit_fleet.h
+++ b/tests/support/limit_fleet.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -93,6 +94,9 @@
   std::optional<double> limit_per_s;  ///< that every server names
   /// Whether a request that its first choice does not take asks the others.
   bool overflows = false;
+  bool grants_requests = true;  ///< older builds of control do not
+  /// Entries that ask for grants, the first ones; older builds do not.
+  std::size_t asking_entries = std::numeric_limits<std::size_t>::max();
 
  private:
   static constexpr monotonic_ms kStepMs = 10;
@@ -129,15 +133,31 @@
     auto server = first_choice_(random_);
     const auto attempts = overflows ? servers_.size() : 1;
     for (std::size_t asked = 0; asked < attempts; ++asked) {
-      auto& limit = entries_[i].limits[server];
-      limit.RecordDemand(now_);
-      if (limit.TryTake(draw, entries_.size(), now_)) {
+      if (MaySend(i, server, draw)) {
         RecordArrival(i, server);
         return;
       }
       server = (server + 1) % servers_.size();
     }
   }
+  /// Asks control, like an entry.
+  auto MaySend(std::size_t i, std::size_t server, double draw) -> bool {
+    auto& limit = entries_[i].limits[server];
+    limit.RecordDemand(now_);
+    if (!limit.IsLimited()) return true;
+    if (!limit.MayAsk(entries_.size(), now_)) return false;
+    if (!grants_requests || i >= asking_entries || !entries_[i].has_control) {
+      return limit.TryTake(draw, entries_.size(), now_);
+    }
+    const auto live = static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(),
+                      [](const auto& entry) { return entry.has_control; }));
+    const auto key = static_cast<std::uint32_t>(server);
+    const auto name = std::to_string(i);
+    total_.Report(name, {limit.Report(key, now_).value()}, now_);
+    return limit.Adopt(total_.Grant(name, key, live, entries_.size(), now_),
+                       now_);
+  }
   auto RecordArrival(std::size_t i, std::size_t server) -> void {
     auto& [window, most] = servers_[server];
     ++passed_;
