--- a/include/lovagedale/admission/server_limit.h
+++ b/include/lovagedale/admission/server_limit.h
@@ -103,12 +103,12 @@
 
 /// One server's limit and this entry's share of it. A server in need names in
 /// its answers how many requests a second it takes from all entries together.
-/// An entry asks control for a grant before each request to it. While control
-/// grants none, it takes places in a share: a part of the limit that follows
-/// from what control told last and not from the demand now, so that the shares
-/// sum to less than the limit however the demand grows. As a server names a
-/// limit when it has got too much, what exceeded the limit in the seconds
-/// before is made up for first. Does no I/O and reads no clock; not
+/// An entry that relays asks control for a grant before each request to it.
+/// Without a grant an entry takes places in a share: a part of the limit that
+/// follows from what control told last and not from the demand now, so that the
+/// shares sum to less than the limit however the demand grows. As a server
+/// names a limit when it has got too much, what exceeded the limit in the
+/// seconds before is made up for first. Does no I/O and reads no clock; not
 /// thread-safe.
 class server_limit {
  public:
--- a/src/admission/server_limit.cpp
+++ b/src/admission/server_limit.cpp
@@ -39,11 +39,15 @@
 /// requests pass.
 constexpr monotonic_ms kCatchUpMs = 4'000;
 constexpr double kMaxRetryAfterMs = 30'000;
+/// Longest life of a place, for entries that ask a server hardly ever.
 constexpr double kMaxPlaceMs = 600'000;
-/// Grants that are saved while no entry asks.
+/// Grants that are saved while no entry asks: the larger of a number and those
+/// of a time.
 constexpr double kMinGrantBurst = 2;
 constexpr double kGrantBurstS = 0.5;
+/// Keeps the rate positive where all that asks is left to shares.
 constexpr double kMinGrantsPerS = 0.01;
+/// Longest time for which a refused entry does not ask again.
 constexpr double kMaxGrantWaitMs = 10'000;
 
 /// In hundredths of a second; at most what the message holds.
--- a/tests/replication/log_store_test.cpp
+++ b/tests/replication/log_store_test.cpp
@@ -204,4 +204,43 @@
   CHECK(state.snapshot.index + state.entries.size() == next);
 }
 
+// Guards against a replica that stores nothing more after its disk was full
+// during any step of a snapshot or of the batches around it.
+TEST_CASE("a store goes on wherever its disk was full") {
+  constexpr std::size_t kMostBytes = 1'500;
+  constexpr std::size_t kRoomBytes = 10'000;
+  for (std::size_t quota = 0; quota < kMostBytes; quota += 7) {
+    CAPTURE(quota);
+    temporary_folder folder;
+    InitializeDataFolder(folder.path(), {"r0"});
+    {
+      quota_disk disk(quota);
+      basic_log_store<quota_disk> store(disk, folder.path());
+      // Twice, as a full disk refuses the first retry too.
+      const auto store_with_retries = [&](const auto& step) {
+        for (int i = 0; i < 2; ++i) {
+          try {
+            step();
+            return;
+          } catch (const storage_error&) {
+          }
+        }
+        disk.AddQuota(kRoomBytes);
+        step();
+      };
+      store_with_retries([&] { store.Persist(AppendOutput(1, 9)); });
+      store_with_retries([&] {
+        store.SaveSnapshot({6, 1, {}, std::string(300, 's')}, {1, "r0"},
+                           {Entry(7, "command 7"), Entry(8, "command 8"),
+                            Entry(9, "command 9")});
+      });
+      store_with_retries([&] { store.Persist(AppendOutput(10, 12)); });
+    }
+    const auto state = Reopen(folder.path());
+    CHECK(state.snapshot.index == 6);
+    REQUIRE(state.entries.size() == 6);
+    CHECK(state.entries.back() == Entry(12, "command 12"));
+  }
+}
+
 }  // namespace lovagedale::testing
