--- a/tests/route_entry/fleet_link_test.cpp
+++ b/tests/route_entry/fleet_link_test.cpp
@@ -147,10 +147,15 @@
   entry_behind_slow_link entry;
   REQUIRE(entry.RunUntil([&] { return entry.IsListed("s-1"); }));
   entry.SetRoutes(RoutesOfSize(10 * kLinkBytesPerSecond, 1));
-  entry.RunUntil([] { return false; }, milliseconds(500));
-  const auto began = std::chrono::steady_clock::now();
-  CHECK_FALSE(entry.AskForGrant({7, 2, 0, 1}).has_value());
-  CHECK(std::chrono::steady_clock::now() - began < kLongestWait);
+  bool was_answered = true;
+  // Between two parts the link is free, and answers come in time.
+  for (int i = 0; i < 100 && was_answered; ++i) {
+    entry.RunUntil([] { return false; }, milliseconds(50));
+    const auto began = std::chrono::steady_clock::now();
+    was_answered = entry.AskForGrant({7, 2, 0, 1}).has_value();
+    CHECK(std::chrono::steady_clock::now() - began < kLongestWait);
+  }
+  CHECK_FALSE(was_answered);
 }
 
 }  // namespace lovagedale::testing
