--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+set -uo pipefail
+here="$(cd "$(dirname "$0")" && pwd)"
+entry_count=2
+. "$here/../common/fleet.sh"
+run_driver case_5
--- a/review/common/loopback.cpp
+++ b/review/common/loopback.cpp
@@ -68,7 +68,8 @@
                    "X-Lovagedale-Replica-Id: " + item.id + "\r\n", "", yield);
   }
   const auto target = request["X-Lovagedale-Target-Replica"];
-  const bool is_other = !target.empty() && target != item.id;
+  const bool is_other = (!target.empty() && target != item.id) ||
+                        (item.rejects && item.rejects(request));
   if (is_other || item.waiting >= kMaxWaiting) {
     return Respond(
         socket,
--- a/review/common/loopback.h
+++ b/review/common/loopback.h
@@ -120,6 +120,9 @@
   std::string state = "ready";  ///< in the provider's list
   /// More headers of the answer to a request: lines that end with CRLF.
   std::function<std::string(const http_request&)> more_headers;
+  /// Whether the replica answers the request with 421, as one for a model that
+  /// it doesn't have.
+  std::function<bool(const http_request&)> rejects;
   /// Whether the replica fails the request: it answers 500 after its work.
   std::function<bool(const http_request&)> fails;
   /// Body of the answer to a request; one line that names it if empty.
