--- a/review/5/driver.cpp
+++ b/review/5/driver.cpp
@@ -35,10 +35,16 @@
 constexpr milliseconds kRequestPeriod{25};
 /// connected_ms of the settings.
 constexpr milliseconds kConnected{3'000};
+/// drain_timeout_ms of the settings and a little longer, and the pause between
+/// two replacements.
+constexpr milliseconds kDrain{3'500};
+constexpr milliseconds kBetween{1'500};
 constexpr milliseconds kMeasured{6'000};
 constexpr std::size_t kMinRequests = 20;
 constexpr double kMinServedRatio = 0.25;
 
+constexpr const char* kContentType = "Content-Type: text/event-stream\r\n";
+
 struct route_counts {
   std::size_t sent = 0;
   std::size_t served = 0;
@@ -71,10 +77,10 @@
   return request;
 }
 
-auto MakeDraft(const std::string& model) -> http_request {
+auto MakeDraft() -> http_request {
   http_request request(http::verb::post, "/drafts/new", 11);
   request.set(http::field::host, "carts.example");
-  request.set("X-Lovagedale-Model", model);
+  request.set("X-Lovagedale-Model", "*");
   request.set("X-Lovagedale-Token-Usage", "150,20");
   request.set("X-Lovagedale-Prefix-Hash", "5c1e07a2:100," + RandomId() + ":50");
   request.body() = "permit";
@@ -115,7 +121,7 @@
       asio::spawn(
           state.context,
           [&, entry](asio::yield_context call) {
-            Send(state, entry, MakeDraft("*"), state.drafts, record, call);
+            Send(state, entry, MakeDraft(), state.drafts, record, call);
           },
           asio::detached);
     }
@@ -124,6 +130,22 @@
   while (state.in_progress > 0) Sleep(milliseconds(20), yield);
 }
 
+/// Replaces one replica in place, under traffic.
+auto Release(day& state, const case_arguments& arguments, replica& item,
+             record_file& record, asio::yield_context yield) -> void {
+  item.state = "draining";
+  item.more_headers = [](const http_request&) {
+    return std::string("Server-Leaving: 1\r\n") + kContentType;
+  };
+  record.Line("replica " + item.id + " leaves");
+  SendBoth(state, arguments, record, true, kDrain, yield);
+  Restart(item);
+  item.state = "ready";
+  item.more_headers = [](const http_request&) { return kContentType; };
+  record.Line("replica " + item.id + " has started again");
+  SendBoth(state, arguments, record, true, kBetween, yield);
+}
+
 auto Play(day& state, const case_arguments& arguments, record_file& record,
           asio::yield_context yield) -> int {
   std::vector<tcp::endpoint> readiness;
@@ -145,11 +167,9 @@
   Sleep(kConnected, yield);
   SendBoth(state, arguments, record, true, milliseconds(2'000), yield);
   if (arguments.has_trouble) {
-    for (const auto& node : arguments.entries) {
-      const auto result = CallOnce(state.context, node.client,
-                                   MakeDraft("medium"), kTimeLimit, yield);
-      record.Line("one draft with the model medium to " +
-                  ToString(node.client) + ": " + std::to_string(result.status));
+    for (const auto& item : state.replicas) {
+      if (item->service != "lovage-pool") continue;
+      Release(state, arguments, *item, record, yield);
     }
   }
   Sleep(kConnected, yield);
@@ -190,13 +210,7 @@
     state.replicas.push_back(MakeReplica(arguments, "cart-ledger", i));
     auto engine = MakeReplica(arguments, "lovage-pool", 10 + i);
     engine->capacity = 64;
-    engine->rejects = [](const http_request& request) {
-      const auto model = request["X-Lovagedale-Model"];
-      return model != "small" && model != "large";
-    };
-    engine->more_headers = [](const http_request&) {
-      return "Content-Type: text/event-stream\r\n";
-    };
+    engine->more_headers = [](const http_request&) { return kContentType; };
     engine->body = [](const http_request&) {
       return "id: 1\ndata: dear\n\nid: 2\ndata: council\n\n";
     };
--- a/review/common/loopback.cpp
+++ b/review/common/loopback.cpp
@@ -68,8 +68,7 @@
                    "X-Lovagedale-Replica-Id: " + item.id + "\r\n", "", yield);
   }
   const auto target = request["X-Lovagedale-Target-Replica"];
-  const bool is_other = (!target.empty() && target != item.id) ||
-                        (item.rejects && item.rejects(request));
+  const bool is_other = !target.empty() && target != item.id;
   if (is_other || item.waiting >= kMaxWaiting) {
     return Respond(
         socket,
@@ -209,6 +208,7 @@
                   const std::shared_ptr<replica>& item) -> void {
   Serve(context, item->address,
         [item](tcp::socket& socket, asio::yield_context yield) {
+          item->connections.insert(&socket);
           beast::flat_buffer buffer;
           for (std::size_t served = 0;; ++served) {
             http::request_parser<http::string_body> parser;
@@ -217,12 +217,18 @@
             http::async_read(socket, buffer, parser, yield[error]);
             if (error || !ServeReplicaRequest(*item, socket, parser.get(),
                                               served, yield)) {
-              return;
+              break;
             }
           }
+          item->connections.erase(&socket);
         });
 }
 
+auto Restart(replica& item) -> void {
+  beast::error_code ignored;
+  for (auto* socket : item.connections) socket->close(ignored);
+}
+
 auto ServeReplicaList(asio::io_context& context, const tcp::endpoint& address,
                       const replica_list& replicas) -> void {
   Serve(context, address,
