--- a/review/5/driver.cpp
+++ b/review/5/driver.cpp
@@ -35,6 +35,8 @@
 constexpr milliseconds kRequestPeriod{25};
 /// connected_ms of the settings.
 constexpr milliseconds kConnected{3'000};
+/// max_lag_ms of the settings: the list shows a change so much later.
+constexpr milliseconds kListLag{800};
 /// drain_timeout_ms of the settings and a little longer, and the pause between
 /// two replacements.
 constexpr milliseconds kDrain{3'500};
@@ -82,7 +84,10 @@
   request.set(http::field::host, "carts.example");
   request.set("X-Lovagedale-Model", "*");
   request.set("X-Lovagedale-Token-Usage", "150,20");
-  request.set("X-Lovagedale-Prefix-Hash", "5c1e07a2:100," + RandomId() + ":50");
+  // Consumers share one of some beginnings of prompts.
+  static std::uint32_t turn = 0;
+  request.set("X-Lovagedale-Prefix-Hash",
+              std::to_string(10 + ++turn % 12) + ":100," + RandomId() + ":50");
   request.body() = "permit";
   return request;
 }
@@ -133,11 +138,12 @@
 /// Replaces one replica in place, under traffic.
 auto Release(day& state, const case_arguments& arguments, replica& item,
              record_file& record, asio::yield_context yield) -> void {
-  item.state = "draining";
   item.more_headers = [](const http_request&) {
     return std::string("Server-Leaving: 1\r\n") + kContentType;
   };
   record.Line("replica " + item.id + " leaves");
+  SendBoth(state, arguments, record, true, kListLag, yield);
+  item.state = "draining";
   SendBoth(state, arguments, record, true, kDrain, yield);
   Restart(item);
   item.state = "ready";
