--- a/review/1/driver.cpp
+++ b/review/1/driver.cpp
@@ -23,8 +23,8 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
   "header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 constexpr milliseconds kTimeLimit{3'000};
-/// 100 requests a second for three entries.
-constexpr milliseconds kRequestPeriod{10};
+/// 140 requests a second for three entries.
+constexpr milliseconds kRequestPeriod{7};
 constexpr std::int64_t kWarmUpMs = 6'000;
 /// grace_period_s of the settings.
 constexpr std::int64_t kGraceMs = 8'000;
@@ -173,6 +173,7 @@
                        std::to_string(state.refused) + " refused, " +
                        std::to_string(state.excused) + " excused, " +
                        std::to_string(state.lost) + " lost";
+  RecordRuns(state.replicas, record);
   record.Line(summary);
   std::cout << summary << std::endl;
   return state.lost > 0 ? kBroken : kHeld;
--- a/review/3/driver.cpp
+++ b/review/3/driver.cpp
@@ -113,18 +113,20 @@
   return false;
 }
 
-auto SendChecks(day& state, const tcp::endpoint& entry,
+auto SendChecks(day& state, const tcp::endpoint& entry, record_file& record,
                 asio::yield_context yield) -> void {
   for (;;) {
     asio::spawn(
         state.context,
-        [&state, entry](asio::yield_context call) {
+        [&state, &record, entry](asio::yield_context call) {
           http_request request(http::verb::get, "/checks/stock", 11);
           request.set(http::field::host, "carts.example");
           ++state.sent;
           const auto result =
               CallOnce(state.context, entry, request, kTimeLimit, call);
           if (result.is_complete && result.status == 200) ++state.answered;
+          record.Line("check " + result.id + ": " +
+                      std::to_string(result.status) + " " + result.error);
         },
         asio::detached);
     Sleep(kRequestPeriod, yield);
@@ -152,7 +154,9 @@
   }
   asio::spawn(
       state.context,
-      [&](asio::yield_context call) { SendChecks(state, entry.client, call); },
+      [&](asio::yield_context call) {
+        SendChecks(state, entry.client, record, call);
+      },
       asio::detached);
   Sleep(milliseconds(2'000), yield);
   if (arguments.has_trouble) {
@@ -178,6 +182,7 @@
                        std::to_string(state.answered) + " answered; " +
                        (is_gone ? "LOST: the acknowledged order of v2 is gone"
                                 : "the order of v2 is there");
+  RecordRuns(state.replicas, record);
   record.Line(summary);
   std::cout << summary << std::endl;
   return is_gone ? kBroken : kHeld;
--- a/review/4/driver.cpp
+++ b/review/4/driver.cpp
@@ -62,12 +62,12 @@
   }
 }
 
-auto SendOrders(day& state, const tcp::endpoint& entry,
+auto SendOrders(day& state, const tcp::endpoint& entry, record_file& record,
                 asio::yield_context yield) -> void {
   for (;;) {
     asio::spawn(
         state.context,
-        [&state, entry](asio::yield_context call) {
+        [&state, &record, entry](asio::yield_context call) {
           http_request request(http::verb::post, "/orders/new", 11);
           request.set(http::field::host, "carts.example");
           request.body() = "40 crates";
@@ -76,6 +76,8 @@
               CallOnce(state.context, entry, request, kTimeLimit, call);
           const bool is_success = result.is_complete && result.status == 200;
           ++(is_success ? state.answered : state.failed);
+          record.Line("order " + result.id + ": " +
+                      std::to_string(result.status) + " " + result.error);
         },
         asio::detached);
     Sleep(kRequestPeriod, yield);
@@ -117,7 +119,9 @@
   }
   asio::spawn(
       state.context,
-      [&](asio::yield_context call) { SendOrders(state, entry.client, call); },
+      [&](asio::yield_context call) {
+        SendOrders(state, entry.client, record, call);
+      },
       asio::detached);
   Sleep(milliseconds(3'000), yield);
   if (state.failed * 10 > state.sent) return kNotRun;
@@ -151,6 +155,7 @@
                        std::to_string(bad) + " the bad version, allowed " +
                        std::to_string(static_cast<int>(allowed)) + "; " +
                        std::to_string(state.failed - failed_before) + " failed";
+  RecordRuns(state.replicas, record);
   record.Line(summary);
   std::cout << summary << std::endl;
   return is_broken ? kBroken : kHeld;
--- a/review/5/driver.cpp
+++ b/review/5/driver.cpp
@@ -189,6 +189,7 @@
       std::to_string(state.orders.sent) +
       " served; added route: " + std::to_string(state.drafts.served) + " of " +
       std::to_string(state.drafts.sent);
+  RecordRuns(state.replicas, record);
   record.Line(summary);
   std::cout << summary << std::endl;
   if (state.orders.ServedFraction() < 0.5) return kNotRun;
--- a/review/common/loopback.cpp
+++ b/review/common/loopback.cpp
@@ -261,6 +261,17 @@
         });
 }
 
+auto RecordRuns(const replica_list& replicas, record_file& record) -> void {
+  for (const auto& item : replicas) {
+    for (const auto& run : item->runs) {
+      record.Line("run of " + run.id + " by " + item->id + " (" +
+                  item->service + " " + item->version + ") from " +
+                  std::to_string(run.began_ms) + " to " +
+                  std::to_string(run.answered_ms));
+    }
+  }
+}
+
 auto OperatorCall(asio::io_context& context, const tcp::endpoint& control,
                   http::verb method, const std::string& path,
                   const std::string& body, asio::yield_context yield)
--- a/review/common/loopback.h
+++ b/review/common/loopback.h
@@ -149,6 +149,9 @@
 auto ServeReplicaList(asio::io_context& context, const tcp::endpoint& address,
                       const replica_list& replicas) -> void;
 
+/// Writes a line for each request that the replicas began to work on.
+auto RecordRuns(const replica_list& replicas, record_file& record) -> void;
+
 /// Sends the config until it is acknowledged; false after 15 s.
 auto PutConfig(asio::io_context& context,
                const std::vector<tcp::endpoint>& control,
