--- a/review/1/driver.cpp
+++ b/review/1/driver.cpp
@@ -28,6 +28,8 @@
 constexpr std::int64_t kWarmUpMs = 6'000;
 /// grace_period_s of the settings.
 constexpr std::int64_t kGraceMs = 8'000;
+/// A stop counts as planned work until this time after the grace period.
+constexpr std::int64_t kPlannedAfterMs = 1'000;
 /// Requests sent later than this after SIGTERM are not excused by the replica's
 /// work at the end of the grace period.
 constexpr std::int64_t kExcusedMs = 3'000;
@@ -57,11 +59,9 @@
   std::size_t turn = 0;
 };
 
-auto HasBegun(const day& state, const std::string& id) -> bool {
+auto HasReachedReplica(const day& state, const std::string& id) -> bool {
   for (const auto& item : state.replicas) {
-    for (const auto& run : item->runs) {
-      if (run.id == id) return true;
-    }
+    if (item->arrivals.contains(id)) return true;
   }
   return false;
 }
@@ -107,14 +107,15 @@
     ++(result.status == 200 ? state.answered : state.refused);
     outcome = "answered " + std::to_string(result.status);
   } else if (!result.was_sent || result.has_timed_out ||
-             !HasBegun(state, result.id)) {
+             !HasReachedReplica(state, result.id)) {
     outcome = "not counted: " + result.error;
-  } else if (!item.is_stopped || after_stop <= kExcusedMs) {
+  } else if (!item.is_stopped || after_stop <= kExcusedMs ||
+             result.ended_ms - state.stopped_ms > kGraceMs + kPlannedAfterMs) {
     ++state.excused;
     outcome = "excused: " + result.error;
   } else {
     ++state.lost;
-    outcome = "LOST: a replica works on it; " + result.error;
+    outcome = "LOST: a replica has it; " + result.error;
   }
   record.Line("order " + result.id + " to " + ToString(item.node.client) +
               " sent at " + std::to_string(result.sent_ms) + " (" +
--- a/review/common/fleet.sh
+++ b/review/common/fleet.sh
@@ -80,7 +80,7 @@
 }
 
 # Runs the case's driver and ends with its exit code.
-run_driver() { # name of the driver
+run_driver() { # name of the driver, 0 to leave the disruption out
   local driver="$root/target/review/$1" code program
   for program in "$driver" "$root"/target/platform/lovagedale-platform-{entry,control}; do
     if [ ! -x "$program" ]; then
@@ -92,7 +92,7 @@
   start_entries
   "$driver" directory="$directory" entries="$entries" replicas="$net.6" \
     control="$net.11:8229,$net.12:8229,$net.13:8229" \
-    record="$here/record.txt" pids="$pids" trouble="${TROUBLE:-1}"
+    record="$here/record.txt" pids="$pids" trouble="$2"
   code=$?
   if [ -n "${KEEP_LOGS:-}" ]; then cp "$run"/*.log "$KEEP_LOGS"/; fi
   case "$code" in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
--- a/review/common/loopback.cpp
+++ b/review/common/loopback.cpp
@@ -59,8 +59,9 @@
 auto ServeReplicaRequest(replica& item, tcp::socket& socket,
                          const http_request& request, std::size_t served,
                          asio::yield_context yield) -> bool {
-  AwaitVoice(item, yield);
   const std::string id(request[kRequestIdHeader]);
+  item.arrivals.insert(id);
+  AwaitVoice(item, yield);
   auto headers = std::string(kRequestIdHeader) + ": " + id +
                  "\r\nKeep-Alive: timeout=5\r\n";
   if (request.target() == "/healthz") {
@@ -68,7 +69,8 @@
                    "X-Lovagedale-Replica-Id: " + item.id + "\r\n", "", yield);
   }
   const auto target = request["X-Lovagedale-Target-Replica"];
-  const bool is_other = !target.empty() && target != item.id;
+  const bool is_other = (!target.empty() && target != item.id) ||
+                        (item.rejects && item.rejects(request));
   if (is_other || item.waiting >= kMaxWaiting) {
     return Respond(
         socket,
@@ -208,7 +210,6 @@
                   const std::shared_ptr<replica>& item) -> void {
   Serve(context, item->address,
         [item](tcp::socket& socket, asio::yield_context yield) {
-          item->connections.insert(&socket);
           beast::flat_buffer buffer;
           for (std::size_t served = 0;; ++served) {
             http::request_parser<http::string_body> parser;
@@ -220,15 +221,9 @@
               break;
             }
           }
-          item->connections.erase(&socket);
         });
 }
 
-auto Restart(replica& item) -> void {
-  beast::error_code ignored;
-  for (auto* socket : item.connections) socket->close(ignored);
-}
-
 auto ServeReplicaList(asio::io_context& context, const tcp::endpoint& address,
                       const replica_list& replicas) -> void {
   Serve(context, address,
--- a/review/common/loopback.h
+++ b/review/common/loopback.h
@@ -121,6 +121,9 @@
   std::string state = "ready";  ///< in the provider's list
   /// More headers of the answer to a request: lines that end with CRLF.
   std::function<std::string(const http_request&)> more_headers;
+  /// Whether the replica answers the request with 421, as one for a model that
+  /// it does not have.
+  std::function<bool(const http_request&)> rejects;
   /// Whether the replica fails the request: it answers 500 after its work.
   std::function<bool(const http_request&)> fails;
   /// Body of the answer to a request; one line that names it if empty.
@@ -132,7 +135,8 @@
   std::function<void(tcp::socket&, std::size_t served, asio::yield_context)>
       before_answer;
   std::vector<replica_run> runs;
-  std::set<tcp::socket*> connections;
+  /// Ids of the requests that have arrived, whether begun or not.
+  std::set<std::string> arrivals;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
 };
@@ -142,9 +146,6 @@
 /// Serves `item` at its address until the program ends.
 auto ServeReplica(asio::io_context& context,
                   const std::shared_ptr<replica>& item) -> void;
-/// The replica starts again at its address, under its id: all its connections
-/// are closed.
-auto Restart(replica& item) -> void;
 /// Serves GET /replicas; `replicas` must outlive the context.
 auto ServeReplicaList(asio::io_context& context, const tcp::endpoint& address,
                       const replica_list& replicas) -> void;
