Answer the calls that still run when a stop's time ends

Cause: which calls may start while the process stops is a guess from recent durations, and what still ran 400 ms before the end was dropped with the event loop. Ruled out: connections closed with a request unread (the script counts only what has reached a server); `drained calls_cut` has the lost ones.

Now each call in progress ends its wait at that moment and gets a whole answer: 502 "stopped" if it may have run, 503 "stopping" if it was not sent. The same at a second signal. A stopping entry tells an entry that forwarded a call to it how many servers were tried, and the call is repeated elsewhere if it may run twice.

Why it works: the answer no longer depends on the guess. Refusing by the deadline instead would turn away all orders for 3 s of each stop.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -78,6 +78,7 @@
     caller_disconnected_ = true;
     if (connection_) connection_->Close();
   });
+  const auto ender = state_.enders.Register([this] { EndAttempt(); });
   if (!Admit()) return;
   RunAttempts();
   if (caller_disconnected_) {
@@ -90,14 +91,16 @@
 auto relayed_call<Protocol>::AwaitRoutes() -> void {
   const auto deadline_ms =
       std::min(state_.routes_wait_deadline_ms, started_ms_ + kRoutesWaitMs);
-  while (!state_.view && clock_.Now() < deadline_ms && !caller_disconnected_) {
+  while (!state_.view && clock_.Now() < deadline_ms && !caller_disconnected_ &&
+         !state_.ends_calls) {
     Pause(state_.context.get_executor(), kServerPollInterval,
           exchange_.yield());
   }
   const auto needed_revision = ForwardingNumber(forwarding_header::kRevision);
   const auto revision_deadline_ms = started_ms_ + kRevisionWaitMs;
   while (state_.view && state_.view->revision < needed_revision &&
-         clock_.Now() < revision_deadline_ms && !caller_disconnected_) {
+         clock_.Now() < revision_deadline_ms && !caller_disconnected_ &&
+         !state_.ends_calls) {
     Pause(state_.context.get_executor(), kServerPollInterval,
           exchange_.yield());
   }
@@ -372,7 +375,7 @@
 auto relayed_call<Protocol>::RunAttempts() -> void {
   const auto server_wait_deadline_ms = clock_.Now() + kServerWaitMs;
   while (!caller_disconnected_) {
-    if (RemainingMs() < kMinUsefulMs) break;
+    if (RemainingMs() < kMinUsefulMs || state_.ends_calls) break;
     const auto server = PickServer();
     const auto helper = server ? nullptr : PickHelper();
     if (helper) {
@@ -481,6 +484,13 @@
   return true;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::EndAttempt() -> void {
+  if (!connection_) return;
+  given_up_ = give_up_reason::kStopping;
+  connection_->Close();
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::FirstByteTimeoutMs(monotonic_ms remaining_ms) const
     -> monotonic_ms {
@@ -628,6 +638,18 @@
                         "a refusal without an id on a used connection");
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::IsCancelled() -> bool {
+  if (given_up_ == give_up_reason::kZoneLost) {
+    attempt_reason_ = "the zone of the server is lost";
+  } else if (given_up_ == give_up_reason::kStopping) {
+    attempt_reason_ = "this process stops";
+  } else {
+    return false;
+  }
+  return true;
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::Attempt(const server_handle& server)
     -> attempt_result {
@@ -676,10 +698,7 @@
       result = attempt_result::kNotRun;
       if (metadata.address_reassigned) server->address_reassigned = true;
       // The head states that the request was not run, however the body ends.
-      auto deadlines = Deadlines();
-      deadlines.body = std::min(deadlines.body, kMaxRefusalBodyTime);
-      if (!connection_->SkipRest(deadlines, kMaxSkippedBytes,
-                                 exchange_.yield())) {
+      if (!SkipRefusalBody()) {
         attempt_reason_ += ", in a body that did not end";
       }
     } else if (EscalateIfUncertain(server, metadata)) {
@@ -725,11 +744,8 @@
   if (failure->failure_stage() == http_call_error::stage::kNotSent) {
     // No byte reached the server, so this does not count as a run.
     if (was_sent_) --runs_;
-    if (given_up_ == give_up_reason::kZoneLost) {
-      // The cancellation is no evidence against the server or its zone.
-      attempt_reason_ = "the zone of the server is lost";
-      return attempt_result::kNotReached;
-    }
+    // The cancellation is no evidence against the server or its zone.
+    if (IsCancelled()) return attempt_result::kNotReached;
     state_.pool.Drop(server->listed.id);
     if (was_sent_) {
       // The server has closed an idle connection.
@@ -741,11 +757,8 @@
     return attempt_result::kNotReached;
   }
   may_have_run_ = true;
-  if (given_up_ == give_up_reason::kZoneLost) {
-    // The cancellation is no evidence against the server or its version.
-    attempt_reason_ = "the zone of the server is lost";
-    return attempt_result::kMaybeRun;
-  }
+  // The cancellation is no evidence against the server or its version.
+  if (IsCancelled()) return attempt_result::kMaybeRun;
   const bool is_silent = given_up_ == give_up_reason::kSilent;
   if (is_silent) {
     attempt_reason_ = "the server is silent";
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -31,6 +31,7 @@
   kNoRoute,
   kUnknownKey,
   kStopping,        ///< this process stops before the call could end
+  kStopped,         ///< it may have run; this process stops now
   kNoServer,        ///< no server of the service is known that takes calls
   kUnreachable,     ///< no server of the service can be reached
   kServersRefuse,   ///< every server that was asked refused to run it
@@ -75,8 +76,9 @@
   Protocol protocol_;
 };
 
-/// Why an attempt was given up in favour of another one.
-enum class give_up_reason { kNone, kZoneLost, kSilent };
+/// Why an attempt was given up: in favour of another one, or because this
+/// process stops now.
+enum class give_up_reason { kNone, kZoneLost, kSilent, kStopping };
 
 /// One caller's request. Used only by the fiber that handles it.
 template <call_protocol Protocol>
@@ -118,6 +120,9 @@
   auto AttemptThrough(const helper_handle& helper) -> attempt_result;
   /// Throws http_call_error.
   auto ForwardTo(const helper_handle& helper) -> attempt_result;
+  /// Reads the rest of a refusal, so that its connection can be reused. False
+  /// if it does not end soon.
+  auto SkipRefusalBody() -> bool;
   /// Adds the servers that the helper has tried, beyond the first.
   auto CountHelperAttempts(const http_response_head& head) -> void;
   auto RelayForwardedAnswer(const http_response_head& head) -> attempt_result;
@@ -150,6 +155,11 @@
   /// it now; false if it goes on. A silent server is no reason to end a call
   /// before its time limit.
   auto GiveUpAttempt(const server_handle& server, give_up_reason why) -> bool;
+  /// Whether the attempt has failed because it was cancelled, for a reason that
+  /// the server has no part in. If so, sets attempt_reason_.
+  auto IsCancelled() -> bool;
+  /// Ends the current attempt, as the process has no time left.
+  auto EndAttempt() -> void;
   /// Whether an attempt at another server may follow now. If the current one
   /// was sent, the next one is counted in the retry budget.
   auto ReserveAttempt(const server_handle& server) -> bool;
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -303,9 +303,14 @@
   if (!may_have_run_ && IsQuarantined()) {
     Refuse(refusal::kQuarantined, attempt_reason_);
   } else if (may_have_run_) {
-    Refuse(is_late ? refusal::kTimeout : refusal::kBadGateway, attempt_reason_);
+    Refuse(is_late             ? refusal::kTimeout
+           : state_.ends_calls ? refusal::kStopped
+                               : refusal::kBadGateway,
+           attempt_reason_);
   } else if (is_late) {
     Refuse(refusal::kExpired, attempt_reason_);
+  } else if (state_.ends_calls) {
+    Refuse(refusal::kStopping, attempt_reason_);
   } else if (limited_until_ms_) {
     Refuse(refusal::kServersLimited, attempt_reason_);
   } else {
@@ -349,6 +354,7 @@
     headers.emplace_back(forwarding_header::kRefusedBy, MayServeElsewhere(why)
                                                             ? kEntryRefuses
                                                             : kFleetRefuses);
+    headers.emplace_back(forwarding_header::kAttempts, std::to_string(runs_));
   }
   exchange_.Respond(
       answer.status, "application/json",
--- a/include/lovagedale/relay/relay_forwarding-inl.h
+++ b/include/lovagedale/relay/relay_forwarding-inl.h
@@ -89,7 +89,7 @@
   if (caller_disconnected_) return attempt_result::kAnswered;
   attempt_reason_ = failure->what();
   state_.pool.Drop(helper->listed.id);
-  helper_pool::RecordUnreached(*helper, clock_.Now());
+  if (!IsCancelled()) helper_pool::RecordUnreached(*helper, clock_.Now());
   if (failure->failure_stage() == http_call_error::stage::kNotSent) {
     if (was_sent_) --runs_;
     return attempt_result::kNotReached;
@@ -131,6 +131,8 @@
   const auto refused_by = head.Header(forwarding_header::kRefusedBy);
   const bool is_not_run = !refused_by.empty() && head.status == kNotRunStatus;
   const bool is_refused = is_not_run && refused_by == kEntryRefuses;
+  // The other entry has ended the call without an answer of a server.
+  const bool is_ended = !is_not_run && refused_by == kEntryRefuses;
   auto result = attempt_result::kNotReached;
   // That nothing has run holds for this attempt, but not for the call if an
   // earlier attempt may have run.
@@ -139,9 +141,14 @@
     attempt_reason_ =
         "the other entry refused with " + std::to_string(head.status);
     helper_pool::RecordRefusal(*helper, service_, clock_.Now());
-    auto rest = deadlines;
-    rest.body = std::min(rest.body, kMaxRefusalBodyTime);
-    connection_->SkipRest(rest, kMaxSkippedBytes, exchange_.yield());
+    SkipRefusalBody();
+  } else if (is_ended) {
+    may_have_run_ = true;
+    CountHelperAttempts(head);
+    attempt_reason_ = "the other entry ended the call";
+    helper_pool::RecordRefusal(*helper, service_, clock_.Now());
+    SkipRefusalBody();
+    result = attempt_result::kMaybeRun;
   } else {
     may_have_run_ |= !is_not_run;
     CountHelperAttempts(head);
@@ -153,6 +160,13 @@
   return result;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::SkipRefusalBody() -> bool {
+  auto deadlines = Deadlines();
+  deadlines.body = std::min(deadlines.body, kMaxRefusalBodyTime);
+  return connection_->SkipRest(deadlines, kMaxSkippedBytes, exchange_.yield());
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::CountHelperAttempts(const http_response_head& head)
     -> void {
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -14,6 +14,7 @@
 #include "lovagedale/common/latency_histogram.h"
 #include "lovagedale/configuration/fleet_view.h"
 #include "lovagedale/forwarding/helper_pool.h"
+#include "lovagedale/relay/call_enders.h"
 #include "lovagedale/relay/connection_pool.h"
 #include "lovagedale/relay/crash_monitor.h"
 #include "lovagedale/relay/log_budget.h"
@@ -140,9 +141,19 @@
   /// Until this time calls wait for the first routes, which control sends as
   /// soon as it has a leader.
   const monotonic_ms routes_wait_deadline_ms;
-  /// Set while the process stops: when calls that still run are closed. Calls
+  /// Set while the process stops: when calls that still run are ended. Calls
   /// that may not end before it are refused; 0 refuses all new calls.
   std::optional<monotonic_ms> stop_deadline_ms;
+  /// Set when the process has no time left: calls in progress answer at once,
+  /// those of which the caller has got nothing yet with a complete answer.
+  bool ends_calls = false;
+  call_enders enders;  ///< end the waits of calls in progress for servers
+
+  /// Sets `ends_calls`. The calls end as the event loop goes on.
+  auto EndCalls() -> void {
+    ends_calls = true;
+    enders.EndAll();
+  }
 
  private:
   std::map<std::string, retry_budget> retries_;  ///< by service
--- a/include/lovagedale/route_entry/route_entry-inl.h
+++ b/include/lovagedale/route_entry/route_entry-inl.h
@@ -13,9 +13,12 @@
 /// Consecutive polls without a call that end a drain: callers may keep a
 /// connection open for a moment between two calls.
 inline constexpr int kMinIdlePolls = 20;
-/// Calls that still run are closed this long before the grace time ends, so
-/// that their callers see a closed connection.
-inline constexpr std::chrono::milliseconds kCloseMargin{400};
+/// Calls that still run are ended this long before the grace time ends, so that
+/// their callers get an answer, or see a closed connection.
+inline constexpr std::chrono::milliseconds kEndMargin{400};
+/// Part of kEndMargin in which the calls' last answers are sent.
+inline constexpr std::chrono::milliseconds kLastAnswersTime{300};
+inline constexpr std::chrono::milliseconds kLastAnswersPoll{20};
 /// Interval between reads of the settings file, which may change without a
 /// signal.
 inline constexpr monotonic_ms kReloadPeriodMs = 2'000;
@@ -124,9 +127,13 @@
     } else if (draining_) {
       log_line(log_level::kWarning, "stopped_at_once")
           .With("signal", signal)
-          .With("calls_cut", state_.active_calls);
+          .With("calls", state_.active_calls);
       exit_code_ = 1;
-      context_.stop();
+      state_.stop_deadline_ms = 0;
+      SpawnTask(context_, [this](boost::asio::yield_context yield) {
+        EndCalls(yield);
+        context_.stop();
+      });
       return;
     } else {
       draining_ = true;
@@ -146,7 +153,7 @@
   const auto executor = context_.get_executor();
   system_monotonic_clock clock;
   const auto deadline =
-      clock.Now() + settings_.grace.count() - kCloseMargin.count();
+      clock.Now() + settings_.grace.count() - kEndMargin.count();
   // The balancer sends new connections until it has seen that this entry is
   // leaving; callers keep existing ones until an answer closes them.
   Pause(executor, settings_.drain_delay, yield);
@@ -175,10 +182,22 @@
     Pause(executor, kFlushDelay, yield);
   } while (ActiveRequests() > 0 && clock.Now() < deadline);
   if (clock.Now() < deadline) link_.Leave(yield);
+  if (ActiveRequests() > 0) EndCalls(yield);
   log_line(log_level::kInfo, "drained").With("calls_cut", state_.active_calls);
   context_.stop();
 }
 
+template <call_protocol Protocol>
+auto route_entry<Protocol>::EndCalls(boost::asio::yield_context yield) -> void {
+  log_line(log_level::kInfo, "calls_ended").With("calls", state_.active_calls);
+  system_monotonic_clock clock;
+  const auto deadline = clock.Now() + kLastAnswersTime.count();
+  state_.EndCalls();
+  do {
+    Pause(context_.get_executor(), kLastAnswersPoll, yield);
+  } while (ActiveRequests() > 0 && clock.Now() < deadline);
+}
+
 template <call_protocol Protocol>
 auto route_entry<Protocol>::ActiveRequests() const -> std::size_t {
   return callers_.ActiveRequests() +
--- a/include/lovagedale/route_entry/route_entry.h
+++ b/include/lovagedale/route_entry/route_entry.h
@@ -34,6 +34,8 @@
  private:
   auto WaitForSignal() -> void;
   auto Drain(boost::asio::yield_context yield) -> void;
+  /// Ends the calls that still run, and gives their last answers time.
+  auto EndCalls(boost::asio::yield_context yield) -> void;
   auto HandleReady(http_exchange& exchange) -> void;
   auto HandleMetrics(http_exchange& exchange) -> void;
   auto ApplyLimits() -> void;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -35,7 +35,8 @@
 
 auto MayServeElsewhere(refusal why) -> bool {
   return why == refusal::kNoConfiguration || why == refusal::kStopping ||
-         why == refusal::kNoServer || why == refusal::kUnreachable;
+         why == refusal::kStopped || why == refusal::kNoServer ||
+         why == refusal::kUnreachable;
 }
 
 auto AnswerFor(refusal why) -> refusal_answer {
@@ -50,6 +51,8 @@
       return {401, "unknown_key", std::nullopt};
     case refusal::kStopping:
       return {503, "stopping", kOtherEntrySeconds};
+    case refusal::kStopped:
+      return {502, "stopped", std::nullopt};
     case refusal::kNoServer:
       return {503, "no_server", kSoonSeconds};
     case refusal::kUnreachable:
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <thread>
 
+#include "support/free_port.h"
 #include "support/plain_protocol.h"
 #include "support/raw_server.h"
 #include "support/silent_port.h"
@@ -181,9 +182,19 @@
     return BlockingHttpCall("127.0.0.1", server_.port(), request, {});
   }
   /// Entries that take the calls while no server can be reached.
-  auto SetHelper(std::uint16_t port) -> void {
+  auto SetHelpers(const std::vector<std::uint16_t>& ports) -> void {
+    std::vector<std::string> addresses;
+    for (const auto port : ports) {
+      addresses.push_back("127.0.0.1:" + std::to_string(port));
+    }
     OnItsThread([&] {
-      state_.helpers.Set({"127.0.0.1:" + std::to_string(port)});
+      state_.helpers.Set(addresses);
+      return true;
+    });
+  }
+  auto EndCalls() -> void {
+    OnItsThread([this] {
+      state_.EndCalls();
       return true;
     });
   }
@@ -1011,7 +1022,7 @@
                   "");
   });
   running_relay relay(MakeRoute(route_kind::kRepeatable), {server.port()});
-  relay.SetHelper(helper.port());
+  relay.SetHelpers({helper.port()});
   CHECK(relay.Call().head.status == 502);
   CHECK(server.requests() == 1);
   CHECK(helper.requests() == 1);
@@ -1019,6 +1030,43 @@
   CHECK(relay.CountUnreachableServers() == 1);
 }
 
+// Guards against repeatable calls that fail because the other entry, through
+// which they go, stops.
+TEST_CASE("a call that another entry ended is repeated if it may be") {
+  scripted_server stopping([](const std::string&) {
+    return Answer("502 Bad Gateway",
+                  "Lovagedale-Refused-By: entry\r\nLovagedale-Attempts: 1\r\n",
+                  "");
+  });
+  scripted_server helper(
+      [](const std::string&) { return Answer("200 OK", "", "done"); });
+  {
+    running_relay relay(MakeRoute(route_kind::kRepeatable), {FreePort()});
+    relay.SetHelpers({stopping.port(), helper.port()});
+    for (int i = 0; i < 8; ++i) CHECK(relay.Call().head.status == 200);
+  }
+  const auto asked_before = stopping.requests();
+  running_relay relay(MakeRoute(route_kind::kOnce), {FreePort()});
+  relay.SetHelpers({stopping.port()});
+  CHECK(relay.Call().head.status == 502);
+  CHECK(stopping.requests() == asked_before + 1);
+}
+
+// Guards against calls that are cut, or told that they may have run, if the
+// process ends while they wait for a server.
+TEST_CASE("a call that was not sent when the process ends was not run") {
+  silent_port silent;
+  running_relay relay(MakeRoute(route_kind::kOnce), {silent.port()});
+  auto end =
+      std::async(std::launch::async, [&] { return CallWithin(relay, 2'000); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  relay.EndCalls();
+  const auto refused = end.get();
+  REQUIRE(refused.answer.has_value());
+  CHECK(refused.answer->head.status == 503);
+  CHECK(refused.took_ms < 100 + kMaxLateMs);
+}
+
 // Guards against requests to a server that has said that it shuts down, while
 // the list does not show it yet.
 TEST_CASE("a server that announces its end gets no more requests") {
