Carry out an order of a roll-out again after the time for copies

Callers saw: v2 and v3 are rolled out, then the operator orders v2 again. The same for a version that was reverted and is ordered again.

Cause: an order got a change id made of its content, and control returned the result of the first change with that id. The phases' ids, of the same kind, would have stopped a second roll-out at its first phase. For a version that is reverted and the latest, control_machine also ignores the order. Ruled out: that the order is lost with the killed processes (the decision bears the first one's revision before any is killed).

An order counts as a copy only within the time for which operators send one again (order_resend_ms, the deploy file's ack_timeout_ms); later the same content gets a new id. If another order came in between it cannot be told, and 503 leaves it open until that time is over. Ids of phases have the revision. A reverted version begins anew behind an order of the version in use, which builds back to the first apply in the same way; no message or stored item changes.

Why it works: what makes an order new is when it comes, the one thing that the protocol bounds for copies.

--- a/include/lovagedale/configuration/control_machine.h
+++ b/include/lovagedale/configuration/control_machine.h
@@ -94,6 +94,9 @@
   std::map<std::string, std::uint64_t> by_id_;
 };
 
+/// As stored in change_record::content_hash.
+auto ContentHash(const change_action& action) -> std::uint64_t;
+
 /// The action's name and its subject (such as a version or a fingerprint), for
 /// logs and the history.
 auto DescribeAction(const change_action& action) -> std::string;
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -52,6 +52,12 @@
 
   auto SubmitChange(const change& proposed,
                     std::function<void(const change_outcome&)> done) -> void;
+  /// Carries out an operator's order of a roll-out, which may be one that was
+  /// sent before. kUnknown if that cannot be told, or if another order of the
+  /// service is being decided: the operator is expected to send it again.
+  auto OrderServiceRollout(const begin_service_rollout& order,
+                           std::function<void(const change_outcome&)> done)
+      -> void;
   auto RemoveNode(const std::string& name,
                   std::function<void(propose_status)> done) -> void;
 
@@ -80,6 +86,13 @@
     monotonic_ms deadline = 0;
   };
 
+  /// What this replica remembers of a roll-out while it runs.
+  struct seen_rollout {
+    std::string target;
+    service_rollout_phase phase = service_rollout_phase::kWaiting;  ///< latest
+    monotonic_ms since = 0;  ///< when the roll-out was first seen
+  };
+
   auto HandleRpc(const std::string& body, rpc_reply reply) -> void;
   auto HandleHeartbeat(entry_heartbeat heartbeat, rpc_reply reply) -> void;
   /// Whether the sender relays and has another server list than the current
@@ -117,6 +130,9 @@
   auto TrackLeadership() -> void;
   auto EvaluateRollouts() -> void;
   auto EvaluateServiceRollouts() -> void;
+  /// Versions of the service that have servers which are not leaving.
+  auto ServedVersions(const std::string& service) const
+      -> std::set<std::string>;
   /// Records when this replica first saw each service's present roll-out.
   auto TrackServiceRollouts() -> void;
   /// Sends join requests while this replica has no leader.
@@ -155,10 +171,10 @@
   monotonic_ms answer_ranks_logged_at_ = 0;
   server_load_total loads_;
   helper_table helpers_;
-  /// By service: the target version, and when this replica first saw the
-  /// roll-out to it.
-  std::map<std::string, std::pair<std::string, monotonic_ms>>
-      service_rollouts_first_seen_;
+  /// The present roll-outs, by service.
+  std::map<std::string, seen_rollout> seen_rollouts_;
+  /// Services with an order of a roll-out that is not decided yet.
+  std::set<std::string> services_with_pending_order_;
   /// By replica name.
   std::map<std::string, std::unique_ptr<rpc_channel>> join_channels_;
   monotonic_ms leading_since_ = 0;
--- a/include/lovagedale/control/settings.h
+++ b/include/lovagedale/control/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,6 +30,8 @@
   replication_options replication;
   /// Highest format that this replica, as the leader, raises the fleet to.
   format_number raise_fleet_format_to = kFirstFormat;
+  /// For so long operators send an order that has no id again, at most.
+  std::chrono::milliseconds order_resend{4'000};
   std::string log_file;
   std::string log_level;
 
--- a/include/lovagedale/rollout/service_rollout.h
+++ b/include/lovagedale/rollout/service_rollout.h
@@ -195,6 +195,8 @@
   auto Report(const std::string& entry, std::uint64_t incarnation,
               const version_answers_table& table) -> void;
   auto Total() const -> version_answers_table;
+  /// Drops the counters of one version.
+  auto Forget(const std::string& service, const std::string& version) -> void;
   /// Drops the counters of services other than `services`.
   auto KeepOnly(const std::set<std::string>& services) -> void;
 
--- a/src/configuration/control_machine.cpp
+++ b/src/configuration/control_machine.cpp
@@ -148,6 +148,10 @@
       action);
 }
 
+auto ContentHash(const change_action& action) -> std::uint64_t {
+  return Hash64(EncodeFixed(action));
+}
+
 auto control_machine::Apply(const log_entry& entry) -> std::string {
   const auto command = Decode<control_command>(entry.payload);
   return Encode(std::visit(
@@ -172,7 +176,7 @@
 
 auto control_machine::ApplyChange(const change& proposed, log_index index)
     -> change_result {
-  const auto content_hash = Hash64(EncodeFixed(proposed.action));
+  const auto content_hash = ContentHash(proposed.action);
   if (const auto* record = FindRecord(proposed.change_id)) {
     if (record->content_hash == content_hash) return record->result;
     return {change_status::kInvalid, view_.revision,
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -8,6 +8,8 @@
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/common/spawn.h"
+#include "lovagedale/configuration/order_ids.h"
+#include "lovagedale/configuration/rollout_order.h"
 #include "lovagedale/operator_api/operator_api.h"
 
 namespace lovagedale {
@@ -574,6 +576,70 @@
       });
 }
 
+auto control_service::ServedVersions(const std::string& service) const
+    -> std::set<std::string> {
+  std::set<std::string> versions;
+  for (const auto& server : feed_.list().servers) {
+    if (server.service == service && !server.leaving) {
+      versions.insert(server.version);
+    }
+  }
+  return versions;
+}
+
+auto control_service::OrderServiceRollout(
+    const begin_service_rollout& order,
+    std::function<void(const change_outcome&)> done) -> void {
+  if (!node_.HasLease()) {
+    done({propose_status::kNotLeader, {}});
+    return;
+  }
+  const auto now_ms = WallClockMs();
+  const auto identity = IdentifyOrder(
+      {"service_rollout/" + order.service + "/" + order.target + "/begin",
+       ContentHash(order), now_ms},
+      machine_.history(), settings_.order_resend.count());
+  const auto* latest = machine_.view().RolloutOf(order.service);
+  const bool is_replaced = latest != nullptr && latest->target != order.target;
+  const bool is_pending = services_with_pending_order_.contains(order.service);
+  if (is_pending || (identity.may_be_copy && is_replaced)) {
+    // If it is a copy, carrying it out would undo a later order; if it is a new
+    // order, it is recognized as one when it is sent again after a while.
+    log_line(log_level::kInfo, "rollout_order_unclear")
+        .With("service", order.service)
+        .With("target", order.target)
+        .With("pending", is_pending);
+    done({propose_status::kUnknown, {}});
+    return;
+  }
+  rollout_order_plan plan;
+  if (!identity.may_be_copy) {
+    plan =
+        PlanRolloutOrder(order, machine_.view(), ServedVersions(order.service));
+  }
+  const auto propose = [&](const std::string& id, change_action action,
+                           std::function<void(const change_outcome&)> decided) {
+    SubmitChange({id, kAnyRevision, "operator", now_ms, std::move(action)},
+                 std::move(decided));
+  };
+  std::size_t part = 0;
+  const auto propose_parts = [&](std::vector<change_action>& actions) {
+    for (auto& action : actions) {
+      propose(identity.change_id + "/part/" + std::to_string(++part),
+              std::move(action), [](const change_outcome&) {});
+    }
+  };
+  services_with_pending_order_.insert(order.service);
+  propose_parts(plan.before);
+  propose(identity.change_id, order,
+          [this, service = order.service,
+           done = std::move(done)](const change_outcome& outcome) {
+            services_with_pending_order_.erase(service);
+            done(outcome);
+          });
+  propose_parts(plan.after);
+}
+
 auto control_service::ProposeAutomaticChange(const std::string& change_id,
                                              change_action action,
                                              const std::string& reason)
@@ -609,12 +675,17 @@
 }
 
 auto control_service::TrackServiceRollouts() -> void {
-  for (const auto& rollout : machine_.view().service_rollouts) {
-    if (!rollout.IsRunning()) continue;
-    auto& [target, since] = service_rollouts_first_seen_[rollout.service];
-    if (target == rollout.target) continue;
-    target = rollout.target;
-    since = clock_.Now();
+  using phase = service_rollout_phase;
+  const auto& view = machine_.view();
+  for (const auto& rollout : view.service_rollouts) {
+    if (&rollout != view.RolloutOf(rollout.service)) continue;
+    auto& seen = seen_rollouts_[rollout.service];
+    const bool has_begun_again =
+        rollout.phase == phase::kWaiting && seen.phase != phase::kWaiting;
+    if (seen.target != rollout.target || has_begun_again) {
+      seen = {rollout.target, rollout.phase, clock_.Now()};
+    }
+    seen.phase = rollout.phase;
   }
 }
 
@@ -633,11 +704,19 @@
       now - answer_ranks_logged_at_ >= kAnswerRanksLogPeriodMs;
   if (is_ranks_log_due) answer_ranks_logged_at_ = now;
   for (const auto& rollout : rollouts) {
-    if (!rollout.IsRunning()) continue;
+    if (!rollout.IsRunning() ||
+        services_with_pending_order_.contains(rollout.service)) {
+      continue;
+    }
+    // What the target's servers answered in an earlier roll-out says nothing of
+    // this one.
+    if (rollout.phase == service_rollout_phase::kWaiting) {
+      answers_.Forget(rollout.service, rollout.target);
+    }
     service_rollout_observations observations;
     observations.answers = answers_.Total();
     observations.elapsed_ms =
-        clock_.Now() - service_rollouts_first_seen_[rollout.service].second;
+        clock_.Now() - seen_rollouts_[rollout.service].since;
     for (const auto& server : feed_.list().servers) {
       if (server.service != rollout.service || server.leaving ||
           IsReverted(rollouts, server.service, server.version)) {
@@ -658,9 +737,11 @@
                                        service_rollout_limits_));
     }
     if (!decision) continue;
+    // With the revision, as a version may be rolled out more than once.
     ProposeAutomaticChange(
         "service_rollout/" + rollout.service + "/" + rollout.target + "/" +
-            PhaseName(decision->phase),
+            PhaseName(decision->phase) + "/" +
+            std::to_string(machine_.view().revision),
         move_service_rollout{rollout.service, rollout.target, decision->phase,
                              decision->share, decision->reason},
         decision->reason);
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::int64_t kMaxMs = 60'000;
 constexpr std::int64_t kMaxHostFaults = 4;
+constexpr std::int64_t kMaxOrderResendMs = 600'000;
 constexpr std::int64_t kMaxKeptEntries = 1'000'000;
 
 auto ReadReplication(object_reader& reader) -> replication_options {
@@ -69,6 +70,9 @@
     settings.replication.zone = settings.zone;
     settings.raise_fleet_format_to = static_cast<format_number>(root.Integer(
         "raise_fleet_format_to", kFirstFormat, kFormat, kFirstFormat));
+    settings.order_resend = std::chrono::milliseconds(
+        root.Integer("order_resend_ms", 0, kMaxOrderResendMs,
+                     settings.order_resend.count()));
     if (!settings.seeds.empty() && settings.http_port == 0) {
       const auto own = ParseEndpoint(settings.name);
       if (own) {
--- a/src/rollout/service_rollout.cpp
+++ b/src/rollout/service_rollout.cpp
@@ -367,6 +367,15 @@
   return total;
 }
 
+auto version_answers_total::Forget(const std::string& service,
+                                   const std::string& version) -> void {
+  for (auto& [entry, table] : by_entry_) {
+    std::erase_if(table, [&](const auto& item) {
+      return item.first.service == service && item.first.version == version;
+    });
+  }
+}
+
 auto version_answers_total::KeepOnly(const std::set<std::string>& services)
     -> void {
   for (auto& [entry, table] : by_entry_) {
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -142,7 +142,10 @@
   const auto has_ended = [&](const auto& item) {
     const auto* rollout =
         state_.view ? state_.view->RolloutOf(item.first.service) : nullptr;
-    return rollout == nullptr || !rollout->IsRunning();
+    if (rollout == nullptr || !rollout->IsRunning()) return true;
+    // Answers in an earlier roll-out to the same version.
+    return rollout->phase == service_rollout_phase::kWaiting &&
+           item.first.version == rollout->target;
   };
   std::erase_if(state_.answers, has_ended);
   std::erase_if(reported_answers_, has_ended);
--- a/tests/support/local_control.h
+++ b/tests/support/local_control.h
@@ -3,6 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
 #include <string>
 
 #include "lovagedale/control/service.h"
@@ -22,12 +25,27 @@
 class local_control {
  public:
   local_control(boost::asio::io_context& context, server_source source)
-      : store_(disk_, InitializedFolder()),
+      : context_(context),
+        store_(disk_, InitializedFolder()),
         service_(context, Settings(), store_, std::move(source)) {
     service_.Start();
   }
 
   auto rpc_port() const -> std::uint16_t { return rpc_port_; }
+  auto view() const -> const fleet_view& { return service_.machine().view(); }
+  /// For so long an order may be sent again.
+  static constexpr std::chrono::milliseconds kOrderResend{400};
+  auto OrderRollout(const begin_service_rollout& order) -> change_outcome {
+    return Decide(
+        [&](const auto& done) { service_.OrderServiceRollout(order, done); });
+  }
+  auto Apply(const change_action& action) -> change_outcome {
+    return Decide([&](const auto& done) {
+      service_.SubmitChange({"change-" + std::to_string(++changes_),
+                             kAnyRevision, "test", 0, action},
+                            done);
+    });
+  }
   auto IsLeader() const -> bool { return service_.IsLeader(); }
   auto SetRoutes(route_config config) -> void {
     const auto id = "routes-" + std::to_string(config.version);
@@ -50,9 +68,23 @@
     settings.zone = "zone-a";
     settings.host = "127.0.0.1";
     settings.rpc_port = rpc_port_;
+    settings.order_resend = kOrderResend;
     return settings;
   }
+  /// Handles events until `submit` has an outcome.
+  template <typename Submit>
+  auto Decide(const Submit& submit) -> change_outcome {
+    const auto decided = std::make_shared<std::optional<change_outcome>>();
+    submit([decided](const change_outcome& outcome) { *decided = outcome; });
+    for (int i = 0; i < 500 && !*decided; ++i) {
+      context_.run_for(std::chrono::milliseconds(10));
+    }
+    REQUIRE(decided->has_value());
+    return **decided;
+  }
 
+  boost::asio::io_context& context_;
+  int changes_ = 0;
   std::uint16_t rpc_port_ = FreePort();
   temporary_folder folder_;
   posix_disk disk_;
