Take an unfinished version out of use when another one is ordered

Callers saw: v2 is bad, and the operator orders v1 again in the middle of its roll-out.

Cause: a roll-out knows its target only, so all other versions count as the former one; the order of v1 replaced the record of v2. Ruled out: entries that follow an older revision (the counts change with the acknowledgement).

If then only the ordered version is left, it is the version in use and keeps all requests; this also ends the refusals (503) of a service that is rolled out to the version it uses.

--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -91,6 +91,8 @@
     std::string target;
     service_rollout_phase phase = service_rollout_phase::kWaiting;  ///< latest
     monotonic_ms since = 0;  ///< when the roll-out was first seen
+    /// Servers of other versions that may be used have been listed since.
+    bool had_former_servers = false;
   };
 
   auto HandleRpc(const std::string& body, rpc_reply reply) -> void;
--- a/include/lovagedale/rollout/service_rollout.h
+++ b/include/lovagedale/rollout/service_rollout.h
@@ -48,6 +48,17 @@
   }
 };
 
+/// Reason of a roll-out's phase if its target is the only version that the
+/// service can use. Control decides by it, so its text does not change.
+inline constexpr const char* kVersionInUse = "it is the version in use";
+
+/// Whether the roll-out goes to the version that the service uses already, as
+/// when an operator turns back. It cannot fail: there is no other version.
+inline auto IsVersionInUse(const service_rollout& rollout) -> bool {
+  return rollout.phase == service_rollout_phase::kAllSessions &&
+         rollout.reason == kVersionInUse;
+}
+
 /// Whether a session's requests may go to servers of `version`; always true
 /// without a roll-out. Depends on no state of a single entry, since a session's
 /// requests may arrive at any of them.
@@ -168,6 +179,8 @@
   /// Servers that take requests, of the new version and of other versions.
   std::size_t target_servers = 0;
   std::size_t former_servers = 0;
+  /// There have been some of other versions since the roll-out began.
+  bool had_former_servers = false;
 };
 
 struct service_rollout_decision {
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -713,10 +713,10 @@
     if (rollout.phase == service_rollout_phase::kWaiting) {
       answers_.Forget(rollout.service, rollout.target);
     }
+    auto& seen = seen_rollouts_[rollout.service];
     service_rollout_observations observations;
     observations.answers = answers_.Total();
-    observations.elapsed_ms =
-        clock_.Now() - seen_rollouts_[rollout.service].since;
+    observations.elapsed_ms = clock_.Now() - seen.since;
     for (const auto& server : feed_.list().servers) {
       if (server.service != rollout.service || server.leaving ||
           IsReverted(rollouts, server.service, server.version)) {
@@ -725,6 +725,8 @@
       ++(server.version == rollout.target ? observations.target_servers
                                           : observations.former_servers);
     }
+    seen.had_former_servers |= observations.former_servers > 0;
+    observations.had_former_servers = seen.had_former_servers;
     const auto decision =
         JudgeServiceRollout(rollout, observations, service_rollout_limits_);
     if (is_ranks_log_due || decision) {
--- a/src/rollout/service_rollout.cpp
+++ b/src/rollout/service_rollout.cpp
@@ -206,6 +206,18 @@
          elapsed_fraction >= limits.canary_with_few_servers_after_fraction;
 }
 
+auto JudgeVersionInUse(const service_rollout& rollout,
+                       const service_rollout_observations& observations,
+                       const service_rollout_limits& limits)
+    -> std::optional<service_rollout_decision> {
+  if (ElapsedFraction(rollout, observations.elapsed_ms) <
+      limits.complete_after_fraction) {
+    return std::nullopt;
+  }
+  return service_rollout_decision{service_rollout_phase::kCompleted,
+                                  kVersionInUse};
+}
+
 /// Share of the sessions that yields `wanted_canary_answers` before all
 /// sessions move. `requests`: counted in `elapsed_ms`.
 auto CanaryShare(std::uint64_t requests, const service_rollout& rollout,
@@ -284,6 +296,14 @@
     -> std::optional<service_rollout_decision> {
   using phase = service_rollout_phase;
   if (!rollout.IsRunning()) return std::nullopt;
+  if (IsVersionInUse(rollout))
+    return JudgeVersionInUse(rollout, observations, limits);
+  const bool has_no_former_version =
+      observations.former_servers == 0 && !observations.had_former_servers;
+  if (rollout.phase == phase::kWaiting && has_no_former_version &&
+      observations.target_servers > 0) {
+    return service_rollout_decision{phase::kAllSessions, kVersionInUse};
+  }
   std::map<std::string, version_answers> target;
   std::map<std::string, version_answers> former;
   version_answers target_total;
--- a/tests/control/rollout_orders_test.cpp
+++ b/tests/control/rollout_orders_test.cpp
@@ -198,4 +198,79 @@
   CHECK_FALSE(fleet.MayUse("v2"));
 }
 
+// Guards against all requests that go to an unfinished, perhaps bad version
+// once the operator has ordered another one (EXPOSURE).
+TEST_CASE("an unfinished version is out of use once another one is ordered") {
+  for (const auto at : {phase::kWaiting, phase::kCanary, phase::kAllSessions}) {
+    for (const std::string target : {"v1", "v3"}) {
+      CAPTURE(static_cast<int>(at));
+      CAPTURE(target);
+      ordered_fleet fleet({"v1", "v2"});
+      CHECK(fleet.Order("v2") == propose_status::kCommitted);
+      if (at != phase::kWaiting) fleet.Move("v2", at);
+      CHECK(fleet.Order(target) == propose_status::kCommitted);
+      CHECK(fleet.Rollout().target == target);
+      CHECK(fleet.MayUse("v1"));
+      CHECK_FALSE(fleet.MayUse("v2"));
+      CHECK_FALSE(fleet.MayUse("v3"));
+      if (target == "v1") continue;
+      fleet.Move("v3", phase::kReverted);
+      CHECK(fleet.MayUse("v1"));
+      CHECK_FALSE(fleet.MayUse("v2"));
+    }
+  }
+}
+
+// Guards against the same as the operator changes between two versions, and
+// then to a third one.
+TEST_CASE("the former version serves however often the operator turns back") {
+  ordered_fleet fleet({"v1", "v2"});
+  for (const std::string target : {"v2", "v1", "v2", "v1", "v3", "v1"}) {
+    CAPTURE(target);
+    CHECK(fleet.Order(target) == propose_status::kCommitted);
+    CHECK(fleet.Rollout().target == target);
+    for (int i = 0; i < 5; ++i) {
+      CHECK(fleet.MayUse("v1"));
+      CHECK_FALSE(fleet.MayUse("v2"));
+      fleet.Run(kAfterResend / 5);
+    }
+  }
+  fleet.Run(milliseconds(kDurationMs));
+  CHECK(fleet.Rollout().phase == phase::kCompleted);
+}
+
+// Guards against a service that is refused until half of the time of a roll-out
+// to the version that it uses.
+TEST_CASE("a roll-out to the version in use leaves it in use") {
+  ordered_fleet fleet({"v1"});
+  CHECK(fleet.Order("v1") == propose_status::kCommitted);
+  CHECK(fleet.MayUse("v1"));
+  fleet.Run(milliseconds(kDurationMs));
+  CHECK(fleet.Rollout().phase == phase::kCompleted);
+  CHECK(fleet.MayUse("v1"));
+}
+
+// Guards against a service that is refused because the leader ended between the
+// parts of an order.
+TEST_CASE("an order that was carried out in part is completed") {
+  ordered_fleet fleet({"v1", "v2"});
+  CHECK(fleet.Order("v2") == propose_status::kCommitted);
+  fleet.Move("v2", phase::kReverted);
+  fleet.Apply(begin_service_rollout{"app", "v1", kDurationMs});
+  fleet.Run(milliseconds(300));
+  CHECK(fleet.MayUse("v1"));
+  CHECK_FALSE(fleet.MayUse("v2"));
+}
+
+// Guards against requests to an untested version as the servers of the former
+// one are lost during a roll-out.
+TEST_CASE("the loss of the former version's servers does not end the wait") {
+  ordered_fleet fleet({"v1", "v2"});
+  CHECK(fleet.Order("v2") == propose_status::kCommitted);
+  fleet.Run(milliseconds(200));
+  fleet.versions = {"v2"};
+  fleet.Run(milliseconds(700));
+  CHECK_FALSE(fleet.MayUse("v2"));
+}
+
 }  // namespace lovagedale::testing
--- a/tests/rollout/service_rollout_test.cpp
+++ b/tests/rollout/service_rollout_test.cpp
@@ -342,4 +342,29 @@
   CHECK(Encode(table).size() < 2'000);
 }
 
+// Guards against the revert of the only version that the service can use, for
+// failures that it had before the operator turned back to it.
+TEST_CASE("a roll-out to the version in use ends by its time alone") {
+  service_rollout rollout{"engines", "v1",        phase::kAllSessions,
+                          20'000,    /*share=*/0, kVersionInUse};
+  const version_answers_table failing{
+      {{"engines", "v1", "chat"}, {100, 90, 1'000}},
+      {{"engines", "v2", "chat"}, {100, 0, 10'000}}};
+  CHECK_FALSE(JudgeServiceRollout(rollout, {failing, 15'000, 3, 0}, {}));
+  const auto decision =
+      JudgeServiceRollout(rollout, {failing, 16'000, 3, 0}, {});
+  REQUIRE(decision.has_value());
+  CHECK(decision->phase == phase::kCompleted);
+}
+
+TEST_CASE("a target without any former version is used at once") {
+  const service_rollout_observations alone{{}, 0, 3, 0, false};
+  const auto decision =
+      JudgeServiceRollout(RolloutIn(phase::kWaiting), alone, {});
+  REQUIRE(decision.has_value());
+  CHECK(decision->phase == phase::kAllSessions);
+  const service_rollout_observations lost_former{{}, 0, 3, 0, true};
+  CHECK_FALSE(JudgeServiceRollout(RolloutIn(phase::kWaiting), lost_former, {}));
+}
+
 }  // namespace lovagedale::testing
