Keep servers in use when they refuse a caller's model

The one caller got 503 instead of 421.

Cause: each 421 was taken for word that the server's address belongs to another server, which took the server out of use for good. Ruled out: ejection as an outlier and an empty retry budget, which both end by themselves.

A model that the route does not have is refused at once, with 421. A 421 of a server counts against it only if the request named no model or one that the server has run, and for 2 s; after that a request shows whether the address still belongs to another server. Of the same class: a server that is listed as leaving and then as ready under its id has restarted, and what its predecessor announced does not hold.

Why it works: what one caller sends can no longer say something about a server for the others, and each mark ends.

--- a/include/lovagedale/relay/call.h
+++ b/include/lovagedale/relay/call.h
@@ -37,6 +37,11 @@
   std::string session;  ///< empty if none
   /// How long the caller waits, in milliseconds.
   std::optional<std::int64_t> time_limit_ms;
+  /// The model that the caller names, possibly an empty name; nothing if it
+  /// names none.
+  std::optional<std::string> model;
+  /// The caller leaves the choice among the route's models to this process.
+  bool leaves_model_choice = false;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
   std::vector<prompt_part> parts;  ///< the last one is never shared
@@ -62,7 +67,9 @@
 struct server_answer_metadata {
   std::string request_id;  ///< of the request that it answers; may be empty
   bool not_run = false;    ///< the server guarantees that it did not run
-  bool address_reassigned = false;  ///< another server has this address now
+  /// Another server has this address now, or the server does not have the
+  /// model that the request names.
+  bool is_misdirected = false;
   /// Requests a second that the server takes from all entries together; nothing
   /// if it names no limit.
   std::optional<double> limit_per_s;
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -54,6 +54,14 @@
 /// A call is not sent again after so many servers have closed its connection
 /// before their answers began: it may be the cause.
 inline constexpr std::uint32_t kMaxBrokenUnanswered = 2;
+/// A call that so many servers have refused for the model that its caller names
+/// goes to no other one. More than one: an address may have been reassigned.
+inline constexpr std::uint32_t kMaxModelRefusals = 2;
+/// How long a server gets no calls after its address seemed to be reassigned.
+/// The list usually shows by then whether it was.
+inline constexpr monotonic_ms kMisdirectedPauseMs = 2'000;
+/// Most models that are remembered of a server; services have a few.
+inline constexpr std::size_t kMaxRunModels = 64;
 /// A server that crashes by a call does so as it begins to answer: one that
 /// still runs after this time has not crashed by the call.
 inline constexpr monotonic_ms kAnswerSettledMs = 200;
@@ -133,6 +141,10 @@
     Refuse(refusal::kUnknownKey, "");
     return false;
   }
+  if (!IsModelAllowed()) {
+    Refuse(refusal::kUnknownModel, "");
+    return false;
+  }
   const auto& item = *match_.matched_route;
   const auto limit =
       std::min(item.timeout_ms, call_.time_limit_ms.value_or(item.timeout_ms));
@@ -176,6 +188,50 @@
   return EndsBefore(call, stop_ms);
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::IsModelAllowed() const -> bool {
+  const auto& models = match_.matched_route->models;
+  return !call_.model || models.empty() ||
+         std::find(models.begin(), models.end(), *call_.model) != models.end();
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::SentModel() const -> std::string {
+  const auto& models = match_.matched_route->models;
+  if (call_.leaves_model_choice && !models.empty()) return models[tier_];
+  return call_.model.value_or("");
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::RecordRun(const server_handle& server) -> void {
+  server->misdirects_until_ms = 0;
+  auto& models = server->run_models;
+  if (models.size() < kMaxRunModels) models.insert(SentModel());
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::RecordMisdirected(const server_handle& server)
+    -> void {
+  const auto& models = match_.matched_route->models;
+  const bool names_no_model =
+      !call_.model && !call_.leaves_model_choice && models.empty();
+  // What the server has run before, or what needs no model, only another server
+  // refuses like this.
+  if (names_no_model || server->run_models.contains(SentModel())) {
+    server->misdirects_until_ms = clock_.Now() + kMisdirectedPauseMs;
+    return;
+  }
+  ++model_refusals_;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::IsModelRefused() const -> bool {
+  const bool is_callers_model =
+      !call_.leaves_model_choice || match_.matched_route->models.empty();
+  return is_callers_model && model_refusals_ > 0 &&
+         (model_refusals_ >= kMaxModelRefusals || model_refusals_ == sends_);
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::MayRepeat() const -> bool {
   const auto& item = *match_.matched_route;
@@ -206,7 +262,7 @@
     std::vector<server_handle> servers;
     for (const auto& server : state_.servers.Servers(service_)) {
       const auto& listed = server->listed;
-      if (!server->TakesCalls() || now < server->paused_until_ms ||
+      if (!server->TakesCalls() || server->IsPaused(now) ||
           !state_.servers.IsReachable(*server)) {
         continue;
       }
@@ -326,8 +382,8 @@
       report ? state_.ask_for_grant(*report, exchange_.yield()) : std::nullopt;
   const auto now = clock_.Now();
   // Much may have changed while control was asked.
-  if (caller_disconnected_ || !server->TakesCalls() ||
-      now < server->paused_until_ms || !state_.servers.IsReachable(*server)) {
+  if (caller_disconnected_ || !server->TakesCalls() || server->IsPaused(now) ||
+      !state_.servers.IsReachable(*server)) {
     return false;
   }
   if (grant) return limit.Adopt(*grant, now);
@@ -436,7 +492,8 @@
 auto relayed_call<Protocol>::AllowsAnotherAttempt(attempt_result result)
     -> bool {
   const bool is_reserved = std::exchange(has_reserved_attempt_, false);
-  if (broken_unanswered_ >= kMaxBrokenUnanswered || IsQuarantined()) {
+  if (broken_unanswered_ >= kMaxBrokenUnanswered || IsQuarantined() ||
+      (IsModelRefused() && model_refusals_ >= kMaxModelRefusals)) {
     return false;
   }
   if (result == attempt_result::kNotReached && exchange_.HasStarted()) {
@@ -583,8 +640,8 @@
 auto relayed_call<Protocol>::RecordNotices(
     const server_handle& server, const http_response_head& head,
     const server_answer_metadata& metadata) -> void {
-  // Otherwise another server has answered.
-  if (metadata.address_reassigned) return;
+  // Another server may have answered.
+  if (metadata.is_misdirected) return;
   const auto now = clock_.Now();
   if (!metadata.unreadable_notices.empty() && state_.log.AllowFailure(now)) {
     log_line(log_level::kWarning, "notice_unreadable")
@@ -654,6 +711,7 @@
 auto relayed_call<Protocol>::Attempt(const server_handle& server)
     -> attempt_result {
   auto result = attempt_result::kMaybeRun;
+  const auto model_refusals_before = model_refusals_;
   attempt_reason_.clear();
   was_sent_ = false;
   first_event_ms_.reset();
@@ -690,18 +748,18 @@
     const auto head = SendTo(server);
     const auto metadata = protocol_.ReadAnswer(head);
     RecordNotices(server, head, metadata);
-    if (metadata.not_run || metadata.address_reassigned) {
+    if (metadata.not_run || metadata.is_misdirected) {
       CheckRefusal(metadata);
       refusing_servers_.insert(server->listed.id);
       --runs_;
       attempt_reason_ = "refused with " + std::to_string(head.status);
       result = attempt_result::kNotRun;
-      if (metadata.address_reassigned) server->address_reassigned = true;
+      if (metadata.is_misdirected) RecordMisdirected(server);
       // The head states that the request was not run, however the body ends.
       if (!SkipRefusalBody()) {
         attempt_reason_ += ", in a body that did not end";
       }
-    } else if (EscalateIfUncertain(server, metadata)) {
+    } else if (RecordRun(server); EscalateIfUncertain(server, metadata)) {
       result = attempt_result::kEscalated;
       may_have_run_ = true;
       connection_->Close();
@@ -732,8 +790,11 @@
     return attempt_result::kAnswered;
   }
   if (!failure) {
+    // A refusal for the model says nothing about the server's health.
     if (result == attempt_result::kNotRun) {
-      server->health.RecordFailure(now);
+      if (model_refusals_ == model_refusals_before) {
+        server->health.RecordFailure(now);
+      }
     } else if (result != attempt_result::kFailed) {
       server->health.RecordSuccess(now);
     }
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -40,6 +40,7 @@
   kTimeout,         ///< it may have run; the time limit passed
   kQuarantined,     ///< requests like it crash the servers
   kServersLimited,  ///< the servers take no more for now, and say so
+  kUnknownModel,    ///< the caller names a model that no server has
 };
 
 struct refusal_answer {
@@ -134,6 +135,17 @@
   /// Throws http_call_error.
   auto ReadMatchingHead(http_response_head head,
                         const http_deadlines& deadlines) -> http_response_head;
+  /// Whether the route may run on the model that the caller names, if it does.
+  auto IsModelAllowed() const -> bool;
+  /// The model that requests to servers name; empty if they name none.
+  auto SentModel() const -> std::string;
+  /// Called when a server has run the request.
+  auto RecordRun(const server_handle& server) -> void;
+  /// Records that a server has taken the request for one that is not meant for
+  /// it, or that names a model which it does not have.
+  auto RecordMisdirected(const server_handle& server) -> void;
+  /// Whether servers have refused the call for the model that its caller names.
+  auto IsModelRefused() const -> bool;
   /// Records what the server says of itself in an answer.
   auto RecordNotices(const server_handle& server,
                      const http_response_head& head,
@@ -287,6 +299,7 @@
   /// connection that carried no refusal: the server may write one twice.
   std::set<std::string> refusing_servers_;
   bool is_connection_fresh_ = false;  ///< of the current attempt
+  std::uint32_t model_refusals_ = 0;  ///< attempts refused for the model
   bool may_have_run_ = false;
   bool caller_disconnected_ = false;
   std::unique_ptr<http_connection> connection_;
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -307,6 +307,8 @@
            : state_.ends_calls ? refusal::kStopped
                                : refusal::kBadGateway,
            attempt_reason_);
+  } else if (IsModelRefused()) {
+    Refuse(refusal::kUnknownModel, attempt_reason_);
   } else if (is_late) {
     Refuse(refusal::kExpired, attempt_reason_);
   } else if (state_.ends_calls) {
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -49,7 +50,12 @@
   server_limit limit;  ///< that the server names
   limited_requests limited;
   rejection_guard rejections;
-  bool address_reassigned = false;  ///< another server has the address now
+  /// Until then it gets no requests: its address may belong to another server.
+  /// A request after that shows whether it does, as that server refuses it.
+  monotonic_ms misdirects_until_ms = 0;
+  /// Models whose requests it has run. A server without models, or a request
+  /// that names none, counts as the empty name.
+  std::set<std::string> run_models;
   /// An answer of it said that it is shutting down; the list may show it later.
   bool has_announced_leaving = false;
   /// Until then it wants no requests of this entry.
@@ -61,7 +67,11 @@
 
   /// Whether it takes new calls, as far as it is known.
   auto TakesCalls() const -> bool {
-    return !listed.leaving && !has_announced_leaving && !address_reassigned;
+    return !listed.leaving && !has_announced_leaving;
+  }
+  /// Whether it gets no requests for a while.
+  auto IsPaused(monotonic_ms now) const -> bool {
+    return now < paused_until_ms || now < misdirects_until_ms;
   }
   /// Work of the other entries by the last update.
   auto OtherEntriesWork() const -> double {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -67,6 +67,8 @@
       return {504, "timeout", std::nullopt};
     case refusal::kQuarantined:
       return {503, "quarantined", kUnreachableSeconds};
+    case refusal::kUnknownModel:
+      return {421, "unknown_model", std::nullopt};
     case refusal::kServersLimited:
       return {503, "servers_limited", kBusySeconds};
   }
--- a/src/relay/server_table.cpp
+++ b/src/relay/server_table.cpp
@@ -9,10 +9,14 @@
 namespace lovagedale {
 namespace {
 
-/// A server that has restarted with its old id is a different server.
-auto IsSameServer(const listed_server& a, const listed_server& b) -> bool {
-  return a.id == b.id && a.started_at_ms == b.started_at_ms &&
-         a.host == b.host && a.port == b.port && a.service == b.service;
+/// A server that has restarted with its old id is a different server. It may be
+/// listed without its start, but not as leaving any more.
+auto IsSameServer(const listed_server& before, const listed_server& after)
+    -> bool {
+  const bool takes_calls_again = before.leaving && !after.leaving;
+  return before.id == after.id && before.started_at_ms == after.started_at_ms &&
+         before.host == after.host && before.port == after.port &&
+         before.service == after.service && !takes_calls_again;
 }
 
 }  // namespace
--- a/tests/platform/caller_protocol_test.cpp
+++ b/tests/platform/caller_protocol_test.cpp
@@ -106,6 +106,27 @@
   CHECK(sent.Header("X-Hop").empty());
 }
 
+TEST_CASE("the caller's model is told from none and from a free choice") {
+  auto request = ValidRequest();
+  auto call = kProtocol.ReadCall(request);
+  CHECK(call.leaves_model_choice);
+  CHECK_FALSE(call.model);
+  for (const std::string named : {"large", ""}) {
+    for (auto& [name, value] : request.headers) {
+      if (name == "X-Lovagedale-Model") value = named;
+    }
+    call = kProtocol.ReadCall(request);
+    CHECK_FALSE(call.leaves_model_choice);
+    CHECK(call.model == named);
+  }
+  std::erase_if(request.headers, [](const auto& header) {
+    return header.first == "X-Lovagedale-Model";
+  });
+  call = kProtocol.ReadCall(request);
+  CHECK_FALSE(call.leaves_model_choice);
+  CHECK_FALSE(call.model);
+}
+
 TEST_CASE("a model named by the caller is not replaced") {
   auto request = ValidRequest();
   for (auto& [name, value] : request.headers) {
@@ -140,7 +161,7 @@
   CHECK(kProtocol.ReadAnswer(head).not_run);
   head = {};
   head.status = 421;
-  CHECK(kProtocol.ReadAnswer(head).address_reassigned);
+  CHECK(kProtocol.ReadAnswer(head).is_misdirected);
   CHECK(kProtocol.ReadAnswer(head).not_run);
 }
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1152,4 +1152,87 @@
   CHECK(limited.requests() == 1);
 }
 
+// Guards against one caller who names a model that no server has, after which
+// no server gets requests of any caller (CONFIG).
+TEST_CASE("a call for a model that its route does not have is refused") {
+  scripted_server server(
+      [](const std::string&) { return Answer("200 OK", "", "done"); });
+  auto item = MakeRoute(route_kind::kOnce);
+  item.models = {"small", "large"};
+  const running_relay relay(item, {server.port()});
+  for (const std::string model : {"medium", "", "small,large"}) {
+    CAPTURE(model);
+    CHECK(relay.Call({{"Model", model}}).head.status == 421);
+  }
+  CHECK(server.requests() == 0);
+  CHECK(relay.Call({{"Model", "large"}}).head.status == 200);
+  CHECK(relay.Call({{"Model", "*"}}).head.status == 200);
+}
+
+// Guards against the same where the entry does not know the models.
+TEST_CASE("a refusal for the caller's model is not held against the server") {
+  const auto script = [](const std::string& request) {
+    const bool has_model = request.find("Model: medium") == std::string::npos;
+    return has_model ? Answer("200 OK", "", "done")
+                     : Answer("421 Misdirected Request", "", "");
+  };
+  scripted_server a(script);
+  scripted_server b(script);
+  scripted_server c(script);
+  const running_relay relay(MakeRoute(route_kind::kOnce),
+                            {a.port(), b.port(), c.port()}, /*retries=*/100);
+  for (int i = 0; i < 5; ++i) {
+    const auto asked_before = a.requests() + b.requests() + c.requests();
+    CHECK(relay.Call({{"Model", "medium"}}).head.status == 421);
+    CHECK(a.requests() + b.requests() + c.requests() <= asked_before + 2);
+    CHECK(relay.Call().head.status == 200);
+    CHECK(relay.Call({{"Model", "large"}}).head.status == 200);
+  }
+}
+
+// Guards against the same for a model that the routes name and no server has.
+TEST_CASE("servers without one of a route's models serve the other ones") {
+  std::atomic<int> served = 0;
+  const auto script = [&](const std::string& request) {
+    if (request.find("Model: absent") != std::string::npos) {
+      return Answer("421 Misdirected Request", "", "");
+    }
+    ++served;
+    return Answer("200 OK", "", "done");
+  };
+  scripted_server server(script);
+  auto item = MakeRoute(route_kind::kOnce);
+  item.models = {"absent", "large"};
+  const running_relay relay(item, {server.port()}, /*retries=*/100);
+  CHECK(relay.Call({{"Model", "*"}}).head.status == 503);
+  CHECK(relay.Call({{"Model", "large"}}).head.status == 200);
+  CHECK(relay.Call({{"Model", "*"}}).head.status == 503);
+  CHECK(relay.Call({{"Model", "large"}}).head.status == 200);
+  CHECK(served == 2);
+}
+
+// Guards against a server that stays out of use for good after another one had
+// its address for a while.
+TEST_CASE("a server at a reassigned address is asked again after a while") {
+  std::atomic<bool> is_reassigned = true;
+  scripted_server reassigned([&](const std::string&) {
+    return is_reassigned ? Answer("421 Misdirected Request", "", "")
+                         : Answer("200 OK", "", "back");
+  });
+  scripted_server other(
+      [](const std::string&) { return Answer("200 OK", "", "other"); });
+  const running_relay relay(MakeRoute(route_kind::kOnce),
+                            {reassigned.port(), other.port()},
+                            /*retries=*/100);
+  for (int i = 0; i < 20; ++i) CHECK(relay.Call().body == "other");
+  CHECK(reassigned.requests() == 1);
+  is_reassigned = false;
+  std::this_thread::sleep_for(std::chrono::milliseconds(2'100));
+  int answered_by_it = 0;
+  for (int i = 0; i < 20; ++i) {
+    answered_by_it += relay.Call().body == "back" ? 1 : 0;
+  }
+  CHECK(answered_by_it > 0);
+}
+
 }  // namespace lovagedale::testing
--- a/tests/support/plain_protocol.h
+++ b/tests/support/plain_protocol.h
@@ -16,6 +16,11 @@
     call.id = std::string(request.Header("Id"));
     if (call.id.empty()) throw call_malformed("Id: missing");
     call.key = std::string(request.Header("Key"));
+    for (const auto& [name, value] : request.headers) {
+      if (name != "Model") continue;
+      call.leaves_model_choice = value == "*";
+      if (!call.leaves_model_choice) call.model = value;
+    }
     const auto limit = request.Header("Limit");
     std::int64_t limit_ms = 0;
     std::from_chars(limit.data(), limit.data() + limit.size(), limit_ms);
@@ -26,11 +31,16 @@
     }
     return call;
   }
-  auto ServerRequest(const http_request& request, const call_request& /*call*/,
+  auto ServerRequest(const http_request& request, const call_request& call,
                      const call_dispatch& dispatch) const -> http_request {
     auto server_request = request;
+    std::erase_if(server_request.headers, [&](const auto& header) {
+      return header.first == "Model" && call.leaves_model_choice;
+    });
     server_request.headers.emplace_back("Server", dispatch.server->id);
-    server_request.headers.emplace_back("Model", dispatch.model);
+    if (!call.model) {
+      server_request.headers.emplace_back("Model", dispatch.model);
+    }
     if (dispatch.after_event) {
       server_request.headers.emplace_back(
           "After", std::to_string(*dispatch.after_event));
@@ -55,7 +65,9 @@
       -> server_answer_metadata {
     server_answer_metadata metadata;
     metadata.request_id = std::string(head.Header("Id"));
-    metadata.not_run = !head.Header("Not-Run").empty();
+    metadata.is_misdirected = head.status == 421;
+    metadata.not_run =
+        metadata.is_misdirected || !head.Header("Not-Run").empty();
     const auto limit = head.Header("Server-Limit");
     metadata.limit_per_s = ParseServerLimit(limit);
     metadata.is_limit_unreadable = !limit.empty() && !metadata.limit_per_s;
