--- a/src/rollout/service_rollout.cpp
+++ b/src/rollout/service_rollout.cpp
@@ -296,8 +296,9 @@
     -> std::optional<service_rollout_decision> {
   using phase = service_rollout_phase;
   if (!rollout.IsRunning()) return std::nullopt;
-  if (IsVersionInUse(rollout))
+  if (IsVersionInUse(rollout)) {
     return JudgeVersionInUse(rollout, observations, limits);
+  }
   const bool has_no_former_version =
       observations.former_servers == 0 && !observations.had_former_servers;
   if (rollout.phase == phase::kWaiting && has_no_former_version &&
