Bound the memory of the bodies of all requests in progress

Callers saw: nothing yet. An entry of 260 MB that gets 42 requests of 4 MiB at once holds 512 MB; it would be killed, with the requests of all callers.

Cause: each body has a limit and their sum had none, a request was held three times, and a kept connection held the text of its last request. Ruled out: the answers of servers, which are bounded each and in sum since.

All bodies in progress share 48 MB, with the copy that is sent on; what does not fit is refused with 503 and a Retry-After, small requests pass. The copy is dropped when it has been sent.

A case in server_test covers bodies with and without an announced length.

Why it works: the memory is taken before the body is read, and returned with the request.

--- a/include/lovagedale/http/client.h
+++ b/include/lovagedale/http/client.h
@@ -100,7 +100,7 @@
   /// Sends the request and reads the head of the answer, which may arrive while
   /// the body is still being written. Adds a Host header if there is none.
   /// Interim responses (1xx) are skipped.
-  auto Send(const http_request& request, const http_deadlines& deadlines,
+  auto Send(http_request request, const http_deadlines& deadlines,
             boost::asio::yield_context yield) -> http_response_head;
   /// Reads the head of the next answer, when the previous one was not an answer
   /// to the request.
--- a/include/lovagedale/http/server.h
+++ b/include/lovagedale/http/server.h
@@ -21,6 +21,10 @@
 struct http_limits {
   std::size_t max_header_bytes = 16UL << 10U;
   std::size_t max_body_bytes = 4UL << 20U;
+  /// Memory for the bodies of all requests in progress together, with the
+  /// copies that are sent on. Leaves most of a small host's memory to the
+  /// process.
+  std::size_t max_held_body_bytes = 48UL << 20U;
   std::chrono::milliseconds header_timeout{10'000};
   std::chrono::milliseconds body_timeout{30'000};
   std::chrono::milliseconds write_timeout{30'000};
@@ -102,7 +106,8 @@
   /// From now on each answer closes its connection; new connections are still
   /// accepted.
   auto BeginDrain() -> void;
-  /// Applies to later requests; the write timeout also to those in progress.
+  /// Applies to later requests; the write timeout also to those in progress,
+  /// and max_held_body_bytes to none.
   auto SetLimits(const http_limits& limits) -> void;
   /// Closes the connections that wait for a request.
   auto CloseIdle() -> void;
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -623,13 +623,13 @@
   dispatch.priority = match_.Priority();
   dispatch.after_event = events_.last_event();
   if (!dispatch.after_event) dispatch.after_event = call_.after_event;
-  const auto request =
-      protocol_.ServerRequest(exchange_.request(), call_, dispatch);
+  auto request = protocol_.ServerRequest(exchange_.request(), call_, dispatch);
   ++runs_;
   was_sent_ = true;
   sent_ms_ = clock_.Now();
   if (silence_) silence_->Begin(FirstByteTimeoutMs(RemainingMs()));
-  auto head = connection_->Send(request, deadlines, exchange_.yield());
+  auto head =
+      connection_->Send(std::move(request), deadlines, exchange_.yield());
   state_.prober.ReportRoundTrip(server, sent_ms_);
   head = ReadMatchingHead(std::move(head), deadlines);
   if (silence_) silence_->End();
--- a/include/lovagedale/relay/relay_forwarding-inl.h
+++ b/include/lovagedale/relay/relay_forwarding-inl.h
@@ -127,7 +127,8 @@
   was_sent_ = true;
   sent_ms_ = clock_.Now();
   const auto head = ReadMatchingHead(
-      connection_->Send(request, deadlines, exchange_.yield()), deadlines);
+      connection_->Send(std::move(request), deadlines, exchange_.yield()),
+      deadlines);
   const auto refused_by = head.Header(forwarding_header::kRefusedBy);
   const bool is_not_run = !refused_by.empty() && head.status == kNotRunStatus;
   const bool is_refused = is_not_run && refused_by == kEntryRefuses;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -38,16 +38,17 @@
 /// A request being written. The write handler shares it, since it may run after
 /// the connection is destroyed.
 struct pending_write {
-  std::string bytes;
+  std::string head;
+  std::string body;
   std::size_t written = 0;
   bool done = false;
   beast::error_code error;
 };
 
-auto SerializeRequest(const http_request& request,
-                      const std::string& default_host) -> std::string {
+auto SerializeHead(const http_request& request, const std::string& default_host)
+    -> std::string {
   std::string text;
-  text.reserve(1024 + request.body.size());
+  text.reserve(1024);
   text += request.method;
   text += ' ';
   text += request.target;
@@ -66,7 +67,6 @@
     text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   }
   text += "\r\n";
-  text += request.body;
   return text;
 }
 
@@ -160,17 +160,22 @@
                   static_cast<int>(impl_->ack_timeout.count()));
 }
 
-auto http_connection::Send(const http_request& request,
+auto http_connection::Send(http_request request,
                            const http_deadlines& deadlines,
                            asio::yield_context yield) -> http_response_head {
   const auto write = std::make_shared<pending_write>();
-  write->bytes = SerializeRequest(
-      request, impl_->host + ":" + std::to_string(impl_->port));
+  write->head =
+      SerializeHead(request, impl_->host + ":" + std::to_string(impl_->port));
+  write->body = std::move(request.body);
   impl_->write = write;
   impl_->stream.expires_after(deadlines.first_byte);
   // Not awaited: a server may answer before it has read the full body.
-  asio::async_write(impl_->stream.socket(), asio::buffer(write->bytes),
+  const std::array buffers{asio::buffer(write->head),
+                           asio::buffer(write->body)};
+  asio::async_write(impl_->stream.socket(), buffers,
                     [write](beast::error_code failure, std::size_t bytes) {
+                      // The connection may be kept long after the request.
+                      write->body = {};
                       write->done = true;
                       write->error = failure;
                       write->written = bytes;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 #include <list>
 
+#include "lovagedale/common/byte_budget.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/common/spawn.h"
 #include "lovagedale/rpc/connection.h"
@@ -20,6 +21,14 @@
 
 constexpr int kCallerAckTimeoutMs = 30'000;
 constexpr std::size_t kMaxReadBufferBytes = 64UL << 10U;
+constexpr unsigned kStatusBusy = 503;
+/// Bodies up to this size pass while large ones hold all of the memory.
+constexpr std::size_t kSmallBodyBytes = 16UL << 10U;
+/// The body of a request that is relayed, and the copy that is being sent.
+constexpr std::size_t kCopiesOfBody = 2;
+/// When a caller may retry whose body did not fit in the memory: about the time
+/// of a large request.
+constexpr const char* kBodyMemoryRetrySeconds = "0.5";
 
 using caller_stream = beast::tcp_stream;
 
@@ -54,7 +63,12 @@
 }
 
 struct http_server::shared_state {
+  explicit shared_state(const http_limits& initial_limits)
+      : limits(initial_limits),
+        body_memory(initial_limits.max_held_body_bytes, kSmallBodyBytes) {}
+
   http_limits limits;
+  byte_budget body_memory;
   http_handler handler;
   bool draining = false;
   std::size_t active_requests = 0;
@@ -250,6 +264,8 @@
       return R"({"error":{"type":"too_large","message":"request exceeds the limit: header )" +
              std::to_string(limits.max_header_bytes) + " bytes, body " +
              std::to_string(limits.max_body_bytes) + R"( bytes"}})";
+    case kStatusBusy:
+      return R"({"error":{"type":"busy","message":"the requests in progress hold all memory for bodies"}})";
     case 408:
       return R"({"error":{"type":"timeout","message":"request did not arrive within the time limit"}})";
     default:
@@ -326,17 +342,26 @@
         static_cast<std::uint32_t>(state_->limits.max_header_bytes));
     parser.body_limit(state_->limits.max_body_bytes);
     beast::error_code error;
-    ReadRequest(parser, error);
-    if (error) {
-      Refuse(error);
+    byte_reservation memory(state_->body_memory);
+    const bool fits = ReadRequest(parser, memory, error);
+    if (error || !fits) {
+      if (error) {
+        RefuseUnreadable(error);
+      } else {
+        Refuse(kStatusBusy, "bodies exceed their memory",
+               {{"Retry-After", kBodyMemoryRetrySeconds}});
+      }
       return false;
     }
     const bool keep_alive = parser.keep_alive();
     return HandleRequest(ReleaseRequest(parser), keep_alive);
   }
 
+  /// False if the body does not fit in the memory for bodies: it is read to its
+  /// end, so that the caller gets the answer, and not kept.
   template <typename Parser>
-  auto ReadRequest(Parser& parser, beast::error_code& error) -> void {
+  auto ReadRequest(Parser& parser, byte_reservation& memory,
+                   beast::error_code& error) -> bool {
     stream_.expires_never();
     {
       const read_deadline deadline(stream_, state_->limits.header_timeout);
@@ -346,12 +371,32 @@
     if (!error && HasAmbiguousLength(parser.get())) {
       error = http::error::bad_transfer_encoding;
     }
-    if (error || parser.is_done()) return;
+    if (error || parser.is_done()) return true;
     AnswerExpectContinue(parser, error);
-    if (error) return;
+    if (error) return true;
     const read_deadline deadline(stream_, state_->limits.body_timeout);
-    http::async_read(stream_, buffer_, parser, yield_[error]);
+    const bool fits = ReadBody(parser, memory, error);
     if (deadline.HasPassed()) error = beast::error::timeout;
+    return fits;
+  }
+
+  template <typename Parser>
+  auto ReadBody(Parser& parser, byte_reservation& memory,
+                beast::error_code& error) -> bool {
+    // All of it at once if the length is known: otherwise many bodies that grow
+    // at the same time would all end as too large.
+    const auto announced = parser.content_length_remaining();
+    bool fits = !announced || memory.Resize(kCopiesOfBody * *announced);
+    while (!error && !parser.is_done()) {
+      http::async_read_some(stream_, buffer_, parser, yield_[error]);
+      auto& body = parser.get().body();
+      if (!announced) fits = fits && memory.Resize(kCopiesOfBody * body.size());
+      if (fits) continue;
+      // Its part of the memory lets others go on that grow beside it.
+      body.clear();
+      memory.Resize(0);
+    }
+    return fits;
   }
 
   /// Waits for data on an idle connection; false if the connection is closed,
@@ -380,20 +425,25 @@
     http::async_write(stream_, continue_response, yield_[error]);
   }
 
-  auto Refuse(const beast::error_code& error) -> void {
+  auto RefuseUnreadable(const beast::error_code& error) -> void {
     if (error == http::error::end_of_stream ||
         error == asio::error::connection_reset) {
       return;
     }
-    const auto status = RefusalStatus(error);
+    Refuse(RefusalStatus(error), error.message(), {});
+  }
+
+  auto Refuse(unsigned status, const std::string& reason, header_list headers)
+      -> void {
     log_line(log_level::kInfo, "request_refused")
         .With("status", status)
-        .With("reason", error.message());
+        .With("reason", reason);
+    headers.emplace_back("Lovagedale-Ran", "no");
     beast_exchange exchange(stream_, yield_, state_->limits, {}, false,
                             disconnect_watcher_);
     try {
       exchange.RespondJson(status, RefusalBody(status, state_->limits),
-                           {{"Lovagedale-Ran", "no"}});
+                           headers);
     } catch (const caller_disconnected_error&) {
       // The caller cannot be answered any more.
     }
@@ -444,8 +494,7 @@
                          std::uint16_t port, bool share_port,
                          http_limits limits, http_handler handler)
     : acceptor_(Listen(context, host, port, share_port)),
-      state_(std::make_shared<shared_state>()) {
-  state_->limits = limits;
+      state_(std::make_shared<shared_state>(limits)) {
   state_->handler = std::move(handler);
   SpawnTask(context, [this](asio::yield_context yield) { AcceptLoop(yield); });
 }
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -2,11 +2,14 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 #include <thread>
 
+#include "lovagedale/common/fiber_event.h"
 #include "lovagedale/http/client.h"
 
 namespace lovagedale::testing {
@@ -163,4 +166,60 @@
   }
 }
 
+// Guards against a process that runs out of memory because the bodies of its
+// requests are bounded one by one and not in sum.
+TEST_CASE("the bodies of requests in progress share a limit of memory") {
+  http_limits limits;
+  limits.max_held_body_bytes = 1UL << 20U;
+  std::atomic<std::size_t> held = 0;
+  std::atomic<std::size_t> most_held = 0;
+  const running_server server(limits, [&](http_exchange& exchange) {
+    const auto bytes = exchange.request().body.size();
+    most_held = std::max<std::size_t>(most_held, held += bytes);
+    Pause(exchange.yield().get_executor(), std::chrono::milliseconds(300),
+          exchange.yield());
+    held -= bytes;
+    exchange.RespondJson(200, "{}");
+  });
+  const std::string large(200UL << 10U, 'x');
+  const auto post = [&](bool is_chunked, const std::string& body) {
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", body.size());
+    return Exchange(
+        server.port(),
+        "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" +
+            (is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" + (size + body) +
+                              "\r\n0\r\n\r\n"
+                        : "Content-Length: " + std::to_string(body.size()) +
+                              "\r\n\r\n" + body));
+  };
+  for (const bool is_chunked : {false, true}) {
+    CAPTURE(is_chunked);
+    most_held = 0;
+    std::vector<std::future<std::string>> answers;
+    for (int i = 0; i < 8; ++i) {
+      answers.push_back(std::async(std::launch::async,
+                                   [&] { return post(is_chunked, large); }));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    // Small requests are served beside them.
+    CHECK(post(is_chunked, "{}").starts_with("HTTP/1.1 200"));
+    int served = 0;
+    for (auto& item : answers) {
+      const auto answer = item.get();
+      if (answer.starts_with("HTTP/1.1 200")) {
+        ++served;
+      } else {
+        CHECK(answer.starts_with("HTTP/1.1 503"));
+        CHECK(answer.find("Retry-After: ") != std::string::npos);
+      }
+    }
+    // Each counts twice: it is held, and sent on.
+    CHECK(served >= 1);
+    CHECK(2 * most_held <= limits.max_held_body_bytes + (1UL << 16U));
+    // The memory is free again.
+    CHECK(post(is_chunked, large).starts_with("HTTP/1.1 200"));
+  }
+}
+
 }  // namespace lovagedale::testing
--- a/tests/platform/listed_servers.cpp
+++ b/tests/platform/listed_servers.cpp
@@ -1,7 +1,8 @@
 // Stand-ins of the platform's servers and of its list of them, in one process.
 //   listed_servers LIST_PORT ID:SERVICE:ZONE:PORT...
 // A path that begins with /stream/ is answered with events, each other one with
-// a short body. GET /record on the list's port tells how often requests ran.
+// a short body, and after a while if it begins with /slow/. GET /record on the
+// list's port tells how often requests ran.
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
@@ -25,6 +26,7 @@
 constexpr std::uint64_t kEvents = 10;
 constexpr std::chrono::milliseconds kEventPause{30};
 constexpr std::chrono::milliseconds kAnswerTime{20};
+constexpr std::chrono::milliseconds kSlowAnswerTime{2'000};
 
 struct stand_in {
   std::string id;
@@ -87,7 +89,9 @@
       ++repeated_orders_;
     }
     if (!request.Path().starts_with("/stream/")) {
-      Pause(context_.get_executor(), kAnswerTime, exchange.yield());
+      const bool is_slow = request.Path().starts_with("/slow/");
+      Pause(context_.get_executor(), is_slow ? kSlowAnswerTime : kAnswerTime,
+            exchange.yield());
       exchange.Respond(200, "text/plain", "answer to " + id, headers);
       return;
     }
