--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -321,3 +321,4 @@
 #include "lovagedale/relay/relay-inl.h"
 #include "lovagedale/relay/relay_answers-inl.h"
 #include "lovagedale/relay/relay_forwarding-inl.h"
+#include "lovagedale/relay/relay_servers-inl.h"
--- /dev/null
+++ b/include/lovagedale/relay/relay_servers-inl.h
@@ -0,0 +1,186 @@
+// The choice of a server for the next attempt of a relayed call.
+
+#pragma once
+
+#include <algorithm>
+
+#include "lovagedale/common/hash.h"
+#include "lovagedale/relay/relay.h"
+
+namespace lovagedale {
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::CollectServers() const
+    -> std::vector<server_handle> {
+  const auto* rollout = view_->RolloutOf(service_);
+  const auto now = clock_.Now();
+  const auto collect = [&](bool include_all_versions, bool include_tried) {
+    std::vector<server_handle> servers;
+    for (const auto& server : state_.servers.Servers(service_)) {
+      const auto& listed = server->listed;
+      if (!server->TakesCalls() || server->IsPaused(now) ||
+          !state_.servers.IsReachable(*server)) {
+        continue;
+      }
+      if (!include_all_versions &&
+          !view_->MayUse(service_, listed.version, session_hash_)) {
+        continue;
+      }
+      if (!include_tried &&
+          std::find(tried_servers_.begin(), tried_servers_.end(), listed.id) !=
+              tried_servers_.end()) {
+        continue;
+      }
+      servers.push_back(server);
+    }
+    return servers;
+  };
+  auto servers = collect(false, false);
+  if (servers.empty()) servers = collect(false, true);
+  // While the roll-out waits or is a canary, its target may have no servers
+  // yet, so any other version may serve. A version that was rolled back gets no
+  // requests in any case.
+  const bool may_use_other_versions =
+      rollout == nullptr || rollout->phase == service_rollout_phase::kWaiting ||
+      rollout->phase == service_rollout_phase::kCanary;
+  if (servers.empty() && may_use_other_versions) {
+    servers = collect(true, true);
+    std::erase_if(servers, [&](const auto& server) {
+      const auto& version = server->listed.version;
+      return IsReverted(view_->rollouts, service_, version) ||
+             (rollout != nullptr && version == rollout->target);
+    });
+  }
+  return servers;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::PickServer() -> server_handle {
+  const auto now = clock_.Now();
+  auto servers = CollectServers();
+  const bool are_loads_fresh = state_.servers.AreLoadsFresh(now);
+  std::vector<server_candidate> candidates;
+  candidates.reserve(servers.size());
+  for (const auto& server : servers) {
+    server_candidate candidate;
+    candidate.id_hash = server->id_hash;
+    candidate.in_flight = server->in_flight;
+    candidate.capacity = server->listed.capacity;
+    candidate.work = server->work;
+    if (are_loads_fresh) {
+      candidate.other_entries_work = server->OtherEntriesWork();
+    }
+    candidate.failure_fraction = server->health.failure_fraction();
+    candidate.own_zone = server->listed.zone == state_.settings.zone;
+    candidate.ejected = server->health.IsEjected(now);
+    candidates.push_back(candidate);
+  }
+  choice_input input;
+  input.random = state_.random();
+  input.prompt = PromptWork();
+  input.report_fraction = ReportFraction(state_.servers.loads_period_ms());
+  limited_until_ms_.reset();
+  if (servers.empty()) LimitByPauses();
+  while (const auto chosen = ChooseServer(candidates, input)) {
+    if (PassesLimit(servers[*chosen])) return servers[*chosen];
+    const auto index = static_cast<std::ptrdiff_t>(*chosen);
+    servers.erase(servers.begin() + index);
+    candidates.erase(candidates.begin() + index);
+  }
+  return nullptr;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::LimitUntil(monotonic_ms until_ms) -> void {
+  limited_until_ms_ = std::min(limited_until_ms_.value_or(until_ms), until_ms);
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::LimitByPauses() -> void {
+  const auto now = clock_.Now();
+  for (const auto& server : state_.servers.Servers(service_)) {
+    if (server->TakesCalls() && now < server->paused_until_ms &&
+        state_.servers.IsReachable(*server)) {
+      LimitUntil(server->paused_until_ms);
+    }
+  }
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::PassesLimit(const server_handle& server) -> bool {
+  const auto now = clock_.Now();
+  if (!server->rejections.MaySend(server->in_flight, server->listed.capacity,
+                                  state_.entries, now)) {
+    LimitUntil(server->rejections.RetryAtMs(now));
+    return false;
+  }
+  auto& limit = server->limit;
+  const bool is_first = demand_counted_at_.empty();
+  if (demand_counted_at_.insert(server->id_hash).second) {
+    limit.RecordDemand(now);
+  }
+  if (!limit.IsLimited()) return true;
+  const bool passes = TakeFromLimit(server);
+  server->limited.Count(passes, is_first);
+  if (passes) return true;
+  const auto asked_at = clock_.Now();
+  LimitUntil(asked_at + limit.RetryAfterMs(state_.entries, asked_at));
+  return false;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::TakeFromLimit(const server_handle& server)
+    -> bool {
+  auto& limit = server->limit;
+  if (!limit.MayAsk(state_.entries, clock_.Now())) return false;
+  const auto report = limit.Report(ServerKey(server->id_hash), clock_.Now());
+  const auto grant =
+      report ? state_.ask_for_grant(*report, exchange_.yield()) : std::nullopt;
+  const auto now = clock_.Now();
+  // Much may have changed while control was asked.
+  if (caller_disconnected_ || !server->TakesCalls() || server->IsPaused(now) ||
+      !state_.servers.IsReachable(*server)) {
+    return false;
+  }
+  if (grant) return limit.Adopt(*grant, now);
+  const auto draw = ToUnitInterval(state_.random());
+  return limit.TryTake(draw, state_.entries, now);
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::ModelCost() const -> double {
+  const auto& models = match_.matched_route->models;
+  const auto* service = view_->routes.FindService(service_);
+  if (models.empty() || service == nullptr) return 1;
+  const auto cost_of = [&](const std::string& name) {
+    for (const auto& model : service->models) {
+      if (model.name == name) return model.cost;
+    }
+    return 0.0;
+  };
+  const auto smallest_cost = cost_of(models.front());
+  return smallest_cost > 0 ? cost_of(models[tier_]) / smallest_cost : 1;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::PromptWork() const -> std::optional<prompt_work> {
+  if (!match_.matched_route->prompts || call_.parts.size() < 2) {
+    return std::nullopt;
+  }
+  // Parts before the last shared one are few, and every server has them cached.
+  const auto& shared = call_.parts[call_.parts.size() - 2];
+  const auto& own = call_.parts.back();
+  const auto cost = ModelCost();
+  return prompt_work{shared.id, shared.tokens * cost,
+                     (shared.tokens + own.tokens) * cost};
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::ReleasePromptWork() -> void {
+  if (!prompt_server_) return;
+  prompt_server_->work = std::max(0.0, prompt_server_->work - prompt_work_);
+  prompt_server_.reset();
+  state_.tiers[prompt_tier_key_].first_event.RecordEnded(prompt_sent_ms_);
+}
+
+}  // namespace lovagedale
