Carry out operators' orders to evacuate a zone

Control's leader decides about an order in a pure function and stores it as a quarantine of the zone, which every build replicates. Entries leave the zone's servers out of every attempt; what runs there ends there. A copy that arrives after the opposite order changes nothing, and a new order with an earlier one's content is carried out. Format 4: the leader does not acknowledge an evacuation while an entry of an older build would ignore it.

--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "lovagedale/configuration/control_machine.h"
+#include "lovagedale/configuration/evacuation_order.h"
 #include "lovagedale/configuration/in_force.h"
 #include "lovagedale/control/format_census.h"
 #include "lovagedale/control/messages.h"
@@ -58,6 +59,13 @@
   auto OrderServiceRollout(const begin_service_rollout& order,
                            std::function<void(const change_outcome&)> done)
       -> void;
+  /// Decides about an operator's order that arrives now; see DecideEvacuation.
+  auto JudgeEvacuation(const evacuation_order& order) const
+      -> evacuation_decision;
+  /// Carries out what JudgeEvacuation decides. kUnknown if the order is to be
+  /// sent again.
+  auto OrderEvacuation(const evacuation_order& order,
+                       std::function<void(const change_outcome&)> done) -> void;
   auto RemoveNode(const std::string& name,
                   std::function<void(propose_status)> done) -> void;
 
@@ -132,6 +140,7 @@
   auto TrackLeadership() -> void;
   auto EvaluateRollouts() -> void;
   auto EvaluateServiceRollouts() -> void;
+  auto EvacuationState(const std::string& zone) const -> evacuation_state;
   /// Versions of the service that have servers which are not leaving.
   auto ServedVersions(const std::string& service) const
       -> std::set<std::string>;
@@ -177,6 +186,8 @@
   std::map<std::string, seen_rollout> seen_rollouts_;
   /// Services with an order of a roll-out that is not decided yet.
   std::set<std::string> services_with_pending_order_;
+  /// Zones with an order of an evacuation that is not decided yet.
+  std::set<std::string> zones_with_pending_order_;
   /// By replica name.
   std::map<std::string, std::unique_ptr<rpc_channel>> join_channels_;
   monotonic_ms leading_since_ = 0;
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -275,6 +275,7 @@
         continue;
       }
       if (sends_ > 0 || CountAvailableServers() > 0 ||
+          state_.servers.IsServiceEvacuated(service_) ||
           clock_.Now() >= server_wait_deadline_ms) {
         break;
       }
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -41,6 +41,7 @@
   kQuarantined,     ///< requests like it crash the servers
   kServersLimited,  ///< the servers take no more for now, and say so
   kUnknownModel,    ///< the caller names a model that no server has
+  kEvacuated,       ///< all zones with servers of the service are evacuated
 };
 
 struct refusal_answer {
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -316,8 +316,9 @@
   } else if (limited_until_ms_) {
     Refuse(refusal::kServersLimited, attempt_reason_);
   } else {
-    Refuse(CountAvailableServers() == 0   ? refusal::kNoServer
-           : CountReachableServers() == 0 ? refusal::kUnreachable
+    Refuse(state_.servers.IsServiceEvacuated(service_) ? refusal::kEvacuated
+           : CountAvailableServers() == 0              ? refusal::kNoServer
+           : CountReachableServers() == 0              ? refusal::kUnreachable
                                           : refusal::kServersRefuse,
            attempt_reason_);
   }
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -58,6 +58,7 @@
   std::set<std::string> run_models;
   /// An answer of it said that it is shutting down; the list may show it later.
   bool has_announced_leaving = false;
+  bool is_evacuated = false;  ///< its zone is
   /// Until then it wants no requests of this entry.
   monotonic_ms paused_until_ms = 0;
   bool is_probed = false;  ///< by a running task of server_prober
@@ -67,7 +68,7 @@
 
   /// Whether it takes new calls, as far as it is known.
   auto TakesCalls() const -> bool {
-    return !listed.leaving && !has_announced_leaving;
+    return !listed.leaving && !has_announced_leaving && !is_evacuated;
   }
   /// Whether it gets no requests for a while.
   auto IsPaused(monotonic_ms now) const -> bool {
@@ -95,6 +96,16 @@
   /// Replaces the servers by those of a list. Keeps the records of those that
   /// stay.
   auto Update(const server_list& list) -> void;
+  /// Sets the evacuated zones: their servers, also those that are listed later,
+  /// take no calls.
+  auto SetEvacuatedZones(std::set<std::string> zones) -> void;
+  auto evacuated_zones() const -> const std::set<std::string>& {
+    return evacuated_zones_;
+  }
+  /// Requests of this entry that run at the zone's servers.
+  auto RunningIn(const std::string& zone) const -> std::size_t;
+  /// Whether evacuations are why no server of the service takes calls.
+  auto IsServiceEvacuated(const std::string& service) const -> bool;
   /// Records a connection that was begun at `began_ms` and got no answer; true
   /// if the zone is lost by it. It is no evidence against the zone unless
   /// another zone has answered since: this entry's own link may be congested.
@@ -173,6 +184,7 @@
   std::unordered_map<std::string, server_handle> by_id_;
   std::map<std::string, std::vector<server_handle>> by_service_;
   std::map<std::string, zone_reach> zones_;
+  std::set<std::string> evacuated_zones_;
   server_limit_turns limit_turns_;
 };
 
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -66,6 +66,8 @@
   /// Puts the list in force, with the addresses that this host uses.
   auto UseServers(server_list list) -> void;
   auto AdoptPart(const update_part& part, const std::string& replica) -> void;
+  /// Applies the evacuated zones of the present configuration to the servers.
+  auto AdoptEvacuations() -> void;
   auto AdoptUpdate(const view_update& update, const std::string& replica)
       -> void;
 
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -8,6 +8,7 @@
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/common/spawn.h"
+#include "lovagedale/configuration/evacuation.h"
 #include "lovagedale/configuration/order_ids.h"
 #include "lovagedale/configuration/rollout_order.h"
 #include "lovagedale/operator_api/operator_api.h"
@@ -316,6 +317,7 @@
   const auto wall_ms = WallClockMs();
   std::set<crash_key> in_force;
   for (const auto& item : machine_.view().quarantines) {
+    if (EvacuatedZone(item)) continue;
     if (item.until_ms > wall_ms) {
       in_force.insert(item.fingerprint);
     } else {
@@ -640,6 +642,59 @@
   propose_parts(plan.after);
 }
 
+auto control_service::EvacuationState(const std::string& zone) const
+    -> evacuation_state {
+  evacuation_state state;
+  state.is_server_list_read = feed_.list().number != 0;
+  state.evacuated = EvacuatedZones(machine_.view().quarantines);
+  state.is_pending = zones_with_pending_order_.contains(zone);
+  for (const auto& server : feed_.list().servers) {
+    state.known_zones.insert(server.zone);
+  }
+  for (const auto& [name, entry] : machine_.entries()) {
+    state.known_zones.insert(entry.zone);
+    // One that has sent nothing to this leader may be gone for good.
+    if (formats_.FormatOf(name).value_or(kEvacuationFormat) <
+        kEvacuationFormat) {
+      state.entries_without_support.insert(name);
+    }
+  }
+  return state;
+}
+
+auto control_service::JudgeEvacuation(const evacuation_order& order) const
+    -> evacuation_decision {
+  return DecideEvacuation(order, EvacuationState(order.zone),
+                          machine_.history(), WallClockMs(),
+                          settings_.order_resend.count());
+}
+
+auto control_service::OrderEvacuation(
+    const evacuation_order& order,
+    std::function<void(const change_outcome&)> done) -> void {
+  if (!node_.HasLease()) {
+    done({propose_status::kNotLeader, {}});
+    return;
+  }
+  const auto decision = JudgeEvacuation(order);
+  if (decision.verdict != evacuation_verdict::kPropose) {
+    log_line(log_level::kInfo, "evacuation_order_unclear")
+        .With("zone", order.zone)
+        .With("evacuates", order.evacuates)
+        .With("reason", decision.reason);
+    done({propose_status::kUnknown, {}});
+    return;
+  }
+  zones_with_pending_order_.insert(order.zone);
+  SubmitChange({decision.change_id, kAnyRevision, "operator", WallClockMs(),
+                decision.action},
+               [this, zone = order.zone,
+                done = std::move(done)](const change_outcome& outcome) {
+                 zones_with_pending_order_.erase(zone);
+                 done(outcome);
+               });
+}
+
 auto control_service::ProposeAutomaticChange(const std::string& change_id,
                                              change_action action,
                                              const std::string& reason)
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -69,6 +69,8 @@
       return {503, "quarantined", kUnreachableSeconds};
     case refusal::kUnknownModel:
       return {421, "unknown_model", std::nullopt};
+    case refusal::kEvacuated:
+      return {503, "zones_evacuated", kUnreachableSeconds};
     case refusal::kServersLimited:
       return {503, "servers_limited", kBusySeconds};
   }
--- a/src/relay/server_table.cpp
+++ b/src/relay/server_table.cpp
@@ -37,12 +37,40 @@
       record->listed = listed;
       record->id_hash = Hash64(listed.id);
     }
+    record->is_evacuated = evacuated_zones_.contains(listed.zone);
     by_service_[listed.service].push_back(record);
     next.insert_or_assign(listed.id, std::move(record));
   }
   by_id_ = std::move(next);
 }
 
+auto server_table::SetEvacuatedZones(std::set<std::string> zones) -> void {
+  evacuated_zones_ = std::move(zones);
+  for (const auto& [id, server] : by_id_) {
+    server->is_evacuated = evacuated_zones_.contains(server->listed.zone);
+  }
+}
+
+auto server_table::RunningIn(const std::string& zone) const -> std::size_t {
+  std::size_t running = 0;
+  for (const auto& [id, server] : by_id_) {
+    if (server->listed.zone == zone) running += server->in_flight;
+  }
+  return running;
+}
+
+auto server_table::IsServiceEvacuated(const std::string& service) const
+    -> bool {
+  const auto& servers = Servers(service);
+  return std::none_of(
+             servers.begin(), servers.end(),
+             [](const auto& server) { return server->TakesCalls(); }) &&
+         std::any_of(servers.begin(), servers.end(), [](const auto& server) {
+           return server->is_evacuated && !server->listed.leaving &&
+                  !server->has_announced_leaving;
+         });
+}
+
 auto server_table::RecordUnreachable(const server_handle& server,
                                      monotonic_ms began_ms) -> bool {
   const auto& zone = server->listed.zone;
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -7,6 +7,7 @@
 #include "lovagedale/common/fiber_event.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/common/spawn.h"
+#include "lovagedale/configuration/evacuation.h"
 #include "lovagedale/control/settings.h"
 
 namespace lovagedale {
@@ -331,12 +332,32 @@
       .With("took_ms", clock_.Now() - started_ms);
   std::set<crash_key> quarantined;
   for (const auto& item : held_.view().quarantines) {
-    quarantined.insert(item.fingerprint);
+    if (!EvacuatedZone(item)) quarantined.insert(item.fingerprint);
   }
   state_.crashes.SetQuarantined(std::move(quarantined));
+  AdoptEvacuations();
   on_routes_changed_();
 }
 
+auto fleet_link::AdoptEvacuations() -> void {
+  auto zones = EvacuatedZones(held_.view().quarantines);
+  if (zones == state_.servers.evacuated_zones()) return;
+  const auto log_zones = [&](const auto& now, const auto& before,
+                             const char* event) {
+    for (const auto& zone : now) {
+      if (before.contains(zone)) continue;
+      log_line(log_level::kInfo, event)
+          .With("zone", zone)
+          .With("revision", held_.view().revision)
+          .With("running", state_.servers.RunningIn(zone));
+    }
+  };
+  const auto before = state_.servers.evacuated_zones();
+  state_.servers.SetEvacuatedZones(zones);
+  log_zones(zones, before, "zone_evacuated");
+  log_zones(before, zones, "zone_evacuation_withdrawn");
+}
+
 auto fleet_link::Adopt(const heartbeat_response& response,
                        const std::string& replica) -> void {
   if (response.update_bytes) AdoptPart(*response.update_bytes, replica);
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -76,6 +76,13 @@
   for (const auto& [service, count] : ejected_by_service) {
     AddMetricValue(ejected, count, {{"service", service}});
   }
+  auto evacuated =
+      MakeMetricFamily("lovagedale_evacuated_zone_requests", MetricType::Gauge);
+  for (const auto& zone : state.servers.evacuated_zones()) {
+    AddMetricValue(evacuated,
+                   static_cast<double>(state.servers.RunningIn(zone)),
+                   {{"zone", zone}});
+  }
   auto forwarded =
       MakeMetricFamily("lovagedale_forwarded_calls_total", MetricType::Counter);
   AddMetricValue(forwarded, static_cast<double>(state.forwarded_calls));
@@ -98,9 +105,9 @@
                                   MetricType::Counter);
   AddMetricValue(crashes, static_cast<double>(state.crashes.crashes()));
   return prometheus::TextSerializer().Serialize(
-      {calls, attempts, durations, first_events, ejected, forwarded, active,
-       answer_memory, revision, list, suppressed, crashes, limits.requests,
-       limits.limit, limits.demand});
+      {calls, attempts, durations, first_events, ejected, evacuated, forwarded,
+       active, answer_memory, revision, list, suppressed, crashes,
+       limits.requests, limits.limit, limits.demand});
 }
 
 }  // namespace lovagedale
