Test evacuated zones with real processes

An entry that goes on using an evacuated zone, or an order that is lost with the leader, shows only with several replicas and entries.

--- a/tests/platform/listed_servers.cpp
+++ b/tests/platform/listed_servers.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <set>
 #include <sstream>
@@ -55,9 +56,12 @@
   }
   auto List(http_exchange& exchange) -> void {
     if (exchange.request().Path() == "/record") {
-      exchange.RespondJson(
-          200, json::serialize(json::value{{"orders", orders_.size()},
-                                           {"repeated", repeated_orders_}}));
+      json::object record{{"orders", orders_.size()},
+                          {"repeated", repeated_orders_}};
+      for (const auto& [zone, count] : requests_by_zone_) {
+        record["requests in " + zone] = count;
+      }
+      exchange.RespondJson(200, json::serialize(record));
       return;
     }
     json::array instances;
@@ -85,6 +89,7 @@
     const header_list headers = {
         {std::string(wire::kRequestId), id},
         {"X-Lovagedale-Replica-Signature", "signed-" + id}};
+    ++requests_by_zone_[server.zone];
     if (request.Path().starts_with("/order/") && !orders_.insert(id).second) {
       ++repeated_orders_;
     }
@@ -112,6 +117,7 @@
   std::vector<std::unique_ptr<http_server>> listeners_;
   std::set<std::string> orders_;
   std::uint64_t repeated_orders_ = 0;
+  std::map<std::string, std::uint64_t> requests_by_zone_;  ///< that ran
 };
 
 auto ParseServer(const std::string& text) -> stand_in {
