Bound what all entries together send to a cold server

Cold servers crashed, as each entry sent its usual part of the load to them: 78 entries sent 24 requests in a second to a server that tolerates 11 a second.

Control reads cold_per_s and cold_start_s from the operator's document and sends them with the configuration (added field 1 of view_update), and the rest of the servers' cold times beside the list (added field 1 of heartbeat_response). Servers that were unreachable, and those of a zone whose evacuation was withdrawn, count as cold too.

--- a/include/lovagedale/configuration/update_parts.h
+++ b/include/lovagedale/configuration/update_parts.h
@@ -64,6 +64,11 @@
   /// dropped; its receivers start over.
   static constexpr std::size_t kMaxKeptBytes = 16UL << 20U;
 
+  /// See view_update_source::SetColdLimits.
+  auto SetColdLimits(std::optional<std::vector<service_cold_limit>> limits)
+      -> void {
+    updates_.SetColdLimits(std::move(limits));
+  }
   /// See view_update_source::Observe.
   auto Observe(const fleet_view& view) -> void { updates_.Observe(view); }
   /// The next part of the requested update, or the first part of an update to
--- a/include/lovagedale/configuration/view_update.h
+++ b/include/lovagedale/configuration/view_update.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "lovagedale/admission/cold_limit.h"
+#include "lovagedale/common/codec.h"
 #include "lovagedale/configuration/fleet_view.h"
 #include "lovagedale/route/route_changes.h"
 
@@ -39,6 +41,19 @@
   /// Encoded route_changes or route_config; empty if unchanged.
   std::string routes;
   std::uint64_t routes_hash = 0;  ///< of the routes after the update
+  /// Limits for cold servers by the operator's document, all of them; nothing
+  /// from builds of format 3 or lower.
+  std::optional<std::vector<service_cold_limit>> cold_limits;
+
+  auto AddedFields() const -> added_fields {
+    if (!cold_limits) return {};
+    return {{kColdLimitsField, EncodeFixed(*cold_limits)}};
+  }
+  auto SetAddedFields(const added_fields& fields) -> void {
+    const auto found = fields.find(kColdLimitsField);
+    if (found == fields.end()) return;
+    cold_limits = DecodeFixed<std::vector<service_cold_limit>>(found->second);
+  }
 
   auto operator==(const view_update&) const -> bool = default;
   template <typename Archive>
@@ -46,6 +61,9 @@
     archive(revision, document, versions, quarantines, service_rollouts, form,
             routes, routes_hash);
   }
+
+ private:
+  static constexpr std::uint16_t kColdLimitsField = 1;
 };
 
 /// Makes the updates that control sends. Keeps the latest route configurations,
@@ -58,6 +76,11 @@
   /// latest one is always kept.
   static constexpr std::size_t kMaxKeptBytes = 8UL << 20U;
 
+  /// Sets what updates say of cold servers from now on; nothing at first.
+  auto SetColdLimits(std::optional<std::vector<service_cold_limit>> limits)
+      -> void {
+    cold_limits_ = std::move(limits);
+  }
   /// Keeps the routes of `view` if they are new.
   auto Observe(const fleet_view& view) -> void;
   /// The update for an entry at `held`. Observes `view` first.
@@ -75,6 +98,7 @@
   /// kept or the changes are as large as the routes.
   auto ChangesFrom(std::uint64_t held) -> const std::string*;
 
+  std::optional<std::vector<service_cold_limit>> cold_limits_;
   std::deque<kept_config> kept_;  ///< oldest first
   std::size_t kept_bytes_ = 0;
   std::string latest_routes_;                     ///< encoded
--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -7,6 +7,7 @@
 
 #include "lovagedale/admission/limit_shares.h"
 #include "lovagedale/admission/server_limit.h"
+#include "lovagedale/common/codec.h"
 #include "lovagedale/common/format.h"
 #include "lovagedale/common/hash.h"
 #include "lovagedale/configuration/update_parts.h"
@@ -140,12 +141,27 @@
   std::optional<limits_update> limits;
   /// Present if the heartbeat had a relay_report.
   std::optional<relay_update> relay;
+  /// Those of the servers in `relay->servers` that are cold; the others are
+  /// not.
+  std::vector<cold_server> cold_servers;
 
+  auto AddedFields() const -> added_fields {
+    if (cold_servers.empty()) return {};
+    return {{kColdServersField, EncodeFixed(cold_servers)}};
+  }
+  auto SetAddedFields(const added_fields& fields) -> void {
+    const auto found = fields.find(kColdServersField);
+    if (found == fields.end()) return;
+    cold_servers = DecodeFixed<std::vector<cold_server>>(found->second);
+  }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(is_leader, leader, revision, update_bytes, permit_ms, evidence,
             live_entries, registered_entries, limits, relay);
   }
+
+ private:
+  static constexpr std::uint16_t kColdServersField = 1;
 };
 
 /// A control replica's request to become a member; repeated until a leader
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 
+#include "lovagedale/admission/cold_limit.h"
 #include "lovagedale/configuration/control_machine.h"
 #include "lovagedale/configuration/evacuation_order.h"
 #include "lovagedale/configuration/in_force.h"
@@ -35,13 +36,20 @@
   change_result result;
 };
 
+/// Reads the limits for cold servers from the operator's document. Throws
+/// nothing: what is not valid is left out.
+using cold_limit_parser =
+    std::function<std::vector<service_cold_limit>(const std::string& document)>;
+
 /// One control replica: the replicated configuration, the entries' heartbeats
 /// and the roll-out guard. Everything runs on one thread.
 class control_service {
  public:
   /// `source` lists the platform's servers; empty if no servers are discovered.
+  /// `parse_cold_limits` may be empty: no server has a limit while it is cold.
   control_service(boost::asio::io_context& context, replica_settings settings,
-                  log_store& store, server_source source = {});
+                  log_store& store, server_source source = {},
+                  cold_limit_parser parse_cold_limits = {});
 
   auto Start() -> void;
   /// Transfers leadership, answers all deferred heartbeats and stops the
@@ -112,6 +120,13 @@
   auto LoadExchangePeriod() const -> monotonic_ms;
   auto HandleGrant(const grant_request& request, const rpc_reply& reply)
       -> void;
+  /// `source` with the cold times that the configuration has limits for.
+  auto WithColdTimes(server_source source) -> server_source;
+  /// Limits for cold servers by the present document.
+  auto ColdLimits() -> const std::vector<service_cold_limit>&;
+  /// The limit of the listed server with this ColdKey; nothing if there is
+  /// none.
+  auto ColdLimitOf(std::uint32_t cold_key) -> std::optional<double>;
   auto HandleJoin(const join_request& request, format_number format,
                   const rpc_reply& reply) -> void;
   /// Raises the fleet's format if the settings allow it and every member and
@@ -177,6 +192,14 @@
   crash_attribution crashes_;
   demand_tracker demand_;
   order_service orders_;
+  const cold_limit_parser parse_cold_limits_;
+  std::vector<service_cold_limit> cold_limits_;
+  /// Of the document that cold_limits_ was read from.
+  std::optional<route_config_version> cold_limits_version_;
+  /// By ColdKey, and the number of the list that they were made from.
+  std::map<std::uint32_t, double> cold_limit_by_key_;
+  std::optional<std::uint64_t> cold_keys_list_;
+  cold_grants cold_grants_;
   server_feed feed_;
   version_answers_total answers_;
   monotonic_ms answer_ranks_logged_at_ = 0;
--- a/include/lovagedale/discovery/list_changes.h
+++ b/include/lovagedale/discovery/list_changes.h
@@ -40,8 +40,8 @@
 
   /// Starts over with the first list of a leader.
   auto Restart(const server_list& list) -> void;
-  /// Records a list with a greater number than the one before.
-  auto Record(const server_list& list) -> void;
+  /// Records a list, read at `now`, with a greater number than the one before.
+  auto Record(const server_list& list, monotonic_ms now = 0) -> void;
   /// The update to the latest list, for an entry that holds the list `base`.
   auto UpdateFrom(std::uint64_t base) const -> server_list_update;
 
--- a/include/lovagedale/discovery/server_feed.h
+++ b/include/lovagedale/discovery/server_feed.h
@@ -43,6 +43,7 @@
   server_source source_;
   std::function<std::uint64_t()> leadership_term_;
   std::function<void()> on_change_;
+  system_monotonic_clock clock_;
   server_list list_;
   server_list_changes changes_;
   std::uint64_t list_term_ = 0;
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -434,7 +434,7 @@
   if (pooled.is_fresh) {
     connect_began_ms_ = clock_.Now();
     connection_->Connect(deadlines, exchange_.yield());
-    server->health.MarkReachable();
+    state_.servers.MarkReachable(*server, clock_.Now());
     state_.prober.ReportRoundTrip(server, connect_began_ms_);
   }
   if (caller_disconnected_) {
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -186,6 +186,13 @@
   auto PassesLimit(const server_handle& server) -> bool;
   /// The same for a server that has a limit; asks control.
   auto TakeFromLimit(const server_handle& server) -> bool;
+  /// Whether a request may be sent to a server that is cold. Asks control.
+  auto PassesColdLimit(const server_handle& server) -> bool;
+  /// The same without counting; true for a server that is not cold any more.
+  auto TakeFromColdLimit(const server_handle& server) -> bool;
+  /// Whether the server may still be chosen after control was asked: much may
+  /// have changed meanwhile.
+  auto IsStillUsable(const server_handle& server) const -> bool;
   /// The next attempt is prevented until `until_ms`, or earlier if that was
   /// said before.
   auto LimitUntil(monotonic_ms until_ms) -> void;
--- a/include/lovagedale/relay/relay_servers-inl.h
+++ b/include/lovagedale/relay/relay_servers-inl.h
@@ -115,14 +115,22 @@
     return false;
   }
   auto& limit = server->limit;
+  if (server->IsCold(now) && !server->cold.share.MayAsk(now)) {
+    // Takes nothing from a limit that the server names.
+    ++server->cold.requests.held_back;
+    LimitUntil(now + server->cold.share.RetryAfterMs(
+                         server->cold.limit.per_s,
+                         state_.settled_entries.Count(now), now));
+    return false;
+  }
   const bool is_first = demand_counted_at_.empty();
   if (demand_counted_at_.insert(server->id_hash).second) {
     limit.RecordDemand(now);
   }
-  if (!limit.IsLimited()) return true;
+  if (!limit.IsLimited()) return PassesColdLimit(server);
   const bool passes = TakeFromLimit(server);
   server->limited.Count(passes, is_first);
-  if (passes) return true;
+  if (passes) return PassesColdLimit(server);
   const auto asked_at = clock_.Now();
   LimitUntil(asked_at + limit.RetryAfterMs(state_.entries, asked_at));
   return false;
@@ -136,17 +144,60 @@
   const auto report = limit.Report(ServerKey(server->id_hash), clock_.Now());
   const auto grant =
       report ? state_.ask_for_grant(*report, exchange_.yield()) : std::nullopt;
+  if (!IsStillUsable(server)) return false;
   const auto now = clock_.Now();
-  // Much may have changed while control was asked.
-  if (caller_disconnected_ || !server->TakesCalls() || server->IsPaused(now) ||
-      !state_.servers.IsReachable(*server)) {
-    return false;
-  }
   if (grant) return limit.Adopt(*grant, now);
   const auto draw = ToUnitInterval(state_.random());
   return limit.TryTake(draw, state_.entries, now);
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::IsStillUsable(const server_handle& server) const
+    -> bool {
+  return !caller_disconnected_ && server->TakesCalls() &&
+         !server->IsPaused(clock_.Now()) && state_.servers.IsReachable(*server);
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::PassesColdLimit(const server_handle& server)
+    -> bool {
+  if (!server->IsCold(clock_.Now())) return true;
+  if (TakeFromColdLimit(server)) return true;
+  auto& cold = server->cold;
+  ++cold.requests.held_back;
+  const auto now = clock_.Now();
+  const auto retry_at_ms =
+      now + cold.share.RetryAfterMs(cold.limit.per_s,
+                                    state_.settled_entries.Count(now), now);
+  LimitUntil(std::min(retry_at_ms, std::max(now, server->ColdUntilMs())));
+  return false;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::TakeFromColdLimit(const server_handle& server)
+    -> bool {
+  auto& cold = server->cold;
+  if (!cold.share.MayAsk(clock_.Now())) return false;
+  server_limit_report report;
+  report.server = ColdKey(server->id_hash);
+  report.limit_per_s = static_cast<float>(cold.limit.per_s);
+  const auto grant = state_.ask_for_grant(report, exchange_.yield());
+  if (!IsStillUsable(server)) return false;
+  const auto now = clock_.Now();
+  if (!server->IsCold(now)) return true;
+  if (grant) {
+    if (!cold.share.Adopt(*grant, now)) return false;
+    ++cold.requests.granted;
+    return true;
+  }
+  if (!cold.share.TryTake(cold.limit.per_s, state_.settled_entries.Count(now),
+                          ToUnitInterval(state_.random()), now)) {
+    return false;
+  }
+  ++cold.requests.shared;
+  return true;
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::ModelCost() const -> double {
   const auto& models = match_.matched_route->models;
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -136,8 +136,9 @@
   std::function<std::optional<server_grant>(const server_limit_report&,
                                             boost::asio::yield_context)>
       ask_for_grant = [](const auto&, auto) { return std::nullopt; };
-  std::size_t entries = 0;       ///< registered at control; 0 if not told yet
-  std::size_t active_calls = 0;  ///< calls in progress
+  std::size_t entries = 0;  ///< registered at control; 0 if not told yet
+  settled_entry_count settled_entries;  ///< by the leader's word
+  std::size_t active_calls = 0;         ///< calls in progress
   /// Until this time calls wait for the first routes, which control sends as
   /// soon as it has a leader.
   const monotonic_ms routes_wait_deadline_ms;
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lovagedale/admission/cold_limit.h"
 #include "lovagedale/admission/rejection_guard.h"
 #include "lovagedale/admission/server_limit.h"
 #include "lovagedale/common/time.h"
@@ -35,6 +36,30 @@
   auto operator==(const limited_requests&) const -> bool = default;
 };
 
+/// Requests that were offered to a server while it was cold.
+struct cold_requests {
+  std::uint64_t granted = 0;  ///< passed by a grant of control
+  std::uint64_t shared = 0;   ///< passed by this entry's share
+  std::uint64_t held_back = 0;
+
+  auto operator==(const cold_requests&) const -> bool = default;
+};
+
+/// Why an entry takes a server for cold.
+enum class cold_reason { kListed, kReachedAgain, kEvacuationWithdrawn };
+
+/// What an entry knows of a server that is slow for some time after a start.
+struct cold_state {
+  /// Of its service; limit.per_s is 0 if the service has none.
+  service_cold_limit limit;
+  /// Until then it is cold by what this entry has seen itself.
+  monotonic_ms seen_until_ms = 0;
+  cold_share share;
+  cold_requests requests;
+  bool is_logged = false;  ///< the beginning of the present cold time
+  cold_reason reason = cold_reason::kListed;  ///< of the latest one
+};
+
 /// A discovered server and its state at this entry. Requests in flight keep the
 /// record alive after the server has left the list.
 struct server_record {
@@ -49,6 +74,7 @@
   server_health health;
   server_limit limit;  ///< that the server names
   limited_requests limited;
+  cold_state cold;
   rejection_guard rejections;
   /// Until then it gets no requests: its address may belong to another server.
   /// A request after that shows whether it does, as that server refuses it.
@@ -66,6 +92,14 @@
   /// false if the attempt goes on.
   std::list<std::function<bool()>> attempt_cancellers;
 
+  /// Until when it is cold, by the list or by what this entry has seen; 0 if
+  /// its service has no limit for cold servers.
+  auto ColdUntilMs() const -> monotonic_ms {
+    return cold.limit.per_s > 0
+               ? std::max(listed.cold_until_ms, cold.seen_until_ms)
+               : 0;
+  }
+  auto IsCold(monotonic_ms now) const -> bool { return now < ColdUntilMs(); }
   /// Whether it takes new calls, as far as it is known.
   auto TakesCalls() const -> bool {
     return !listed.leaving && !has_announced_leaving && !is_evacuated;
@@ -97,8 +131,18 @@
   /// stay.
   auto Update(const server_list& list) -> void;
   /// Sets the evacuated zones: their servers, also those that are listed later,
-  /// take no calls.
-  auto SetEvacuatedZones(std::set<std::string> zones) -> void;
+  /// take no calls. Servers of a zone that is not evacuated any more are cold.
+  auto SetEvacuatedZones(std::set<std::string> zones, monotonic_ms now) -> void;
+  /// Sets the services' limits for cold servers, all of them.
+  auto SetColdLimits(std::vector<service_cold_limit> limits) -> void;
+  auto cold_limits() const -> const std::vector<service_cold_limit>& {
+    return cold_limits_;
+  }
+  /// Records that a connection to the server was made. It is cold if there was
+  /// none before: it may have started anew.
+  auto MarkReachable(server_record& server, monotonic_ms now) const -> void;
+  /// Logs the cold times that have begun or ended since the last call.
+  auto LogColdTimes(monotonic_ms now) const -> void;
   auto evacuated_zones() const -> const std::set<std::string>& {
     return evacuated_zones_;
   }
@@ -173,7 +217,8 @@
   }
 
  private:
-  auto MarkZoneReachable(const std::string& zone) -> void;
+  auto MarkZoneReachable(const std::string& zone, monotonic_ms now) -> void;
+  auto ApplyColdLimit(server_record& server) const -> void;
 
   /// Queues at servers change within a second or two.
   static constexpr monotonic_ms kLoadsMaxAgeMs = 1'500;
@@ -185,6 +230,7 @@
   std::map<std::string, std::vector<server_handle>> by_service_;
   std::map<std::string, zone_reach> zones_;
   std::set<std::string> evacuated_zones_;
+  std::vector<service_cold_limit> cold_limits_;
   server_limit_turns limit_turns_;
 };
 
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -62,7 +62,8 @@
   /// Applies the routes, control replicas, loads and servers of a response.
   auto Adopt(const heartbeat_response& response, const std::string& replica)
       -> void;
-  auto AdoptServers(const server_list_update& update) -> void;
+  auto AdoptServers(const server_list_update& update,
+                    const std::vector<cold_server>& cold) -> void;
   /// Puts the list in force, with the addresses that this host uses.
   auto UseServers(server_list list) -> void;
   auto AdoptPart(const update_part& part, const std::string& replica) -> void;
--- a/src/configuration/view_update.cpp
+++ b/src/configuration/view_update.cpp
@@ -58,6 +58,7 @@
   update.versions = view.versions;
   update.quarantines = view.quarantines;
   update.service_rollouts = view.service_rollouts;
+  update.cold_limits = cold_limits_;
   if (held.document_hash != Hash64(view.document)) {
     update.document = view.document;
   }
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -51,7 +51,8 @@
 
 control_service::control_service(boost::asio::io_context& context,
                                  replica_settings settings, log_store& store,
-                                 server_source source)
+                                 server_source source,
+                                 cold_limit_parser parse_cold_limits)
     : context_(context),
       settings_(std::move(settings)),
       node_(context, settings_.name, settings_.replicas, settings_.replication,
@@ -65,8 +66,9 @@
               }),
       timer_(context),
       orders_(context, [this] { return OrderAuthority(); }),
+      parse_cold_limits_(std::move(parse_cold_limits)),
       feed_(
-          context, std::move(source),
+          context, WithColdTimes(std::move(source)),
           [this] { return node_.HasLease() ? node_.core().term() : 0; },
           [this] { AnswerDeferred(/*all=*/true); }) {}
 
@@ -128,6 +130,12 @@
   // Two replicas that grant at the same time would grant twice the limit.
   if (tracker_ && node_.HasLease() && !stopped_) {
     const auto now = clock_.Now();
+    if (const auto cold_limit = ColdLimitOf(request.server.server)) {
+      response.grant = cold_grants_.Grant(request.server.server, *cold_limit,
+                                          machine_.entries().size(), now);
+      reply(Encode(response));
+      return;
+    }
     if (server_limits_.Report(request.node, {request.server}, now)) {
       AnswerDeferred(/*all=*/true);
     }
@@ -138,6 +146,54 @@
   reply(Encode(response));
 }
 
+auto control_service::WithColdTimes(server_source source) -> server_source {
+  if (!source) return source;
+  return [this, source = std::move(source)](boost::asio::yield_context yield) {
+    auto servers = source(yield);
+    RestrictColdTimes(servers, ColdLimits(), clock_.Now());
+    return servers;
+  };
+}
+
+auto control_service::ColdLimits() -> const std::vector<service_cold_limit>& {
+  const auto version = machine_.view().routes.version;
+  if (!parse_cold_limits_ || cold_limits_version_ == version) {
+    return cold_limits_;
+  }
+  cold_limits_version_ = version;
+  auto limits = parse_cold_limits_(machine_.route_source());
+  if (limits == cold_limits_) return cold_limits_;
+  cold_limits_ = std::move(limits);
+  cold_keys_list_.reset();
+  for (const auto& limit : cold_limits_) {
+    log_line(log_level::kInfo, "cold_limit_read")
+        .With("service", limit.service)
+        .With("per_second", limit.per_s)
+        .With("start_ms", limit.start_ms)
+        .With("version", version);
+  }
+  if (cold_limits_.empty()) log_line(log_level::kInfo, "cold_limits_ended");
+  return cold_limits_;
+}
+
+auto control_service::ColdLimitOf(std::uint32_t cold_key)
+    -> std::optional<double> {
+  const auto& limits = ColdLimits();
+  if (cold_keys_list_ != feed_.list().number) {
+    cold_keys_list_ = feed_.list().number;
+    cold_limit_by_key_.clear();
+    for (const auto& server : feed_.list().servers) {
+      for (const auto& limit : limits) {
+        if (limit.service != server.service) continue;
+        cold_limit_by_key_[ColdKey(Hash64(server.id))] = limit.per_s;
+      }
+    }
+  }
+  const auto found = cold_limit_by_key_.find(cold_key);
+  if (found == cold_limit_by_key_.end()) return std::nullopt;
+  return found->second;
+}
+
 auto control_service::HandleJoin(const join_request& request,
                                  format_number format, const rpc_reply& reply)
     -> void {
@@ -207,7 +263,9 @@
       helpers_.Forget(deferred.heartbeat.node);
       limit_allocator_->RemoveEntry(deferred.heartbeat.node);
       server_limits_.Forget(deferred.heartbeat.node);
+      cold_grants_.Forget(deferred.heartbeat.node);
     } else {
+      cold_grants_.RecordHeartbeat(deferred.heartbeat.node, now);
       RegisterIfNew(deferred.heartbeat);
       tracker_->RecordHeartbeat(deferred.heartbeat.node,
                                 deferred.heartbeat.incarnation,
@@ -346,6 +404,7 @@
   response.revision = machine_.view().revision;
   if (due.heartbeat.wanted_update &&
       due.heartbeat.revision < response.revision) {
+    if (parse_cold_limits_) updates_.SetColdLimits(ColdLimits());
     response.update_bytes = updates_.PartFor(
         machine_.view(), *due.heartbeat.wanted_update, clock_.Now());
   }
@@ -362,6 +421,8 @@
       if (HasStaleList(due.heartbeat)) {
         response.relay->servers =
             feed_.UpdateFrom(due.heartbeat.relay->server_list_number);
+        response.cold_servers =
+            ColdServers(response.relay->servers->servers, clock_.Now());
       }
       response.relay->loads = loads_.Total(clock_.Now());
       response.relay->suspects = crashes_.SharedSuspects();
@@ -520,6 +581,7 @@
     limit_allocator_.reset();
     requests_at_stage_start_.clear();
     crashes_ = {};
+    cold_grants_ = {};
   }
 }
 
--- a/src/discovery/list_changes.cpp
+++ b/src/discovery/list_changes.cpp
@@ -25,13 +25,14 @@
   Record(list);
 }
 
-auto server_list_changes::Record(const server_list& list) -> void {
+auto server_list_changes::Record(const server_list& list, monotonic_ms now)
+    -> void {
   number_ = list.number;
   std::set<std::string> present;
   for (const auto& server : list.servers) {
     present.insert(server.id);
     const auto [known, is_new] = servers_.try_emplace(server.id);
-    if (!is_new && known->second.listed == server) continue;
+    if (!is_new && IsSameListing(known->second.listed, server, now)) continue;
     known->second = {server, number_};
   }
   std::erase_if(servers_, [&](const auto& item) {
--- a/src/discovery/server_feed.cpp
+++ b/src/discovery/server_feed.cpp
@@ -66,18 +66,26 @@
   if (is_failing_) log_line(log_level::kInfo, "server_list_read_recovered");
   is_failing_ = false;
   const bool is_first = list_term_ != term;
-  if (!is_first && servers == list_.servers) return;
+  const auto now = clock_.Now();
+  const auto is_same = [now](const auto& before, const auto& after) {
+    return IsSameListing(before, after, now);
+  };
+  if (!is_first && std::equal(list_.servers.begin(), list_.servers.end(),
+                              servers.begin(), servers.end(), is_same)) {
+    return;
+  }
   const auto number = is_first ? (term << kTermShift) + 1 : list_.number + 1;
   list_ = {number, std::move(servers)};
   list_term_ = term;
-  is_first ? changes_.Restart(list_) : changes_.Record(list_);
+  is_first ? changes_.Restart(list_) : changes_.Record(list_, now);
   const auto leaving =
       std::count_if(list_.servers.begin(), list_.servers.end(),
                     [](const auto& server) { return server.leaving; });
   log_line(log_level::kInfo, "server_list_read")
       .With("number", list_.number)
       .With("servers", list_.servers.size())
-      .With("leaving", leaving);
+      .With("leaving", leaving)
+      .With("cold", ColdServers(list_.servers, now).size());
   on_change_();
 }
 
--- a/src/relay/server_prober.cpp
+++ b/src/relay/server_prober.cpp
@@ -231,7 +231,7 @@
     // The caller reports it, if necessary.
     return failed_connection{began_ms, error.was_refused()};
   }
-  server->health.MarkReachable();
+  servers_.MarkReachable(*server, clock_.Now());
   ReportRoundTrip(server, began_ms);
   return std::nullopt;
 }
--- a/src/relay/server_table.cpp
+++ b/src/relay/server_table.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "lovagedale/common/hash.h"
+#include "lovagedale/common/log.h"
 #include "lovagedale/forwarding/helper_table.h"
 
 namespace lovagedale {
@@ -19,6 +20,27 @@
          before.service == after.service && !takes_calls_again;
 }
 
+/// Begins a cold time of the usual length.
+auto MarkCold(server_record& server, cold_reason reason, monotonic_ms now)
+    -> void {
+  auto& cold = server.cold;
+  if (cold.limit.per_s <= 0 || cold.limit.start_ms <= 0) return;
+  if (!server.IsCold(now)) cold.reason = reason;
+  cold.seen_until_ms = std::max(cold.seen_until_ms, now + cold.limit.start_ms);
+}
+
+auto ReasonName(cold_reason reason) -> const char* {
+  switch (reason) {
+    case cold_reason::kListed:
+      return "listed";
+    case cold_reason::kReachedAgain:
+      return "reached_again";
+    case cold_reason::kEvacuationWithdrawn:
+      return "evacuation_withdrawn";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 auto server_table::Update(const server_list& list) -> void {
@@ -36,7 +58,10 @@
       record = std::make_shared<server_record>();
       record->listed = listed;
       record->id_hash = Hash64(listed.id);
+      // A server that has been replaced under its id shares the limit.
+      if (existing != by_id_.end()) record->cold = existing->second->cold;
     }
+    ApplyColdLimit(*record);
     record->is_evacuated = evacuated_zones_.contains(listed.zone);
     by_service_[listed.service].push_back(record);
     next.insert_or_assign(listed.id, std::move(record));
@@ -44,10 +69,61 @@
   by_id_ = std::move(next);
 }
 
-auto server_table::SetEvacuatedZones(std::set<std::string> zones) -> void {
+auto server_table::SetEvacuatedZones(std::set<std::string> zones,
+                                     monotonic_ms now) -> void {
   evacuated_zones_ = std::move(zones);
   for (const auto& [id, server] : by_id_) {
+    const bool was_evacuated = server->is_evacuated;
     server->is_evacuated = evacuated_zones_.contains(server->listed.zone);
+    if (was_evacuated && !server->is_evacuated) {
+      MarkCold(*server, cold_reason::kEvacuationWithdrawn, now);
+    }
+  }
+}
+
+auto server_table::SetColdLimits(std::vector<service_cold_limit> limits)
+    -> void {
+  cold_limits_ = std::move(limits);
+  for (const auto& [id, server] : by_id_) ApplyColdLimit(*server);
+}
+
+auto server_table::ApplyColdLimit(server_record& server) const -> void {
+  const auto found = std::find_if(
+      cold_limits_.begin(), cold_limits_.end(), [&](const auto& limit) {
+        return limit.service == server.listed.service;
+      });
+  server.cold.limit =
+      found == cold_limits_.end() ? service_cold_limit{} : *found;
+}
+
+auto server_table::MarkReachable(server_record& server, monotonic_ms now) const
+    -> void {
+  if (server.health.IsUnreachable()) {
+    MarkCold(server, cold_reason::kReachedAgain, now);
+  }
+  server.health.MarkReachable();
+}
+
+auto server_table::LogColdTimes(monotonic_ms now) const -> void {
+  for (const auto& [id, server] : by_id_) {
+    auto& cold = server->cold;
+    const bool is_cold = server->IsCold(now);
+    if (is_cold == cold.is_logged) continue;
+    cold.is_logged = is_cold;
+    if (is_cold) {
+      log_line(log_level::kInfo, "server_cold")
+          .With("server", id)
+          .With("per_second", cold.limit.per_s)
+          .With("for_ms", server->ColdUntilMs() - now)
+          .With("reason", ReasonName(cold.reason));
+    } else {
+      log_line(log_level::kInfo, "server_cold_ended")
+          .With("server", id)
+          .With("granted", cold.requests.granted)
+          .With("shared", cold.requests.shared)
+          .With("held_back", cold.requests.held_back);
+      cold.reason = cold_reason::kListed;
+    }
   }
 }
 
@@ -121,7 +197,7 @@
 auto server_table::RecordReceived(const std::string& zone, monotonic_ms now)
     -> bool {
   if (!zones_[zone].RecordReceived(now)) return false;
-  MarkZoneReachable(zone);
+  MarkZoneReachable(zone, now);
   return true;
 }
 
@@ -129,13 +205,17 @@
                                    monotonic_ms began_ms, monotonic_ms now)
     -> bool {
   if (!zones_[zone].RecordRoundTrip(began_ms, now)) return false;
-  MarkZoneReachable(zone);
+  MarkZoneReachable(zone, now);
   return true;
 }
 
-auto server_table::MarkZoneReachable(const std::string& zone) -> void {
+auto server_table::MarkZoneReachable(const std::string& zone, monotonic_ms now)
+    -> void {
   for (const auto& [id, server] : by_id_) {
-    if (server->listed.zone == zone) server->health.MarkReachable();
+    if (server->listed.zone != zone) continue;
+    // While the zone was lost none of its servers was reached.
+    MarkCold(*server, cold_reason::kReachedAgain, now);
+    server->health.MarkReachable();
   }
 }
 
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -91,6 +91,7 @@
 }
 
 auto fleet_link::MakeHeartbeat(bool to_leader) -> entry_heartbeat {
+  state_.servers.LogColdTimes(clock_.Now());
   entry_heartbeat heartbeat;
   heartbeat.node = settings_.name;
   heartbeat.zone = settings_.zone;
@@ -335,6 +336,7 @@
     if (!EvacuatedZone(item)) quarantined.insert(item.fingerprint);
   }
   state_.crashes.SetQuarantined(std::move(quarantined));
+  if (update.cold_limits) state_.servers.SetColdLimits(*update.cold_limits);
   AdoptEvacuations();
   on_routes_changed_();
 }
@@ -353,7 +355,7 @@
     }
   };
   const auto before = state_.servers.evacuated_zones();
-  state_.servers.SetEvacuatedZones(zones);
+  state_.servers.SetEvacuatedZones(zones, clock_.Now());
   log_zones(zones, before, "zone_evacuated");
   log_zones(before, zones, "zone_evacuation_withdrawn");
 }
@@ -367,6 +369,9 @@
   if (response.is_leader || state_.entries == 0) {
     state_.entries = response.registered_entries;
   }
+  if (response.is_leader) {
+    state_.settled_entries.Record(response.registered_entries, clock_.Now());
+  }
   if (response.limits && (response.is_leader || leader_.empty())) {
     state_.servers.AdoptServerLimits(response.limits->servers, clock_.Now());
   }
@@ -382,11 +387,16 @@
     helpers_hash_ = HashHelpers(*response.relay->helpers);
     state_.helpers.Set(*response.relay->helpers);
   }
-  if (response.relay->servers) AdoptServers(*response.relay->servers);
+  if (response.relay->servers) {
+    AdoptServers(*response.relay->servers, response.cold_servers);
+  }
 }
 
-auto fleet_link::AdoptServers(const server_list_update& update) -> void {
-  if (update.number <= list_.number) return;
+auto fleet_link::AdoptServers(const server_list_update& received,
+                              const std::vector<cold_server>& cold) -> void {
+  if (received.number <= list_.number) return;
+  auto update = received;
+  SetColdTimes(update.servers, cold, clock_.Now());
   auto list = ApplyListUpdate(list_, update);
   if (!list) {
     // Another response has brought a later list meanwhile.
@@ -422,7 +432,9 @@
     try {
       // The leader's next list has a higher number than its last one, so it
       // replaces this one.
-      UseServers({list_.number, source_(yield)});
+      auto servers = source_(yield);
+      RestrictColdTimes(servers, state_.servers.cold_limits(), clock_.Now());
+      UseServers({list_.number, std::move(servers)});
       log_line(log_level::kInfo, "servers_read")
           .With("after_number", list_.number)
           .With("servers", state_.servers.All().size());
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -37,6 +37,30 @@
   }
 };
 
+/// Figures of the servers that are cold, or have been.
+struct cold_metrics {
+  prometheus::MetricFamily requests =
+      MakeMetricFamily("lovagedale_cold_requests_total", MetricType::Counter);
+  prometheus::MetricFamily limit = MakeMetricFamily(
+      "lovagedale_cold_server_limit_per_second", MetricType::Gauge);
+
+  auto Add(const server_record& server, monotonic_ms now) -> void {
+    const auto& counts = server.cold.requests;
+    const bool is_cold = server.IsCold(now);
+    if (!is_cold && counts == cold_requests{}) return;
+    const auto& name = server.listed.id;
+    const auto add = [&](std::uint64_t count, const char* result) {
+      AddMetricValue(requests, static_cast<double>(count),
+                     {{"server", name}, {"result", result}});
+    };
+    add(counts.granted, "granted");
+    add(counts.shared, "shared");
+    add(counts.held_back, "held_back");
+    AddMetricValue(limit, is_cold ? server.cold.limit.per_s : 0,
+                   {{"server", name}});
+  }
+};
+
 }  // namespace
 
 auto FormatRelayMetrics(const relay_state& state) -> std::string {
@@ -65,10 +89,12 @@
       MakeMetricFamily("lovagedale_servers_held_out", MetricType::Gauge);
   std::map<std::string, int> ejected_by_service;
   limit_metrics limits;
+  cold_metrics cold;
   const auto now = system_monotonic_clock{}.Now();
   for (const auto& [id, server] : state.servers.All()) {
     ejected_by_service[server->listed.service] +=
         server->health.IsEjected(now) ? 1 : 0;
+    cold.Add(*server, now);
     if (server->limit.IsLimited() || server->limited != limited_requests{}) {
       limits.Add(*server, now);
     }
@@ -107,7 +133,8 @@
   return prometheus::TextSerializer().Serialize(
       {calls, attempts, durations, first_events, ejected, evacuated, forwarded,
        active, answer_memory, revision, list, suppressed, crashes,
-       limits.requests, limits.limit, limits.demand});
+       limits.requests, limits.limit, limits.demand, cold.requests,
+       cold.limit});
 }
 
 }  // namespace lovagedale
--- a/tests/discovery/list_changes_test.cpp
+++ b/tests/discovery/list_changes_test.cpp
@@ -112,4 +112,58 @@
   CHECK(changes.UpdateFrom(2).base == 2);
 }
 
+// Guards against a list that changes at each read, as the ends of cold times
+// are read a little differently, and against a cold server that is no news.
+TEST_CASE("a server is listed anew when it becomes cold, not while it is") {
+  listed_server warm;
+  warm.id = "s1";
+  const auto cold_until = [&](monotonic_ms until) {
+    auto server = warm;
+    server.cold_until_ms = until;
+    return server;
+  };
+  CHECK_FALSE(IsSameListing(warm, cold_until(13'000), 10'000));
+  CHECK(IsSameListing(cold_until(13'000), cold_until(14'499), 10'000));
+  CHECK_FALSE(IsSameListing(cold_until(13'000), cold_until(14'500), 10'000));
+  CHECK_FALSE(IsSameListing(cold_until(13'000), warm, 11'000));
+  CHECK(IsSameListing(cold_until(13'000), warm, 11'501));
+  CHECK(IsSameListing(cold_until(13'000), warm, 20'000));
+  auto moved = cold_until(13'000);
+  moved.port = 7;
+  CHECK_FALSE(IsSameListing(cold_until(13'000), moved, 10'000));
+
+  server_list_changes changes;
+  changes.Restart({1, {warm}});
+  changes.Record({2, {cold_until(13'000)}}, 10'000);
+  CHECK(changes.UpdateFrom(1).servers.size() == 1);
+  changes.Record({3, {cold_until(13'400)}}, 10'400);
+  CHECK(changes.UpdateFrom(2).servers.empty());
+}
+
+// Guards against cold times that are read against another process's clock.
+TEST_CASE("cold times are sent as the rest of the time") {
+  std::vector<listed_server> servers(3);
+  servers[0].id = "warm";
+  servers[1].id = "cold";
+  servers[1].cold_until_ms = 12'350;
+  servers[2].id = "was cold";
+  servers[2].cold_until_ms = 9'000;
+  const auto cold = ColdServers(servers, 10'000);
+  CHECK(cold == std::vector<cold_server>{{ServerKey(Hash64("cold")), 24}});
+  SetColdTimes(servers, cold, 700);
+  CHECK(servers[0].cold_until_ms == 0);
+  CHECK(servers[1].cold_until_ms == 3'100);
+  CHECK(servers[2].cold_until_ms == 0);
+}
+
+TEST_CASE("cold times without a limit are dropped, and others are capped") {
+  std::vector<listed_server> servers(2);
+  servers[0].service = "engines";
+  servers[1].service = "shop";
+  for (auto& server : servers) server.cold_until_ms = 1'000'000;
+  RestrictColdTimes(servers, {{"engines", 11, 3'000}}, 5'000);
+  CHECK(servers[0].cold_until_ms == 35'000);
+  CHECK(servers[1].cold_until_ms == 0);
+}
+
 }  // namespace lovagedale::testing
--- a/tests/formats/formats_test.cpp
+++ b/tests/formats/formats_test.cpp
@@ -92,6 +92,23 @@
   });
 }
 
+// Guards against an added field that is written under one number and read under
+// another.
+TEST_CASE("added fields of this format are read back") {
+  auto update = MakeSample<view_update>();
+  testing::SetAddedSample(update);
+  const auto update_bytes = ReadBytes(SamplesOf(4) / "view_update.bin");
+  CHECK(Decode<view_update>(update_bytes).cold_limits == update.cold_limits);
+  auto response = MakeSample<heartbeat_response>();
+  testing::SetAddedSample(response);
+  const auto bytes = ReadBytes(SamplesOf(4) / "heartbeat_response.bin");
+  CHECK(Decode<heartbeat_response>(bytes).cold_servers ==
+        response.cold_servers);
+  // From a build of format 3.
+  const auto former_bytes = ReadBytes(SamplesOf(3) / "view_update.bin");
+  CHECK_FALSE(Decode<view_update>(former_bytes).cold_limits);
+}
+
 // Builds without formats read the fixed fields and ignore what follows.
 TEST_CASE("messages begin with the bytes of the first format") {
   ForEachSample([&](const std::string& name, const auto& sample) {
--- a/tests/formats/samples.h
+++ b/tests/formats/samples.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "formats/sample_archive.h"
 #include "lovagedale/configuration/changes.h"
@@ -18,9 +19,21 @@
 inline constexpr std::size_t kFirstFormatReplicaMessages = 6;
 inline constexpr std::size_t kFirstFormatClaimCommands = 4;
 
+/// Sets the fields that later formats added to a message.
+template <typename Message>
+auto SetAddedSample(Message& /*message*/) -> void {}
+inline auto SetAddedSample(view_update& message) -> void {
+  message.cold_limits.emplace(MakeSample<std::vector<service_cold_limit>>());
+}
+inline auto SetAddedSample(heartbeat_response& message) -> void {
+  message.cold_servers = MakeSample<std::vector<cold_server>>();
+}
+
 template <typename Message, typename Visitor>
 auto VisitSample(const std::string& name, Visitor& visit) -> void {
-  visit(name, MakeSample<Message>());
+  auto sample = MakeSample<Message>();
+  SetAddedSample(sample);
+  visit(name, sample);
 }
 
 /// Routes that control accepts.
--- a/tests/platform/config_document_test.cpp
+++ b/tests/platform/config_document_test.cpp
@@ -81,4 +81,26 @@
                   document_invalid);
 }
 
+// Guards against an unusable limit that makes the whole document invalid, or
+// stops all requests to a service.
+TEST_CASE("limits for cold servers are read, and left out if not valid") {
+  const auto limits_of = [](const std::string& fields) {
+    return platform::ParseColdLimits(R"({"backends":[{"name":"other"},)"
+                                     R"({"name":"engines")" +
+                                     fields + "}]}");
+  };
+  CHECK(limits_of(R"(,"cold_start_s":3,"cold_per_s":11)") ==
+        std::vector<service_cold_limit>{{"engines", 11, 3'000}});
+  CHECK(limits_of(R"(,"cold_start_s":-1,"cold_per_s":0.5)") ==
+        std::vector<service_cold_limit>{{"engines", 0.5, 0}});
+  CHECK(limits_of("").empty());
+  for (const auto* value : {"null", "0", "-2", "\"11\"", "1e400", "[11]"}) {
+    CAPTURE(value);
+    CHECK(limits_of(R"(,"cold_start_s":3,"cold_per_s":)" + std::string(value))
+              .empty());
+  }
+  CHECK(platform::ParseColdLimits("").empty());
+  CHECK(platform::ParseColdLimits(kValidDocument).empty());
+}
+
 }  // namespace lovagedale::testing
--- a/tests/platform/server_directory_test.cpp
+++ b/tests/platform/server_directory_test.cpp
@@ -40,6 +40,21 @@
             .leaving);
 }
 
+TEST_CASE("the rest of a server's cold time counts from when it was read") {
+  const auto cold_until = [](const std::string& value) {
+    const auto entry = EntryWith(R"("cold_remaining_ms":0)",
+                                 R"("cold_remaining_ms":)" + value);
+    return ParseServerListPage(Page(entry), 5'000).servers.at(0).cold_until_ms;
+  };
+  CHECK(cold_until("2500") == 7'500);
+  CHECK(cold_until("2500.5") == 7'500);
+  for (const auto* value : {"0", "-5", "null", "\"9\""}) {
+    CAPTURE(value);
+    CHECK(cold_until(value) == 0);
+  }
+  CHECK(cold_until("1e300") > 5'000);
+}
+
 TEST_CASE("an invalid entry is skipped and the others are kept") {
   const std::string invalid_entries[] = {
       "7",
--- a/tests/relay/server_table_test.cpp
+++ b/tests/relay/server_table_test.cpp
@@ -36,4 +36,54 @@
   CHECK_FALSE(second->IsPaused(0));
 }
 
+// Guards against servers that crash as they get their usual part of the load
+// after they could not be reached, or after their zone was evacuated.
+TEST_CASE("servers that may have started anew count as cold") {
+  server_table table;
+  table.SetColdLimits({{"engines", 11, 3'000}});
+  table.Update(Listed(false));
+  auto& server = *table.Servers("engines").front();
+  table.MarkReachable(server, 1'000);
+  CHECK_FALSE(server.IsCold(1'000));
+  server.health.MarkUnreachable(1'500);
+  table.MarkReachable(server, 2'000);
+  CHECK(server.IsCold(4'999));
+  CHECK_FALSE(server.IsCold(5'000));
+
+  table.SetEvacuatedZones({server.listed.zone}, 6'000);
+  CHECK_FALSE(server.IsCold(6'000));
+  table.SetEvacuatedZones({server.listed.zone}, 7'000);
+  table.SetEvacuatedZones({}, 8'000);
+  CHECK(server.IsCold(10'999));
+  CHECK_FALSE(server.IsCold(11'000));
+
+  // A server of a zone that answers again.
+  const auto handle = table.Servers("engines").front();
+  CHECK(table.LoseSilentZones(12'000) ==
+        std::vector<std::string>{server.listed.zone});
+  table.RecordReceived(server.listed.zone, 13'000);
+  CHECK(server.IsCold(15'999));
+  // Its successor under the same id shares the limit.
+  table.Update(Listed(true));
+  table.Update(Listed(false));
+  CHECK(table.Servers("engines").front() != handle);
+  CHECK(table.Servers("engines").front()->IsCold(15'999));
+}
+
+TEST_CASE("without a limit for its service no server is cold") {
+  server_table table;
+  auto list = Listed(false);
+  list.servers.front().cold_until_ms = 9'000;
+  table.Update(list);
+  auto& server = *table.Servers("engines").front();
+  server.health.MarkUnreachable(1'000);
+  table.MarkReachable(server, 1'000);
+  CHECK_FALSE(server.IsCold(1'000));
+  table.SetColdLimits({{"engines", 11, 0}});
+  CHECK(server.IsCold(8'999));
+  CHECK_FALSE(server.IsCold(9'000));
+  table.SetColdLimits({});
+  CHECK_FALSE(server.IsCold(1'000));
+}
+
 }  // namespace lovagedale::testing
--- a/tests/support/local_control.h
+++ b/tests/support/local_control.h
@@ -24,14 +24,18 @@
 /// servers.
 class local_control {
  public:
-  local_control(boost::asio::io_context& context, server_source source)
+  local_control(boost::asio::io_context& context, server_source source,
+                cold_limit_parser parse_cold_limits = {})
       : context_(context),
         store_(disk_, InitializedFolder()),
-        service_(context, Settings(), store_, std::move(source)) {
+        service_(context, Settings(), store_, std::move(source),
+                 std::move(parse_cold_limits)) {
     service_.Start();
   }
 
   auto rpc_port() const -> std::uint16_t { return rpc_port_; }
+  /// Gives up the leadership for good, and grants nothing any more.
+  auto Stop() -> void { service_.BeginStop(); }
   auto view() const -> const fleet_view& { return service_.machine().view(); }
   /// For so long an order may be sent again.
   static constexpr std::chrono::milliseconds kOrderResend{400};
--- a/tests/support/relaying_fleet.h
+++ b/tests/support/relaying_fleet.h
@@ -28,6 +28,9 @@
 struct relaying_load {
   double requests_per_s = 40;                   ///< of all entries together
   std::size_t local_servers = kRelayedServers;  ///< the others are in zone-b
+  std::vector<service_cold_limit> cold_limits;
+  /// For so long each server is listed as cold from the start on.
+  monotonic_ms cold_at_start_ms = 0;
 };
 
 /// A server that may name a limit, and counts what arrives.
@@ -49,11 +52,14 @@
     listed.zone = zone;
     listed.version = "v1";
     listed.capacity = 64;
+    listed.cold_until_ms = cold_until_ms;
     return listed;
   }
 
   std::string limit;  ///< that it names; empty for none
   arrival_windows arrivals;
+  arrival_windows arrivals_by_second{1'000};
+  monotonic_ms cold_until_ms = 0;  ///< by the list
 
  private:
   static constexpr double kMeanAnswerMs = 200;
@@ -62,6 +68,7 @@
 
   auto Handle(http_exchange& exchange) -> void {
     arrivals.Add(clock_.Now());
+    arrivals_by_second.Add(clock_.Now());
     header_list headers = {
         {"Id", std::string(exchange.request().Header("Id"))}};
     const bool fails = std::bernoulli_distribution(kFailedFraction)(random_);
@@ -82,11 +89,11 @@
 class relaying_entry {
  public:
   relaying_entry(boost::asio::io_context& context, std::size_t index,
-                 std::uint16_t control_port)
+                 std::uint16_t control_port, server_source source)
       : settings_(
             EntrySettings("entry-" + std::to_string(index), control_port)),
         state_(context, settings_.relay),
-        link_(context, settings_, state_, {}, [] {}),
+        link_(context, settings_, state_, std::move(source), [] {}),
         relay_(state_, {}),
         server_(context, "127.0.0.1", 0, false, http_limits{},
                 [this](http_exchange& exchange) {
@@ -114,17 +121,21 @@
 class relaying_fleet {
  public:
   explicit relaying_fleet(const relaying_load& load = {})
-      : load_(load), control_(context_, [this](boost::asio::yield_context) {
-          return List();
-        }) {
+      : load_(load),
+        control_(
+            context_, [this](boost::asio::yield_context) { return List(); },
+            [this](const std::string&) { return load_.cold_limits; }) {
     for (std::size_t i = 0; i < kRelayedServers; ++i) {
       servers_.push_back(std::make_unique<limiting_server>(context_, random_));
+      if (load.cold_at_start_ms > 0) {
+        servers_[i]->cold_until_ms = clock_.Now() + load.cold_at_start_ms;
+      }
     }
     RunUntil([this] { return control_.IsLeader(); });
     SetRoutes();
     for (std::size_t i = 0; i < kRelayingEntries; ++i) {
-      entries_.push_back(
-          std::make_unique<relaying_entry>(context_, i, control_.rpc_port()));
+      entries_.push_back(std::make_unique<relaying_entry>(
+          context_, i, control_.rpc_port(), EntrySource()));
     }
     RunUntil([this] {
       return std::all_of(entries_.begin(), entries_.end(),
@@ -145,6 +156,17 @@
   auto CountFrom(limiting_server& server, monotonic_ms delay) const -> void {
     server.arrivals.CountFrom(clock_.Now() + delay);
   }
+  /// Counts arrivals at a server in seconds that end from `delay` on.
+  auto CountSecondsFrom(limiting_server& server, monotonic_ms delay) const
+      -> void {
+    server.arrivals_by_second.CountFrom(clock_.Now() + delay);
+  }
+  /// From now on the list shows the server as cold for `duration_ms`.
+  auto BeginCold(limiting_server& server, monotonic_ms duration_ms) const
+      -> void {
+    server.cold_until_ms = clock_.Now() + duration_ms;
+  }
+  auto Control() -> local_control& { return control_; }
   auto Entry(std::size_t index) const -> const relaying_entry& {
     return *entries_[index];
   }
@@ -152,6 +174,11 @@
   auto load() const -> const relaying_load& { return load_; }
 
  private:
+  /// Where an entry without a leader reads the list.
+  auto EntrySource() -> server_source {
+    if (load_.cold_limits.empty()) return {};
+    return [this](boost::asio::yield_context) { return List(); };
+  }
   auto List() const -> std::vector<listed_server> {
     std::vector<listed_server> list;
     for (std::size_t i = 0; i < servers_.size(); ++i) {
