Prefer separate groups of servers for heavy and light prompts

Cause: a server reads prompts in chunks between the tokens of its streams, so a long prompt on the largest model delays every stream beside it. Half of all chats had pauses over 560 ms where 1,200 are allowed.

A service's servers have fixed positions, and those below a boundary are preferred by heavy requests. The boundary follows the fleet's share of heavy work, which entries report every 10 s (field 2 of entry_heartbeat) and the leader answers (field 3 of heartbeat_response), and shifts by up to 0.15 while the queues of one group are much longer. Without 8 servers, a pause in all routes or two classes of work, the choice is as before.

The reports need 20 bytes a second of control's budget, of which 3 were free, so the total of loads names 63 servers instead of 64.

Unit tests of the choice, the groups, formats, budget and the exchange with a leader pass.

--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -7,6 +7,7 @@
 
 #include "lovagedale/admission/limit_shares.h"
 #include "lovagedale/admission/server_limit.h"
+#include "lovagedale/common/codec.h"
 #include "lovagedale/common/format.h"
 #include "lovagedale/common/hash.h"
 #include "lovagedale/configuration/update_parts.h"
@@ -14,6 +15,7 @@
 #include "lovagedale/forwarding/helper_table.h"
 #include "lovagedale/health/crash_attribution.h"
 #include "lovagedale/quality/evidence.h"
+#include "lovagedale/relay/server_groups.h"
 #include "lovagedale/relay/server_load.h"
 #include "lovagedale/replication/messages.h"
 #include "lovagedale/rollout/service_rollout.h"
@@ -115,7 +117,22 @@
   std::optional<limits_report> limits;
   /// Present if the entry relays to discovered servers.
   std::optional<relay_report> relay;
+  /// To the leader, every kWorkReportPeriodMs: work of prompts that the entry
+  /// has sent recently.
+  std::vector<service_work> work;
 
+  static constexpr std::uint16_t kWorkField = 2;
+
+  auto AddedFields() const -> added_fields {
+    added_fields fields;
+    if (!work.empty()) fields.emplace(kWorkField, EncodeFixed(work));
+    return fields;
+  }
+  auto SetAddedFields(const added_fields& fields) -> void {
+    if (const auto found = fields.find(kWorkField); found != fields.end()) {
+      work = DecodeFixed<std::vector<service_work>>(found->second);
+    }
+  }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(node, zone, incarnation, revision, wanted_update, leaving, evidence,
@@ -140,7 +157,24 @@
   std::optional<limits_update> limits;
   /// Present if the heartbeat had a relay_report.
   std::optional<relay_update> relay;
+  /// Sent by the leader if the heartbeat had `work`: the fleet's shares.
+  std::vector<heavy_work_share> heavy_shares;
 
+  static constexpr std::uint16_t kHeavySharesField = 3;
+
+  auto AddedFields() const -> added_fields {
+    added_fields fields;
+    if (!heavy_shares.empty()) {
+      fields.emplace(kHeavySharesField, EncodeFixed(heavy_shares));
+    }
+    return fields;
+  }
+  auto SetAddedFields(const added_fields& fields) -> void {
+    if (const auto found = fields.find(kHeavySharesField);
+        found != fields.end()) {
+      heavy_shares = DecodeFixed<std::vector<heavy_work_share>>(found->second);
+    }
+  }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(is_leader, leader, revision, update_bytes, permit_ms, evidence,
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -178,6 +178,11 @@
   auto ReserveAttempt(const server_handle& server) -> bool;
   /// The reachable servers that the next attempt may go to.
   auto CollectServers() const -> std::vector<server_handle>;
+  /// The groups of the service's servers, if it has any.
+  auto ServerGroups() -> const std::optional<server_groups>&;
+  /// The least work of a heavy request at the service; nothing if it has no
+  /// groups by its routes.
+  auto ServiceHeavyMinWork() const -> std::optional<double>;
   /// The server for the next attempt; null if none can be reached, or within
   /// the servers' limits.
   auto PickServer() -> server_handle;
--- a/include/lovagedale/relay/relay_servers-inl.h
+++ b/include/lovagedale/relay/relay_servers-inl.h
@@ -78,11 +78,17 @@
   choice_input input;
   input.random = state_.random();
   input.prompt = PromptWork();
+  if (input.prompt) input.groups = ServerGroups();
   input.report_fraction = ReportFraction(state_.servers.loads_period_ms());
   limited_until_ms_.reset();
   if (servers.empty()) LimitByPauses();
   while (const auto chosen = ChooseServer(candidates, input)) {
-    if (PassesLimit(servers[*chosen])) return servers[*chosen];
+    if (PassesLimit(servers[*chosen])) {
+      if (input.prompt) {
+        state_.groups[service_].RecordSent(input.prompt->total_work, now);
+      }
+      return servers[*chosen];
+    }
     const auto index = static_cast<std::ptrdiff_t>(*chosen);
     servers.erase(servers.begin() + index);
     candidates.erase(candidates.begin() + index);
@@ -90,6 +96,40 @@
   return nullptr;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::ServerGroups()
+    -> const std::optional<server_groups>& {
+  const auto now = clock_.Now();
+  auto& groups = state_.groups[service_];
+  if (groups.IsUpdateDue(now)) {
+    std::vector<grouped_server> servers;
+    for (const auto& server : state_.servers.Servers(service_)) {
+      if (!server->TakesCalls()) continue;
+      servers.push_back({GroupPosition(server->id_hash),
+                         server->work + server->OtherEntriesWork()});
+    }
+    groups.Update(servers, ServiceHeavyMinWork(),
+                  state_.servers.AreLoadsFresh(now), now);
+  }
+  return groups.groups();
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::ServiceHeavyMinWork() const
+    -> std::optional<double> {
+  // A service whose routes leave a pause open has no groups.
+  std::optional<std::int64_t> least_pause_ms;
+  for (const auto& item : view_->routes.config().routes) {
+    const bool uses_service = std::any_of(
+        item.services.begin(), item.services.end(),
+        [&](const auto& target) { return target.service == service_; });
+    if (!item.prompts || !uses_service) continue;
+    least_pause_ms =
+        std::min(least_pause_ms.value_or(item.pause_ms), item.pause_ms);
+  }
+  return HeavyMinWork(least_pause_ms.value_or(0));
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::LimitUntil(monotonic_ms until_ms) -> void {
   limited_until_ms_ = std::min(limited_until_ms_.value_or(until_ms), until_ms);
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -20,6 +20,7 @@
 #include "lovagedale/relay/log_budget.h"
 #include "lovagedale/relay/recent_durations.h"
 #include "lovagedale/relay/retry_budget.h"
+#include "lovagedale/relay/server_groups.h"
 #include "lovagedale/relay/server_prober.h"
 #include "lovagedale/relay/server_table.h"
 #include "lovagedale/relay/tier_choice.h"
@@ -110,6 +111,7 @@
   helper_pool helpers;
   crash_monitor crashes;
   tier_table tiers;
+  service_groups_table groups;
   std::mt19937_64 random;
   /// Plain answers and incomplete events that are held until they are complete.
   byte_budget answer_memory{kMaxHeldAnswerBytes, kSmallAnswerBytes};
--- a/include/lovagedale/relay/server_choice.h
+++ b/include/lovagedale/relay/server_choice.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "lovagedale/relay/server_groups.h"
 #include "lovagedale/relay/server_load.h"
 
 namespace lovagedale {
@@ -41,6 +42,8 @@
   std::uint64_t random = 0;
   /// Fraction of other_entries_work that counts; see ReportFraction.
   double report_fraction = ReportFraction(0);
+  /// The service's groups of servers, if it has any; only prompts follow them.
+  std::optional<server_groups> groups;
 
   auto operator==(const choice_input&) const -> bool = default;
 };
@@ -51,7 +54,9 @@
 /// and the shared part unless the server has it cached. Rendezvous hashing
 /// assigns a part to the same two servers at all entries; where loads are
 /// reported, other servers must be less busy than both by more than the noise
-/// in the reports. A request without a prompt goes to the less loaded of two
+/// in the reports. With groups, these two are of the request's own group, and a
+/// server of the other group must save more; a group without candidates has no
+/// effect. A request without a prompt goes to the less loaded of two
 /// random servers of the own zone, unless another server is much less busy.
 auto ChooseServer(const std::vector<server_candidate>& candidates,
                   const choice_input& input) -> std::optional<std::size_t>;
--- a/include/lovagedale/relay/server_load.h
+++ b/include/lovagedale/relay/server_load.h
@@ -49,8 +49,9 @@
   auto Total(monotonic_ms now) const -> std::vector<server_load>;
 
   /// Servers in a total: half a kilobyte in each heartbeat response, so that
-  /// loads fit into what control may send to an entry.
-  static constexpr std::size_t kMaxServers = 64;
+  /// loads fit into what control may send to an entry
+  /// (tests/configuration/budget_test.cpp).
+  static constexpr std::size_t kMaxServers = 63;
 
  private:
   /// Requests of an entry that has not reported for longer have ended or moved.
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -44,6 +44,8 @@
   /// Heartbeats to followers omit what only the leader uses.
   auto MakeHeartbeat(bool to_leader) -> entry_heartbeat;
   auto OwnReach() const -> reach_report;
+  /// The work for the next heartbeat to the leader; empty if it is not due.
+  auto DueWork() -> std::vector<service_work>;
   /// Whether the next heartbeat to `replica`, whose last response had
   /// `told_revision`, asks for a newer configuration.
   auto MayAsk(const std::string& replica, config_revision told_revision) const
@@ -95,6 +97,8 @@
   /// What the replica `reach_reported_to_` has received.
   reach_report reported_reach_;
   std::string reach_reported_to_;
+  std::string work_reported_to_;  ///< the replica that had the last report
+  monotonic_ms work_reported_ms_ = 0;
   std::uint32_t helpers_hash_ = 0;
   bool is_helping_ = true;
   bool leaving_ = false;
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -197,6 +197,10 @@
                       deferred.heartbeat.relay->answers);
       loads_.Report(deferred.heartbeat.node, deferred.heartbeat.relay->loads,
                     now);
+      if (!deferred.heartbeat.work.empty()) {
+        work_shares_.Report(deferred.heartbeat.node, deferred.heartbeat.work,
+                            now);
+      }
       helpers_.Report(deferred.heartbeat.node, deferred.heartbeat.relay->reach,
                       now);
     }
@@ -204,6 +208,7 @@
       RemoveNode(deferred.heartbeat.node, [](propose_status) {});
       tracker_->Forget(deferred.heartbeat.node);
       loads_.Forget(deferred.heartbeat.node);
+      work_shares_.Forget(deferred.heartbeat.node);
       helpers_.Forget(deferred.heartbeat.node);
       limit_allocator_->RemoveEntry(deferred.heartbeat.node);
       server_limits_.Forget(deferred.heartbeat.node);
@@ -364,6 +369,9 @@
             feed_.UpdateFrom(due.heartbeat.relay->server_list_number);
       }
       response.relay->loads = loads_.Total(clock_.Now());
+      if (!due.heartbeat.work.empty()) {
+        response.heavy_shares = work_shares_.Shares(clock_.Now());
+      }
       response.relay->suspects = crashes_.SharedSuspects();
       AddHelpers(due.heartbeat, *response.relay);
     }
--- a/src/relay/server_choice.cpp
+++ b/src/relay/server_choice.cpp
@@ -33,23 +33,46 @@
              : server.work * kUnreportedWorkFactor;
 }
 
+/// Those of `usable` that the prompt prefers by its group; all of them if there
+/// are no groups, or none of its own.
+auto PreferredServers(const std::vector<server_candidate>& candidates,
+                      const std::vector<std::size_t>& usable,
+                      const prompt_work& prompt,
+                      const std::optional<server_groups>& groups)
+    -> std::vector<std::size_t> {
+  if (!groups) return usable;
+  const bool is_heavy = groups->IsHeavy(prompt.total_work);
+  std::vector<std::size_t> preferred;
+  for (const auto i : usable) {
+    if (groups->Prefers(is_heavy, candidates[i].id_hash)) {
+      preferred.push_back(i);
+    }
+  }
+  return preferred.empty() ? usable : preferred;
+}
+
+/// Servers of `usable` that are not `preferred` cost `overflow_cost` more.
+/// `preferred` is not empty, and in the order of `usable`.
 auto ChooseForPrompt(const std::vector<server_candidate>& candidates,
                      const std::vector<std::size_t>& usable,
-                     const prompt_work& prompt, double report_fraction)
-    -> std::size_t {
+                     const std::vector<std::size_t>& preferred,
+                     const prompt_work& prompt, double report_fraction,
+                     double overflow_cost) -> std::size_t {
   const auto rank = [&](std::size_t i) {
     return MixBits(candidates[i].id_hash ^ MixBits(prompt.shared_part_id));
   };
-  auto primary = usable.front();
-  for (const auto i : usable) {
+  auto primary = preferred.front();
+  for (const auto i : preferred) {
     if (rank(i) > rank(primary)) primary = i;
   }
   auto second = primary;
-  double reported = 0;
-  for (const auto i : usable) {
+  for (const auto i : preferred) {
     if (i != primary && (second == primary || rank(i) > rank(second))) {
       second = i;
     }
+  }
+  double reported = 0;
+  for (const auto i : usable) {
     reported += candidates[i].other_entries_work.value_or(0);
   }
   // The mean of the reported work stands for the noise in the reports.
@@ -64,10 +87,18 @@
            (1 + kFailureWeight * server.failure_fraction);
   };
   auto best = primary;
+  auto best_work = remaining_work(primary);
+  auto next_preferred = preferred.begin();
   for (const auto i : usable) {
-    const auto difference = remaining_work(i) - remaining_work(best);
+    const bool is_preferred =
+        next_preferred != preferred.end() && *next_preferred == i;
+    if (is_preferred) ++next_preferred;
+    const auto work = remaining_work(i) + (is_preferred ? 0 : overflow_cost);
     // Ties go to the higher rank, so that the second server caches the part.
-    if (difference < 0 || (difference == 0 && rank(i) > rank(best))) best = i;
+    if (work < best_work || (work == best_work && rank(i) > rank(best))) {
+      best = i;
+      best_work = work;
+    }
   }
   return best;
 }
@@ -96,8 +127,12 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) usable.push_back(i);
   }
   if (input.prompt) {
-    return ChooseForPrompt(candidates, usable, *input.prompt,
-                           input.report_fraction);
+    const auto& prompt = *input.prompt;
+    return ChooseForPrompt(
+        candidates, usable,
+        PreferredServers(candidates, usable, prompt, input.groups), prompt,
+        input.report_fraction,
+        input.groups ? input.groups->OverflowCost(prompt.total_work) : 0);
   }
   std::vector<std::size_t> local_servers;
   for (const auto i : usable) {
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -37,6 +37,8 @@
 /// servers themselves, at a low rate because all entries do so at once.
 constexpr monotonic_ms kLeaderLostMs = 1'800;
 constexpr milliseconds kFallbackListPeriod{1'500};
+/// The period of reports of work until the leader has answered one with shares.
+constexpr monotonic_ms kFirstWorkReportPeriodMs = 2'000;
 
 auto RandomIncarnation() -> process_incarnation {
   std::random_device device;
@@ -111,6 +113,7 @@
                                            ? reported_answers_
                                            : version_answers_table{});
     heartbeat.relay->loads = state_.servers.OwnLoads();
+    heartbeat.work = DueWork();
     heartbeat.relay->helpers_hash = helpers_hash_;
     // Another leader has no report of this entry.
     const auto reach = OwnReach();
@@ -123,6 +126,24 @@
   return heartbeat;
 }
 
+auto fleet_link::DueWork() -> std::vector<service_work> {
+  const auto now = clock_.Now();
+  const bool lacks_share = std::any_of(
+      state_.groups.begin(), state_.groups.end(),
+      [](const auto& item) { return !item.second.HasFleetShare(); });
+  const auto period =
+      lacks_share ? kFirstWorkReportPeriodMs : kWorkReportPeriodMs;
+  if (work_reported_to_ == leader_ && now - work_reported_ms_ < period) {
+    return {};
+  }
+  auto work = OwnServiceWork(state_.groups, now);
+  if (!work.empty()) {
+    work_reported_to_ = leader_;
+    work_reported_ms_ = now;
+  }
+  return work;
+}
+
 auto fleet_link::OwnReach() const -> reach_report {
   reach_report reach;
   reach.unreachable_services = state_.servers.UnreachableServices();
@@ -378,6 +399,7 @@
   if (response.relay->loads) {
     state_.servers.UpdateLoads(*response.relay->loads, clock_.Now());
   }
+  if (response.is_leader) AdoptShares(state_.groups, response.heavy_shares);
   if (response.relay->helpers) {
     helpers_hash_ = HashHelpers(*response.relay->helpers);
     state_.helpers.Set(*response.relay->helpers);
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -83,6 +83,19 @@
                    static_cast<double>(state.servers.RunningIn(zone)),
                    {{"zone", zone}});
   }
+  auto heavy_work =
+      MakeMetricFamily("lovagedale_heavy_work_fraction", MetricType::Gauge);
+  auto boundary =
+      MakeMetricFamily("lovagedale_heavy_group_boundary", MetricType::Gauge);
+  for (const auto& [service, groups] : state.groups) {
+    if (const auto share = groups.HeavyShare(now)) {
+      AddMetricValue(heavy_work, *share, {{"service", service}});
+    }
+    if (groups.groups()) {
+      AddMetricValue(boundary, groups.groups()->boundary,
+                     {{"service", service}});
+    }
+  }
   auto forwarded =
       MakeMetricFamily("lovagedale_forwarded_calls_total", MetricType::Counter);
   AddMetricValue(forwarded, static_cast<double>(state.forwarded_calls));
@@ -105,9 +118,9 @@
                                   MetricType::Counter);
   AddMetricValue(crashes, static_cast<double>(state.crashes.crashes()));
   return prometheus::TextSerializer().Serialize(
-      {calls, attempts, durations, first_events, ejected, evacuated, forwarded,
-       active, answer_memory, revision, list, suppressed, crashes,
-       limits.requests, limits.limit, limits.demand});
+      {calls, attempts, durations, first_events, ejected, evacuated, heavy_work,
+       boundary, forwarded, active, answer_memory, revision, list, suppressed,
+       crashes, limits.requests, limits.limit, limits.demand});
 }
 
 }  // namespace lovagedale
--- a/tests/formats/formats_test.cpp
+++ b/tests/formats/formats_test.cpp
@@ -92,6 +92,16 @@
   });
 }
 
+// Guards against an added field that is sent but not read, or the reverse.
+TEST_CASE("added fields of this format survive a round trip") {
+  ForEachSampleOf(kFormat, [&](const std::string& name, const auto& sample) {
+    CAPTURE(name);
+    using message = std::remove_cvref_t<decltype(sample)>;
+    const auto bytes = Encode(sample);
+    CHECK(Encode(Decode<message>(bytes)) == bytes);
+  });
+}
+
 // Builds without formats read the fixed fields and ignore what follows.
 TEST_CASE("messages begin with the bytes of the first format") {
   ForEachSample([&](const std::string& name, const auto& sample) {
--- a/tests/formats/samples.h
+++ b/tests/formats/samples.h
@@ -34,6 +34,20 @@
   return routes;
 }
 
+/// A heartbeat with the fields that were added since the first format.
+inline auto MakeHeartbeat() -> entry_heartbeat {
+  auto heartbeat = MakeSample<entry_heartbeat>();
+  heartbeat.work = MakeSample<std::vector<service_work>>();
+  return heartbeat;
+}
+
+/// The same of its response.
+inline auto MakeHeartbeatResponse() -> heartbeat_response {
+  auto response = MakeSample<heartbeat_response>();
+  response.heavy_shares = MakeSample<std::vector<heavy_work_share>>();
+  return response;
+}
+
 /// Calls `visit` with a name and a sample of each message and stored item that
 /// the first format has.
 template <typename Visitor>
@@ -45,9 +59,9 @@
     visit("ledger_replica_message_" + std::to_string(i),
           ledger_request(envelope));
   }
-  visit("heartbeat", control_request(MakeSample<entry_heartbeat>()));
+  visit("heartbeat", control_request(MakeHeartbeat()));
   visit("join", control_request(MakeSample<join_request>()));
-  VisitSample<heartbeat_response>("heartbeat_response", visit);
+  visit("heartbeat_response", MakeHeartbeatResponse());
   VisitSample<join_response>("join_response", visit);
   VisitSample<view_update>("view_update", visit);
   VisitSample<route_changes>("route_changes", visit);
--- a/tests/route_entry/fleet_link_test.cpp
+++ b/tests/route_entry/fleet_link_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
+
 #include "lovagedale/common/spawn.h"
 #include "support/local_control.h"
 #include "support/slow_link.h"
@@ -88,6 +90,9 @@
     return grant;
   }
 
+  /// The groups of the service `app` at the entry.
+  auto Groups() -> service_groups& { return state_.groups["app"]; }
+
   std::vector<listed_server> servers;  ///< as the platform lists them
 
  private:
@@ -140,6 +145,24 @@
   CHECK(second->status.server == limited.server);
 }
 
+// Guards against entries that form groups of servers by their own requests
+// alone, which are too few.
+TEST_CASE("the leader answers reports of work with the fleet's share") {
+  entry_behind_slow_link entry;
+  REQUIRE(entry.RunUntil([&] { return entry.IsListed("s-1"); }));
+  const auto now = system_monotonic_clock{}.Now();
+  entry.Groups().Update({}, /*heavy_min_work=*/20'000, false, now);
+  for (int i = 0; i < 3; ++i) entry.Groups().RecordSent(30'000, now);
+  entry.Groups().RecordSent(10'000, now);
+  CHECK_FALSE(entry.Groups().HeavyShare(now));
+  REQUIRE(entry.RunUntil([&] {
+    return entry.Groups()
+        .HeavyShare(system_monotonic_clock{}.Now())
+        .has_value();
+  }));
+  CHECK(std::abs(*entry.Groups().HeavyShare(now) - 0.9) < 0.01);
+}
+
 // Guards against calls that wait for a leader that does not answer.
 TEST_CASE("a call does not wait for a grant that comes late") {
   // A part of the configuration takes half a second on this link.
