Let escalations depend on the size, the time left and the price of capacity

Cause: a larger model was asked whatever the prompt's size, if its mean time to the first event was below the objective. Long prompts escalated and were late.

Change: scheduling/model_choice.h decides from values. The predicted time grows with the request's tokens relative to that model's recent answers and is compared with what is left of the objective. Escalations yield while first events of more urgent routes of the service, or tighter ones of the same priority, come late. What is given up is counted by customer, model and reason (lovagedale_escalations_given_up_total). Roll-outs are as they were.

Tests of the relay cover this and the groups of servers in a running relay; the plain test protocol has a header for the prompt's tokens.

Result: unit tests of the decision and of the relay pass.

--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -11,6 +11,7 @@
 #include "lovagedale/relay/event_splitter.h"
 #include "lovagedale/relay/relay_state.h"
 #include "lovagedale/relay/silence_timer.h"
+#include "lovagedale/scheduling/model_choice.h"
 
 namespace lovagedale {
 
@@ -164,6 +165,10 @@
   /// budget.
   auto EscalateIfUncertain(const server_handle& server,
                            const server_answer_metadata& metadata) -> bool;
+  /// What the decision about the larger model depends on.
+  auto EscalationInput(double confidence,
+                       const confidence_threshold& threshold) const
+      -> escalation_input;
   /// Gives up the attempt at a server that runs, if another attempt may replace
   /// it now; false if it goes on. A silent server is no reason to end a call
   /// before its time limit.
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -7,6 +7,7 @@
 #include "lovagedale/common/hash.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/relay/relay.h"
+#include "lovagedale/scheduling/model_choice.h"
 
 namespace lovagedale {
 
@@ -74,18 +75,20 @@
   }
   auto& threshold = state_.tiers[{item.name, item.models[tier_]}].threshold;
   threshold.Add(*metadata.confidence);
-  const auto& larger = state_.tiers[{item.name, item.models.back()}];
-  const auto objective = static_cast<double>(item.objective_ms);
-  // The small model's answer indicates how busy the servers are.
-  const auto assumed_ms =
-      static_cast<double>(clock_.Now() - sent_ms_) * kLargerModelLatencyFactor;
-  const auto min_confidence = ThresholdUnderLoad(
-      threshold.Threshold(),
-      larger.first_event.ExpectedMs(clock_.Now(), assumed_ms), objective);
-  if (*metadata.confidence >= min_confidence) return false;
-  if (runs_ >= MaxAttempts()) return false;
-  if (!std::exchange(has_reserved_attempt_, false) &&
-      !state_.RetriesOf(service_).TryRetry(clock_.Now())) {
+  auto decision =
+      DecideEscalation(EscalationInput(*metadata.confidence, threshold));
+  if (decision == escalation_decision::kEscalate &&
+      (runs_ >= MaxAttempts() ||
+       (!std::exchange(has_reserved_attempt_, false) &&
+        !state_.RetriesOf(service_).TryRetry(clock_.Now())))) {
+    decision = escalation_decision::kNoAttempt;
+  }
+  if (decision != escalation_decision::kEscalate) {
+    if (decision != escalation_decision::kConfident) {
+      const auto* customer = match_.customer;
+      ++state_.escalations_given_up[{customer == nullptr ? "" : customer->name,
+                                     item.models.back(), decision}];
+    }
     return false;
   }
   CountAnswer(server, /*failed=*/false);
@@ -93,6 +96,41 @@
   return true;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::EscalationInput(
+    double confidence, const confidence_threshold& threshold) const
+    -> escalation_input {
+  const auto now = clock_.Now();
+  const auto& item = *match_.matched_route;
+  const auto& larger =
+      state_.tiers[{item.name, item.models.back()}].first_event;
+  // The small model's answer indicates how busy the servers are.
+  const auto assumed_ms =
+      static_cast<double>(now - sent_ms_) * kLargerModelLatencyFactor;
+  escalation_input input;
+  input.confidence = confidence;
+  input.threshold = threshold.Threshold();
+  input.priority = match_.Priority();
+  input.objective_ms = static_cast<double>(item.objective_ms);
+  input.elapsed_ms = static_cast<double>(now - started_ms_);
+  input.expected_ms = larger.ExpectedMs(now, assumed_ms);
+  input.size_ratio = larger.SizeRatio(call_.prompt_tokens, now);
+  for (const auto& other : view_->routes.config().routes) {
+    const bool uses_service = std::any_of(
+        other.services.begin(), other.services.end(),
+        [&](const auto& target) { return target.service == service_; });
+    if (!uses_service || other.models.empty() || other.name == item.name) {
+      continue;
+    }
+    const auto tier = state_.tiers.find({other.name, other.models.front()});
+    if (tier == state_.tiers.end()) continue;
+    input.other_routes.push_back(
+        {other.priority, static_cast<double>(other.objective_ms),
+         tier->second.first_event.ExpectedMs(now, /*unknown_ms=*/0)});
+  }
+  return input;
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::IsStreamAnswer(
     const http_response_head& head) const -> bool {
@@ -283,7 +321,8 @@
 auto relayed_call<Protocol>::RecordAnswerTime() -> void {
   const auto now = clock_.Now();
   const auto ms = static_cast<double>(now - sent_ms_);
-  state_.tiers[TierKey()].first_event.RecordFirstEvent(ms, now);
+  state_.tiers[TierKey()].first_event.RecordFirstEvent(ms, now,
+                                                       call_.prompt_tokens);
   state_.first_event_histograms[TierKey()].Add(ms);
 }
 
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -26,6 +26,7 @@
 #include "lovagedale/relay/tier_choice.h"
 #include "lovagedale/rollout/service_rollout.h"
 #include "lovagedale/route/route_table.h"
+#include "lovagedale/scheduling/model_choice.h"
 
 namespace lovagedale {
 
@@ -79,6 +80,16 @@
   auto operator<=>(const call_counts_key&) const = default;
 };
 
+/// Key of the counters of answers that were kept although their confidence is
+/// low.
+struct given_up_key {
+  std::string customer;  ///< empty if the route needs none
+  std::string model;     ///< the larger one that was not asked
+  escalation_decision reason = escalation_decision::kLate;
+
+  auto operator<=>(const given_up_key&) const = default;
+};
+
 /// State shared by all calls of one entry. Not thread-safe.
 class relay_state {
  public:
@@ -120,6 +131,7 @@
   /// roll-out ends.
   version_answers_table answers;
   std::map<call_counts_key, std::uint64_t> call_counts;
+  std::map<given_up_key, std::uint64_t> escalations_given_up;
   std::map<std::string, recent_durations> recent_call_durations;  ///< by route
   std::map<std::string, std::uint64_t> attempt_counts;  ///< by attempt_result
   std::map<std::string, latency_histogram>
--- a/include/lovagedale/relay/tier_choice.h
+++ b/include/lovagedale/relay/tier_choice.h
@@ -47,13 +47,23 @@
     --waiting_;
     waiting_sent_sum_ms_ -= sent;
   }
-  /// An answer's first event arrived `ms` milliseconds after its request.
-  auto RecordFirstEvent(double ms, monotonic_ms now) -> void {
+  /// An answer's first event arrived `ms` milliseconds after its request, whose
+  /// prompt had `tokens`; 0 if unknown.
+  auto RecordFirstEvent(double ms, monotonic_ms now, double tokens = 0)
+      -> void {
     const auto decay = AgeDecay(now) * kDecayPerAnswer;
     weight_ = weight_ * decay + 1;
     mean_ms_ += (ms - mean_ms_) / weight_;
+    mean_tokens_ += (tokens - mean_tokens_) / weight_;
     latest_at_ = now;
   }
+  /// A prompt's tokens in proportion to the mean of the latest answers; 1 if
+  /// either is unknown, or few answers are recent.
+  auto SizeRatio(double tokens, monotonic_ms now) const -> double {
+    const bool is_known =
+        tokens > 0 && mean_tokens_ > 0 && weight_ * AgeDecay(now) >= kMinWeight;
+    return is_known ? tokens / mean_tokens_ : 1;
+  }
   /// Expected time of the next answer: the mean of the latest ones, or twice
   /// the mean age of the requests that wait now, if that is longer: on average
   /// these have half of their wait behind them. With few recent answers it is
@@ -88,6 +98,7 @@
   }
 
   double mean_ms_ = 0;
+  double mean_tokens_ = 0;
   double weight_ = 0;  ///< of the answers in the mean, as of latest_at_
   monotonic_ms latest_at_ = 0;
   std::int64_t waiting_ = 0;
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -50,6 +50,14 @@
   for (const auto& [result, count] : state.attempt_counts) {
     AddMetricValue(attempts, static_cast<double>(count), {{"result", result}});
   }
+  auto given_up = MakeMetricFamily("lovagedale_escalations_given_up_total",
+                                   MetricType::Counter);
+  for (const auto& [key, count] : state.escalations_given_up) {
+    AddMetricValue(given_up, static_cast<double>(count),
+                   {{"customer", key.customer},
+                    {"model", key.model},
+                    {"reason", ToString(key.reason)}});
+  }
   auto durations =
       MakeMetricFamily("lovagedale_call_ms", MetricType::Histogram);
   for (const auto& [route, times] : state.call_duration_histograms) {
@@ -118,9 +126,9 @@
                                   MetricType::Counter);
   AddMetricValue(crashes, static_cast<double>(state.crashes.crashes()));
   return prometheus::TextSerializer().Serialize(
-      {calls, attempts, durations, first_events, ejected, evacuated, heavy_work,
-       boundary, forwarded, active, answer_memory, revision, list, suppressed,
-       crashes, limits.requests, limits.limit, limits.demand});
+      {calls, attempts, given_up, durations, first_events, ejected, evacuated,
+       heavy_work, boundary, forwarded, active, answer_memory, revision, list,
+       suppressed, crashes, limits.requests, limits.limit, limits.demand});
 }
 
 }  // namespace lovagedale
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -8,8 +8,10 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
+#include <set>
 #include <thread>
 
+#include "lovagedale/route_entry/route_entry.h"
 #include "support/free_port.h"
 #include "support/plain_protocol.h"
 #include "support/raw_server.h"
@@ -192,6 +194,41 @@
       return true;
     });
   }
+  /// Largest model's recent answers: their time to the first event and size.
+  auto SetLargestModelAnswers(double first_event_ms, double tokens) -> void {
+    OnItsThread([&] {
+      auto& tier = state_.tiers[{
+          "route", state_.view->routes.config().routes[0].models.back()}];
+      const auto now = system_monotonic_clock{}.Now();
+      for (int i = 0; i < 100; ++i) {
+        tier.first_event.RecordFirstEvent(first_event_ms, now, tokens);
+      }
+      return true;
+    });
+  }
+  /// As control tells it for the service of the route.
+  auto SetHeavyShare(double share) -> void {
+    OnItsThread([&] {
+      state_.groups["engines"].AdoptShare(share);
+      return true;
+    });
+  }
+  /// Ports of the servers that heavy requests prefer.
+  auto HeavyServers() -> std::set<std::uint16_t> {
+    return OnItsThread([this] {
+      std::set<std::uint16_t> ports;
+      const auto groups = state_.groups["engines"].groups();
+      for (const auto& server : state_.servers.Servers("engines")) {
+        if (groups && groups->Prefers(true, server->id_hash)) {
+          ports.insert(server->listed.port);
+        }
+      }
+      return ports;
+    });
+  }
+  auto Metrics() -> std::string {
+    return OnItsThread([this] { return FormatRelayMetrics(state_); });
+  }
   auto EndCalls() -> void {
     OnItsThread([this] {
       state_.EndCalls();
@@ -1235,4 +1272,57 @@
   CHECK(answered_by_it > 0);
 }
 
+// Guards against light prompts at servers whose streams heavy ones may delay
+// anyway, although their own group is idle.
+TEST_CASE("light prompts go to the servers of their group") {
+  std::vector<std::unique_ptr<scripted_server>> servers;
+  std::vector<std::uint16_t> ports;
+  for (std::size_t i = 0; i < service_groups::kMinServers; ++i) {
+    servers.push_back(std::make_unique<scripted_server>(
+        [](const auto&) { return Answer("200 OK", "", "x"); }));
+    ports.push_back(servers.back()->port());
+  }
+  route item;
+  item.open = true;
+  item.prompts = true;
+  item.pause_ms = 1'200;
+  item.timeout_ms = 2'000;
+  item.objective_ms = 500;
+  running_relay relay(item, ports);
+  relay.SetHeavyShare(0.5);
+  for (char part = '0'; part <= '9'; ++part) {
+    CHECK(relay.Call({{"Parts", std::string(1, part) + "0"}}).head.status ==
+          200);
+  }
+  const auto heavy = relay.HeavyServers();
+  CHECK(heavy.size() == 3);
+  for (const auto& server : servers) {
+    if (heavy.contains(server->port())) CHECK(server->requests() == 0);
+  }
+}
+
+// Guards against long prompts that are asked again of the largest model, where
+// they are late, because its mean time to the first event is short enough.
+TEST_CASE("an escalation that its size would make late is given up") {
+  scripted_server server([](const auto&) {
+    return Answer("200 OK", "Confidence: 0.01\r\n", "x");
+  });
+  route item;
+  item.open = true;
+  item.timeout_ms = 2'000;
+  item.objective_ms = 10'000;
+  item.max_attempts = 2;
+  item.models = {"small", "large"};
+  running_relay relay(item, {server.port()});
+  relay.SetLargestModelAnswers(/*first_event_ms=*/3'000, /*tokens=*/100);
+  CHECK(relay.Call({{"Tokens", "1000"}}).head.status == 200);
+  CHECK(server.requests() == 1);
+  CHECK(relay.Metrics().find(
+            "lovagedale_escalations_given_up_total{customer=\"\",model="
+            "\"large\",reason=\"late\"} 1") != std::string::npos);
+  relay.SetLargestModelAnswers(3'000, 100);
+  CHECK(relay.Call({{"Tokens", "100"}}).head.status == 200);
+  CHECK(server.requests() == 3);
+}
+
 }  // namespace lovagedale::testing
--- a/tests/support/plain_protocol.h
+++ b/tests/support/plain_protocol.h
@@ -25,6 +25,9 @@
     std::int64_t limit_ms = 0;
     std::from_chars(limit.data(), limit.data() + limit.size(), limit_ms);
     if (limit_ms > 0) call.time_limit_ms = limit_ms;
+    const auto tokens = request.Header("Tokens");
+    std::from_chars(tokens.data(), tokens.data() + tokens.size(),
+                    call.prompt_tokens);
     // The ids of the prompt's parts, each of one digit.
     for (const char digit : request.Header("Parts")) {
       call.parts.push_back({static_cast<std::uint64_t>(digit - '0'), 1});
