--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -15,6 +15,7 @@
 #include "lovagedale/forwarding/helper_table.h"
 #include "lovagedale/health/crash_attribution.h"
 #include "lovagedale/quality/evidence.h"
+#include "lovagedale/relay/server_groups.h"
 #include "lovagedale/relay/server_load.h"
 #include "lovagedale/replication/messages.h"
 #include "lovagedale/rollout/service_rollout.h"
@@ -116,7 +117,22 @@
   std::optional<limits_report> limits;
   /// Present if the entry relays to discovered servers.
   std::optional<relay_report> relay;
+  /// To the leader, every kWorkReportPeriodMs: work of prompts that the entry
+  /// has sent recently.
+  std::vector<service_work> work;
 
+  static constexpr std::uint16_t kWorkField = 2;
+
+  auto AddedFields() const -> added_fields {
+    added_fields fields;
+    if (!work.empty()) fields.emplace(kWorkField, EncodeFixed(work));
+    return fields;
+  }
+  auto SetAddedFields(const added_fields& fields) -> void {
+    if (const auto found = fields.find(kWorkField); found != fields.end()) {
+      work = DecodeFixed<std::vector<service_work>>(found->second);
+    }
+  }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
     archive(node, zone, incarnation, revision, wanted_update, leaving, evidence,
@@ -144,15 +160,28 @@
   /// Those of the servers in `relay->servers` that are cold; the others are
   /// not.
   std::vector<cold_server> cold_servers;
+  /// Sent by the leader if the heartbeat had `work`: the fleet's shares.
+  std::vector<heavy_work_share> heavy_shares;
 
   auto AddedFields() const -> added_fields {
-    if (cold_servers.empty()) return {};
-    return {{kColdServersField, EncodeFixed(cold_servers)}};
+    added_fields fields;
+    if (!cold_servers.empty()) {
+      fields.emplace(kColdServersField, EncodeFixed(cold_servers));
+    }
+    if (!heavy_shares.empty()) {
+      fields.emplace(kHeavySharesField, EncodeFixed(heavy_shares));
+    }
+    return fields;
   }
   auto SetAddedFields(const added_fields& fields) -> void {
-    const auto found = fields.find(kColdServersField);
-    if (found == fields.end()) return;
-    cold_servers = DecodeFixed<std::vector<cold_server>>(found->second);
+    if (const auto found = fields.find(kColdServersField);
+        found != fields.end()) {
+      cold_servers = DecodeFixed<std::vector<cold_server>>(found->second);
+    }
+    if (const auto found = fields.find(kHeavySharesField);
+        found != fields.end()) {
+      heavy_shares = DecodeFixed<std::vector<heavy_work_share>>(found->second);
+    }
   }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
@@ -162,6 +191,7 @@
 
  private:
   static constexpr std::uint16_t kColdServersField = 1;
+  static constexpr std::uint16_t kHeavySharesField = 3;
 };
 
 /// A control replica's request to become a member; repeated until a leader
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -74,6 +74,14 @@
   for (const auto& [result, count] : state.attempt_counts) {
     AddMetricValue(attempts, static_cast<double>(count), {{"result", result}});
   }
+  auto given_up = MakeMetricFamily("lovagedale_escalations_given_up_total",
+                                   MetricType::Counter);
+  for (const auto& [key, count] : state.escalations_given_up) {
+    AddMetricValue(given_up, static_cast<double>(count),
+                   {{"customer", key.customer},
+                    {"model", key.model},
+                    {"reason", ToString(key.reason)}});
+  }
   auto durations =
       MakeMetricFamily("lovagedale_call_ms", MetricType::Histogram);
   for (const auto& [route, times] : state.call_duration_histograms) {
@@ -109,6 +117,19 @@
                    static_cast<double>(state.servers.RunningIn(zone)),
                    {{"zone", zone}});
   }
+  auto heavy_work =
+      MakeMetricFamily("lovagedale_heavy_work_fraction", MetricType::Gauge);
+  auto boundary =
+      MakeMetricFamily("lovagedale_heavy_group_boundary", MetricType::Gauge);
+  for (const auto& [service, groups] : state.groups) {
+    if (const auto share = groups.HeavyShare(now)) {
+      AddMetricValue(heavy_work, *share, {{"service", service}});
+    }
+    if (groups.groups()) {
+      AddMetricValue(boundary, groups.groups()->boundary,
+                     {{"service", service}});
+    }
+  }
   auto forwarded =
       MakeMetricFamily("lovagedale_forwarded_calls_total", MetricType::Counter);
   AddMetricValue(forwarded, static_cast<double>(state.forwarded_calls));
@@ -131,10 +152,10 @@
                                   MetricType::Counter);
   AddMetricValue(crashes, static_cast<double>(state.crashes.crashes()));
   return prometheus::TextSerializer().Serialize(
-      {calls, attempts, durations, first_events, ejected, evacuated, forwarded,
-       active, answer_memory, revision, list, suppressed, crashes,
-       limits.requests, limits.limit, limits.demand, cold.requests,
-       cold.limit});
+      {calls, attempts, given_up, durations, first_events, ejected, evacuated,
+       heavy_work, boundary, forwarded, active, answer_memory, revision, list,
+       suppressed, crashes, limits.requests, limits.limit, limits.demand,
+       cold.requests, cold.limit});
 }
 
 }  // namespace lovagedale
--- a/tests/formats/samples.h
+++ b/tests/formats/samples.h
@@ -25,8 +25,12 @@
 inline auto SetAddedSample(view_update& message) -> void {
   message.cold_limits.emplace(MakeSample<std::vector<service_cold_limit>>());
 }
+inline auto SetAddedSample(entry_heartbeat& message) -> void {
+  message.work = MakeSample<std::vector<service_work>>();
+}
 inline auto SetAddedSample(heartbeat_response& message) -> void {
   message.cold_servers = MakeSample<std::vector<cold_server>>();
+  message.heavy_shares = MakeSample<std::vector<heavy_work_share>>();
 }
 
 template <typename Message, typename Visitor>
@@ -58,7 +62,9 @@
     visit("ledger_replica_message_" + std::to_string(i),
           ledger_request(envelope));
   }
-  visit("heartbeat", control_request(MakeSample<entry_heartbeat>()));
+  auto heartbeat = MakeSample<entry_heartbeat>();
+  SetAddedSample(heartbeat);
+  visit("heartbeat", control_request(heartbeat));
   visit("join", control_request(MakeSample<join_request>()));
   VisitSample<heartbeat_response>("heartbeat_response", visit);
   VisitSample<join_response>("join_response", visit);
