--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -63,6 +63,9 @@
   auto Adopt(const heartbeat_response& response, const std::string& replica)
       -> void;
   auto AdoptLoads(const heartbeat_response& response) -> void;
+  /// Logs when the choice of servers begins or ceases to use other entries'
+  /// loads.
+  auto LogLoadsChange() -> void;
   auto AdoptServers(const server_list_update& update) -> void;
   /// Puts the list in force, with the addresses that this host uses.
   auto UseServers(server_list list) -> void;
@@ -98,6 +101,7 @@
   reach_report reported_reach_;
   std::string reach_reported_to_;
   std::uint32_t helpers_hash_ = 0;
+  bool are_loads_fresh_ = false;  ///< as logged last
   bool is_helping_ = true;
   bool leaving_ = false;
 };
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -22,6 +22,7 @@
     grep -E 'median|Benchmark'
   check_median PlaceRequest/600 5000
   check_median DecideRequest/600 10000
+  check_median ChoosePromptServer/600 10000
 }
 
 check_median() { # benchmark, bound in ns
--- a/src/relay/server_choice.cpp
+++ b/src/relay/server_choice.cpp
@@ -37,8 +37,8 @@
                      const std::vector<std::size_t>& usable,
                      const prompt_work& prompt, double report_fraction)
     -> std::size_t {
-  const auto rank = [&](std::size_t i) {
-    return MixBits(candidates[i].id_hash ^ MixBits(prompt.shared_part_id));
+  const auto rank = [&, part = MixBits(prompt.shared_part_id)](std::size_t i) {
+    return MixBits(candidates[i].id_hash ^ part);
   };
   auto primary = usable.front();
   for (const auto i : usable) {
@@ -64,10 +64,14 @@
     return work * (1 + kFailureWeight * server.failure_fraction);
   };
   auto best = primary;
+  auto best_work = remaining_work(best);
   for (const auto i : usable) {
-    const auto difference = remaining_work(i) - remaining_work(best);
+    const auto work = remaining_work(i);
+    const auto difference = work - best_work;
     // Ties go to the higher rank, so that the second server caches the part.
-    if (difference < 0 || (difference == 0 && rank(i) > rank(best))) best = i;
+    if (difference > 0 || (difference == 0 && rank(i) <= rank(best))) continue;
+    best = i;
+    best_work = work;
   }
   return best;
 }
@@ -100,6 +104,7 @@
                   const choice_input& input) -> std::optional<std::size_t> {
   if (candidates.empty()) return std::nullopt;
   std::vector<std::size_t> usable;
+  usable.reserve(candidates.size());
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     if (!candidates[i].ejected) usable.push_back(i);
   }
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -193,6 +193,7 @@
       failure = error.what();
     }
     if (asks_follower) sender_choice_.RecordFollowerEnded();
+    LogLoadsChange();
     if (leader_ == name && (!failure.empty() || !is_leader)) {
       leader_.clear();
       // A replica that leads again after a restart has no counters.
@@ -400,6 +401,15 @@
   }
 }
 
+auto fleet_link::LogLoadsChange() -> void {
+  const bool are_fresh = state_.servers.AreLoadsFresh(clock_.Now());
+  if (are_fresh == are_loads_fresh_) return;
+  are_loads_fresh_ = are_fresh;
+  log_line(log_level::kInfo, are_fresh ? "loads_received" : "loads_outdated")
+      .With("leader", leader_)
+      .With("period_ms", state_.servers.loads_period_ms());
+}
+
 auto fleet_link::AdoptServers(const server_list_update& update) -> void {
   if (update.number <= list_.number) return;
   auto list = ApplyListUpdate(list_, update);
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -81,8 +81,9 @@
   for (const auto& [id, server] : state.servers.All()) {
     ejected_by_service[server->listed.service] +=
         server->health.IsEjected(now) ? 1 : 0;
-    if (server->pace != 1)
+    if (server->pace != 1) {
       AddMetricValue(paces, server->pace, {{"server", id}});
+    }
     if (server->limit.IsLimited() || server->limited != limited_requests{}) {
       limits.Add(*server, now);
     }
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <thread>
 
+#include "lovagedale/route_entry/route_entry.h"
 #include "support/free_port.h"
 #include "support/plain_protocol.h"
 #include "support/raw_server.h"
@@ -202,6 +203,15 @@
   auto CancelAttempts() -> cancelled_attempts {
     return OnItsThread([this] { return state_.servers.CancelAttempts(""); });
   }
+  auto Metrics() -> std::string {
+    return OnItsThread([this] { return FormatRelayMetrics(state_); });
+  }
+  /// Paces of answers that have not been reported.
+  auto TakePaces() -> std::vector<server_speed> {
+    return OnItsThread([this] {
+      return state_.servers.TakePaces(system_monotonic_clock{}.Now());
+    });
+  }
   auto CountUnreachableServers() -> std::ptrdiff_t {
     return OnItsThread([this] {
       const auto& servers = state_.servers.Servers("engines");
@@ -979,6 +989,30 @@
   CHECK(deadly_requests <= 8);
 }
 
+// Guards against a server whose slowness nobody learns, and against answers of
+// other kinds that count as its pace.
+TEST_CASE("the pace of each first event of a prompt is recorded") {
+  scripted_server server([](const std::string&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    return kStreamHead + "\r\n" + Chunk(Event(1)) + Chunk("");
+  });
+  auto item = MakeRoute(route_kind::kStream);
+  item.prompts = true;
+  running_relay relay(item, {server.port()});
+  CHECK(relay.Call().head.status == 200);
+  CHECK(relay.TakePaces().empty());  // It has no prompt.
+  for (int i = 0; i < 3; ++i) {
+    CHECK(relay.Call({{"Parts", "179"}}).head.status == 200);
+  }
+  // A prompt of two tokens takes far less than 60 ms by the prior.
+  const auto paces = relay.TakePaces();
+  REQUIRE(paces.size() == 3);
+  CHECK(paces.front().pace > 2);
+  const auto metrics = relay.Metrics();
+  CHECK(metrics.find("lovagedale_first_event_error_ms_count{route=\"route\","
+                     "model=\"\",actual=\"later\"} 3") != std::string::npos);
+}
+
 // Guards against a server that names a limit and gets requests as before.
 TEST_CASE("what a server's limit does not allow goes to another server") {
   scripted_server limited([](const std::string&) {
