--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -15,6 +15,7 @@
 #include "lovagedale/forwarding/helper_table.h"
 #include "lovagedale/health/crash_attribution.h"
 #include "lovagedale/quality/evidence.h"
+#include "lovagedale/relay/fleet_loads.h"
 #include "lovagedale/relay/server_groups.h"
 #include "lovagedale/relay/server_load.h"
 #include "lovagedale/replication/messages.h"
@@ -32,7 +33,9 @@
   /// Cumulative answer counts, only of services under roll-out, and only those
   /// that changed since the leader received them.
   version_answers_table answers;
-  std::vector<server_load> loads;  ///< from its requests in progress
+  /// From its requests in progress. Empty if the leader reads
+  /// entry_heartbeat::loads.
+  std::vector<server_load> loads;
   /// Sent to the leader if it has another report.
   std::optional<reach_report> reach;
   /// Of the helpers that the entry has; see HashHelpers.
@@ -59,7 +62,8 @@
   std::optional<server_list_update> servers;
   /// Names of control's members; sent if the entry has another list.
   std::vector<std::string> replicas;
-  /// Sent by the leader: loads from the requests of all entries.
+  /// Sent by the leader: loads from the requests of all entries, of the
+  /// busiest servers. Missing if the entry reads heartbeat_response::loads.
   std::optional<std::vector<server_load>> loads;
   /// Sent by the leader: keys whose answered requests the entry is to report.
   std::vector<crash_key> suspects;
@@ -117,18 +121,26 @@
   std::optional<limits_report> limits;
   /// Present if the entry relays to discovered servers.
   std::optional<relay_report> relay;
+  /// To a leader that reads kFleetLoadsFormat: of the servers of the list
+  /// `relay->server_list_number`.
+  std::optional<entry_loads> loads;
   /// To the leader, every kWorkReportPeriodMs: work of prompts that the entry
   /// has sent recently.
   std::vector<service_work> work;
 
+  static constexpr std::uint16_t kLoadsField = 1;
   static constexpr std::uint16_t kWorkField = 2;
 
   auto AddedFields() const -> added_fields {
     added_fields fields;
+    if (loads) fields.emplace(kLoadsField, EncodeFixed(*loads));
     if (!work.empty()) fields.emplace(kWorkField, EncodeFixed(work));
     return fields;
   }
   auto SetAddedFields(const added_fields& fields) -> void {
+    if (const auto found = fields.find(kLoadsField); found != fields.end()) {
+      loads = DecodeFixed<entry_loads>(found->second);
+    }
     if (const auto found = fields.find(kWorkField); found != fields.end()) {
       work = DecodeFixed<std::vector<service_work>>(found->second);
     }
@@ -160,6 +172,8 @@
   /// Those of the servers in `relay->servers` that are cold; the others are
   /// not.
   std::vector<cold_server> cold_servers;
+  /// Sent by the leader to an entry that reads kFleetLoadsFormat.
+  std::optional<fleet_loads> loads;
   /// Sent by the leader if the heartbeat had `work`: the fleet's shares.
   std::vector<heavy_work_share> heavy_shares;
 
@@ -168,6 +182,7 @@
     if (!cold_servers.empty()) {
       fields.emplace(kColdServersField, EncodeFixed(cold_servers));
     }
+    if (loads) fields.emplace(kLoadsField, EncodeFixed(*loads));
     if (!heavy_shares.empty()) {
       fields.emplace(kHeavySharesField, EncodeFixed(heavy_shares));
     }
@@ -178,6 +193,9 @@
         found != fields.end()) {
       cold_servers = DecodeFixed<std::vector<cold_server>>(found->second);
     }
+    if (const auto found = fields.find(kLoadsField); found != fields.end()) {
+      loads = DecodeFixed<fleet_loads>(found->second);
+    }
     if (const auto found = fields.find(kHeavySharesField);
         found != fields.end()) {
       heavy_shares = DecodeFixed<std::vector<heavy_work_share>>(found->second);
@@ -191,6 +209,7 @@
 
  private:
   static constexpr std::uint16_t kColdServersField = 1;
+  static constexpr std::uint16_t kLoadsField = 2;
   static constexpr std::uint16_t kHeavySharesField = 3;
 };
 
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -64,6 +64,10 @@
   /// Applies the routes, control replicas, loads and servers of a response.
   auto Adopt(const heartbeat_response& response, const std::string& replica)
       -> void;
+  auto AdoptLoads(const heartbeat_response& response) -> void;
+  /// Logs when the choice of servers begins or ceases to use other entries'
+  /// loads.
+  auto LogLoadsChange() -> void;
   auto AdoptServers(const server_list_update& update,
                     const std::vector<cold_server>& cold) -> void;
   /// Puts the list in force, with the addresses that this host uses.
@@ -94,6 +98,7 @@
   std::string answers_reported_to_;
   monotonic_ms leader_response_ms_ = 0;
   server_list list_;                 ///< the leader's latest
+  server_positions positions_;       ///< of list_
   std::uint64_t replicas_hash_ = 0;  ///< of control's members, as last received
   /// What the replica `reach_reported_to_` has received.
   reach_report reported_reach_;
@@ -101,6 +106,7 @@
   std::string work_reported_to_;  ///< the replica that had the last report
   monotonic_ms work_reported_ms_ = 0;
   std::uint32_t helpers_hash_ = 0;
+  bool are_loads_fresh_ = false;  ///< as logged last
   bool is_helping_ = true;
   bool leaving_ = false;
 };
--- a/src/relay/server_choice.cpp
+++ b/src/relay/server_choice.cpp
@@ -58,8 +58,8 @@
                      const std::vector<std::size_t>& preferred,
                      const prompt_work& prompt, double report_fraction,
                      double overflow_cost) -> std::size_t {
-  const auto rank = [&](std::size_t i) {
-    return MixBits(candidates[i].id_hash ^ MixBits(prompt.shared_part_id));
+  const auto rank = [&, part = MixBits(prompt.shared_part_id)](std::size_t i) {
+    return MixBits(candidates[i].id_hash ^ part);
   };
   auto primary = preferred.front();
   for (const auto i : preferred) {
@@ -81,10 +81,10 @@
     const auto& server = candidates[i];
     auto work = WaitingWork(server, report_fraction);
     if (i != primary) work += prompt.shared_work;
+    work = (work + prompt.total_work - prompt.shared_work) * server.pace;
     if (i != primary && i != second) work += noise;
     if (!server.own_zone) work += prompt.total_work * kCrossZoneCostFraction;
-    return (work + prompt.total_work - prompt.shared_work) *
-           (1 + kFailureWeight * server.failure_fraction);
+    return work * (1 + kFailureWeight * server.failure_fraction);
   };
   auto best = primary;
   auto best_work = remaining_work(primary);
@@ -116,10 +116,22 @@
 
 }  // namespace
 
+auto IsPartCached(const std::vector<server_candidate>& candidates,
+                  std::size_t chosen, const prompt_work& prompt) -> bool {
+  const auto part = MixBits(prompt.shared_part_id);
+  const auto own_rank = MixBits(candidates[chosen].id_hash ^ part);
+  const auto higher =
+      std::count_if(candidates.begin(), candidates.end(), [&](const auto& c) {
+        return !c.ejected && MixBits(c.id_hash ^ part) > own_rank;
+      });
+  return higher < 2;
+}
+
 auto ChooseServer(const std::vector<server_candidate>& candidates,
                   const choice_input& input) -> std::optional<std::size_t> {
   if (candidates.empty()) return std::nullopt;
   std::vector<std::size_t> usable;
+  usable.reserve(candidates.size());
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     if (!candidates[i].ejected) usable.push_back(i);
   }
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -113,8 +113,14 @@
         ChangedAnswers(state_.answers, answers_reported_to_ == leader_
                                            ? reported_answers_
                                            : version_answers_table{});
-    heartbeat.relay->loads = state_.servers.OwnLoads();
     heartbeat.work = DueWork();
+    if (leader_format_ < kFleetLoadsFormat) {
+      heartbeat.relay->loads = state_.servers.OwnLoads();
+    } else {
+      heartbeat.loads = EncodeEntryLoads(
+          positions_, state_.servers.OwnLoads(entry_loads::kMaxWorks),
+          state_.servers.TakePaces(clock_.Now()));
+    }
     heartbeat.relay->helpers_hash = helpers_hash_;
     // Another leader has no report of this entry.
     const auto reach = OwnReach();
@@ -209,6 +215,7 @@
       failure = error.what();
     }
     if (asks_follower) sender_choice_.RecordFollowerEnded();
+    LogLoadsChange();
     if (leader_ == name && (!failure.empty() || !is_leader)) {
       leader_.clear();
       // A replica that leads again after a restart has no counters.
@@ -401,9 +408,6 @@
   const auto& replicas = response.relay->replicas;
   if (!replicas.empty()) replicas_hash_ = HashReplicas(replicas);
   for (const auto& replica : replicas) AddReplica(replica);
-  if (response.relay->loads) {
-    state_.servers.UpdateLoads(*response.relay->loads, clock_.Now());
-  }
   if (response.is_leader) AdoptShares(state_.groups, response.heavy_shares);
   if (response.relay->helpers) {
     helpers_hash_ = HashHelpers(*response.relay->helpers);
@@ -412,6 +416,27 @@
   if (response.relay->servers) {
     AdoptServers(*response.relay->servers, response.cold_servers);
   }
+  AdoptLoads(response);
+}
+
+auto fleet_link::AdoptLoads(const heartbeat_response& response) -> void {
+  if (response.loads) {
+    // Those of another list are replaced by the next response.
+    const auto decoded = DecodeFleetLoads(positions_, *response.loads);
+    if (!decoded) return;
+    state_.servers.UpdateLoads(decoded->first, clock_.Now(), decoded->second);
+  } else if (response.relay->loads) {
+    state_.servers.UpdateLoads(*response.relay->loads, clock_.Now());
+  }
+}
+
+auto fleet_link::LogLoadsChange() -> void {
+  const bool are_fresh = state_.servers.AreLoadsFresh(clock_.Now());
+  if (are_fresh == are_loads_fresh_) return;
+  are_loads_fresh_ = are_fresh;
+  log_line(log_level::kInfo, are_fresh ? "loads_received" : "loads_outdated")
+      .With("leader", leader_)
+      .With("period_ms", state_.servers.loads_period_ms());
 }
 
 auto fleet_link::AdoptServers(const server_list_update& received,
@@ -428,6 +453,7 @@
     return;
   }
   list_ = std::move(*list);
+  positions_ = server_positions(list_);
   UseServers(list_);
   log_line(log_level::kInfo, "servers_adopted")
       .With("number", list_.number)
--- a/tests/formats/formats_test.cpp
+++ b/tests/formats/formats_test.cpp
@@ -80,6 +80,7 @@
       const auto decoded = DecodeWithFormat<message>(stored);
       CHECK(decoded.footer.written == format);
       CHECK(EncodeFixed(decoded.message) == EncodeFixed(sample));
+      CHECK(AddedFieldsOf(decoded.message) == AddedFieldsOf(sample));
     });
   }
 }
@@ -96,11 +97,11 @@
 // another.
 TEST_CASE("added fields of this format are read back") {
   auto update = MakeSample<view_update>();
-  testing::SetAddedSample(update);
+  testing::AddFieldsOf(kFormat, update);
   const auto update_bytes = ReadBytes(SamplesOf(4) / "view_update.bin");
   CHECK(Decode<view_update>(update_bytes).cold_limits == update.cold_limits);
   auto response = MakeSample<heartbeat_response>();
-  testing::SetAddedSample(response);
+  testing::AddFieldsOf(kFormat, response);
   const auto bytes = ReadBytes(SamplesOf(4) / "heartbeat_response.bin");
   CHECK(Decode<heartbeat_response>(bytes).cold_servers ==
         response.cold_servers);
@@ -121,11 +122,13 @@
 
 // Builds without formats read the fixed fields and ignore what follows.
 TEST_CASE("messages begin with the bytes of the first format") {
-  ForEachSample([&](const std::string& name, const auto& sample) {
-    CAPTURE(name);
-    const auto first = ReadBytes(SamplesOf(kFirstFormat) / (name + ".bin"));
-    CHECK(Encode(sample).starts_with(first));
-  });
+  ForEachSample(
+      [&](const std::string& name, const auto& sample) {
+        CAPTURE(name);
+        const auto first = ReadBytes(SamplesOf(kFirstFormat) / (name + ".bin"));
+        CHECK(Encode(sample).starts_with(first));
+      },
+      kFormat);
 }
 
 TEST_CASE("fields of a later format are skipped") {
--- a/tests/formats/samples.h
+++ b/tests/formats/samples.h
@@ -19,25 +19,9 @@
 inline constexpr std::size_t kFirstFormatReplicaMessages = 6;
 inline constexpr std::size_t kFirstFormatClaimCommands = 4;
 
-/// Sets the fields that later formats added to a message.
-template <typename Message>
-auto SetAddedSample(Message& /*message*/) -> void {}
-inline auto SetAddedSample(view_update& message) -> void {
-  message.cold_limits.emplace(MakeSample<std::vector<service_cold_limit>>());
-}
-inline auto SetAddedSample(entry_heartbeat& message) -> void {
-  message.work = MakeSample<std::vector<service_work>>();
-}
-inline auto SetAddedSample(heartbeat_response& message) -> void {
-  message.cold_servers = MakeSample<std::vector<cold_server>>();
-  message.heavy_shares = MakeSample<std::vector<heavy_work_share>>();
-}
-
 template <typename Message, typename Visitor>
 auto VisitSample(const std::string& name, Visitor& visit) -> void {
-  auto sample = MakeSample<Message>();
-  SetAddedSample(sample);
-  visit(name, sample);
+  visit(name, MakeSample<Message>());
 }
 
 /// Routes that control accepts.
@@ -51,10 +35,39 @@
   return routes;
 }
 
+/// Sets the fields that were added to the message up to `format`.
+inline auto AddFieldsOf(format_number format, entry_heartbeat& heartbeat)
+    -> void {
+  if (format < kFleetLoadsFormat) return;
+  heartbeat.loads = MakeSample<entry_loads>();
+  heartbeat.work = MakeSample<std::vector<service_work>>();
+}
+
+inline auto AddFieldsOf(format_number format, heartbeat_response& response)
+    -> void {
+  if (format < kFleetLoadsFormat) return;
+  response.cold_servers = MakeSample<std::vector<cold_server>>();
+  response.loads = MakeSample<fleet_loads>();
+  response.heavy_shares = MakeSample<std::vector<heavy_work_share>>();
+}
+
+inline auto AddFieldsOf(format_number format, view_update& update) -> void {
+  if (format < kFleetLoadsFormat) return;
+  update.cold_limits.emplace(MakeSample<std::vector<service_cold_limit>>());
+}
+
+/// A sample of a message to which later formats have added fields.
+template <typename Message>
+auto MakeSampleOf(format_number format) -> Message {
+  auto message = MakeSample<Message>();
+  AddFieldsOf(format, message);
+  return message;
+}
+
 /// Calls `visit` with a name and a sample of each message and stored item that
-/// the first format has.
+/// the first format has, with the fields that were added up to `format`.
 template <typename Visitor>
-auto ForEachSample(Visitor visit) -> void {
+auto ForEachSample(Visitor visit, format_number format = kFirstFormat) -> void {
   for (std::size_t i = 0; i < kFirstFormatReplicaMessages; ++i) {
     const auto envelope = MakeSample<replica_envelope>(i);
     visit("control_replica_message_" + std::to_string(i),
@@ -62,13 +75,11 @@
     visit("ledger_replica_message_" + std::to_string(i),
           ledger_request(envelope));
   }
-  auto heartbeat = MakeSample<entry_heartbeat>();
-  SetAddedSample(heartbeat);
-  visit("heartbeat", control_request(heartbeat));
+  visit("heartbeat", control_request(MakeSampleOf<entry_heartbeat>(format)));
   visit("join", control_request(MakeSample<join_request>()));
-  VisitSample<heartbeat_response>("heartbeat_response", visit);
+  visit("heartbeat_response", MakeSampleOf<heartbeat_response>(format));
   VisitSample<join_response>("join_response", visit);
-  VisitSample<view_update>("view_update", visit);
+  visit("view_update", MakeSampleOf<view_update>(format));
   VisitSample<route_changes>("route_changes", visit);
   VisitSample<fleet_view>("fleet_view", visit);
   for (std::size_t i = 0; i < kFirstFormatChangeActions; ++i) {
@@ -96,7 +107,7 @@
 /// The same for all messages and stored items that `format` has.
 template <typename Visitor>
 auto ForEachSampleOf(format_number format, Visitor visit) -> void {
-  ForEachSample(visit);
+  ForEachSample(visit, format);
   if (format < kGrantFormat) return;
   visit("grant_request", control_request(MakeSample<grant_request>()));
   VisitSample<grant_response>("grant_response", visit);
