--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -130,6 +130,12 @@
   // Two replicas that grant at the same time would grant twice the limit.
   if (tracker_ && node_.HasLease() && !stopped_) {
     const auto now = clock_.Now();
+    if (feed_.list().number == 0 && !ColdLimits().empty()) {
+      // Without the list a cold limit cannot be told from one that a server
+      // names.
+      reply(Encode(response));
+      return;
+    }
     if (const auto cold_limit = ColdLimitOf(request.server.server)) {
       response.grant = cold_grants_.Grant(request.server.server, *cold_limit,
                                           machine_.entries().size(), now);
--- a/tests/route_entry/cold_servers_test.cpp
+++ b/tests/route_entry/cold_servers_test.cpp
@@ -53,6 +53,26 @@
         fleet.load().requests_per_s / kRelayedServers * 3 / 2);
 }
 
+// Guards against a cold server that gets its cold limit although it names a
+// lower one, and against answers without a named limit that end the cold one.
+TEST_CASE("a cold server that names a limit gets the lower of the two") {
+  constexpr std::size_t kMostNamed = 17;  // 1.5 times 2 a second in 4 s, and 5.
+  relaying_fleet fleet(ColdLoad());
+  fleet.Run(seconds(3));
+  auto& cold = fleet.Server(0);
+  fleet.BeginCold(cold, 60'000);
+  fleet.Run(milliseconds(kKnownAfterMs));
+  cold.limit = "2";
+  fleet.CountFrom(cold, arrival_windows::kWindowMs + 1'000);
+  fleet.CountSecondsFrom(cold, 0);
+  fleet.Run(seconds(10));
+  CHECK(cold.arrivals.most() <= kMostNamed);
+  CHECK(cold.arrivals.total() >= 2);
+  cold.limit.clear();
+  fleet.Run(seconds(5));
+  CHECK(cold.arrivals_by_second.most() <= MostAllowedCold(kLimit));
+}
+
 // Guards against entries that start together and take the whole limit each.
 TEST_CASE("entries that start together keep to the limits of cold servers") {
   auto load = ColdLoad();
