Cold servers: a test of the real programs from the document to the entries

The unit tests give control a parser of their own. This one sends the operator's document and the orders of an evacuation by HTTP to one replica of control with three entries.

--- a/tests/platform/listed_servers.cpp
+++ b/tests/platform/listed_servers.cpp
@@ -2,19 +2,25 @@
 //   listed_servers LIST_PORT ID:SERVICE:ZONE:PORT...
 // A path that begins with /stream/ is answered with events, each other one with
 // a short body, and after a while if it begins with /slow/. GET /record on the
-// list's port tells how often requests ran.
+// list's port tells how often requests ran, GET /cold/MS lists all servers as
+// cold for a time, GET /count/MS counts requests of each server after a time,
+// and GET /seconds tells the total and the most in a second for the busiest
+// server since.
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
 #include <charconv>
 #include <iostream>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <vector>
 
 #include "lovagedale/common/fiber_event.h"
 #include "lovagedale/http/server.h"
+#include "lovagedale/standin/arrival_windows.h"
 #include "wire.h"
 
 namespace {
@@ -60,6 +66,8 @@
                                            {"repeated", repeated_orders_}}));
       return;
     }
+    if (HandleColdCall(exchange)) return;
+    const auto now = clock_.Now();
     json::array instances;
     for (const auto& server : servers_) {
       instances.push_back(
@@ -69,12 +77,41 @@
            {"zone", server.zone},
            {"version", "v1"},
            {"capacity", 64},
+           {"cold_remaining_ms",
+            std::max<monotonic_ms>(0, cold_until_ms_ - now)},
            {"state", "ready"}});
     }
     exchange.RespondJson(
         200, json::serialize(json::value{{"instances", std::move(instances)},
                                          {"next", nullptr}}));
   }
+  auto HandleColdCall(http_exchange& exchange) -> bool {
+    const std::string path(exchange.request().Path());
+    const auto argument = [&](const std::string& prefix) {
+      return path.starts_with(prefix)
+                 ? std::optional(std::stol(path.substr(prefix.size())))
+                 : std::nullopt;
+    };
+    if (const auto cold_ms = argument("/cold/")) {
+      cold_until_ms_ = clock_.Now() + *cold_ms;
+    } else if (const auto delay_ms = argument("/count/")) {
+      for (const auto& server : servers_) {
+        arrivals_.try_emplace(server.id, kSecondMs)
+            .first->second.CountFrom(clock_.Now() + *delay_ms);
+      }
+    } else if (path != "/seconds") {
+      return false;
+    }
+    std::int64_t total = 0;
+    std::size_t most = 0;
+    for (const auto& [id, arrivals] : arrivals_) {
+      total = std::max(total, arrivals.total());
+      most = std::max(most, arrivals.most());
+    }
+    exchange.RespondJson(
+        200, json::serialize(json::value{{"total", total}, {"most", most}}));
+    return true;
+  }
   auto Run(http_exchange& exchange, const stand_in& server) -> void {
     const auto& request = exchange.request();
     const auto id = std::string(request.Header(wire::kRequestId));
@@ -82,6 +119,7 @@
       exchange.Respond(421, "", "", {{std::string(wire::kRequestId), id}});
       return;
     }
+    arrivals_.try_emplace(server.id, kSecondMs).first->second.Add(clock_.Now());
     const header_list headers = {
         {std::string(wire::kRequestId), id},
         {"X-Lovagedale-Replica-Signature", "signed-" + id}};
@@ -107,7 +145,12 @@
     exchange.EndStream();
   }
 
+  static constexpr monotonic_ms kSecondMs = 1'000;
+
   boost::asio::io_context& context_;
+  system_monotonic_clock clock_;
+  monotonic_ms cold_until_ms_ = 0;
+  std::map<std::string, arrival_windows> arrivals_;  ///< by id, in seconds
   const std::vector<stand_in> servers_;
   std::vector<std::unique_ptr<http_server>> listeners_;
   std::set<std::string> orders_;
