Count a server's pace on its queued work only

On a prompt's own work the noise of paces sends prompts of an even fleet to servers that lack their shared part.

--- a/include/lovagedale/relay/server_choice.h
+++ b/include/lovagedale/relay/server_choice.h
@@ -48,13 +48,13 @@
 
 /// Index of the server that gets the request; nothing without candidates.
 /// Ejected servers are used only if all are ejected. A prompt goes to the
-/// server with the least work before its first event: the work queued there,
-/// and the shared part unless the server has it cached, each times the server's
-/// pace. Rendezvous hashing
-/// assigns a part to the same two servers at all entries; where loads are
-/// reported, other servers must be less busy than both by more than the noise
-/// in the reports. A request without a prompt goes to the less loaded of two
-/// random servers of the own zone, unless another server is much less busy.
+/// server with the least work before its first event: the work queued there
+/// times the server's pace, and the shared part unless the server has it
+/// cached. Rendezvous hashing assigns a part to the same two servers at all
+/// entries; where loads are reported, other servers must be less busy than both
+/// by more than the noise in the reports. A request without a prompt goes to
+/// the less loaded of two random servers of the own zone, unless another server
+/// is much less busy.
 auto ChooseServer(const std::vector<server_candidate>& candidates,
                   const choice_input& input) -> std::optional<std::size_t>;
 
--- a/src/relay/server_choice.cpp
+++ b/src/relay/server_choice.cpp
@@ -56,12 +56,14 @@
   const auto noise = reported / static_cast<double>(usable.size());
   const auto remaining_work = [&](std::size_t i) {
     const auto& server = candidates[i];
-    auto work = WaitingWork(server, report_fraction);
+    // The pace is noisy: on the prompt's own work it would send prompts of an
+    // even fleet to servers that lack their shared part.
+    auto work = WaitingWork(server, report_fraction) * server.pace;
     if (i != primary) work += prompt.shared_work;
-    work = (work + prompt.total_work - prompt.shared_work) * server.pace;
     if (i != primary && i != second) work += noise;
     if (!server.own_zone) work += prompt.total_work * kCrossZoneCostFraction;
-    return work * (1 + kFailureWeight * server.failure_fraction);
+    return (work + prompt.total_work - prompt.shared_work) *
+           (1 + kFailureWeight * server.failure_fraction);
   };
   auto best = primary;
   auto best_work = remaining_work(best);
@@ -69,9 +71,10 @@
     const auto work = remaining_work(i);
     const auto difference = work - best_work;
     // Ties go to the higher rank, so that the second server caches the part.
-    if (difference > 0 || (difference == 0 && rank(i) <= rank(best))) continue;
-    best = i;
-    best_work = work;
+    if (difference < 0 || (difference == 0 && rank(i) > rank(best))) {
+      best = i;
+      best_work = work;
+    }
   }
   return best;
 }
--- a/tests/route_entry/fleet_loads_exchange_test.cpp
+++ b/tests/route_entry/fleet_loads_exchange_test.cpp
@@ -92,9 +92,35 @@
 
 // Guards against busy servers that other entries take for idle because more
 // than 64 are busy.
-TEST_CASE("an entry learns the work and the pace at every server") {
+TEST_CASE("an entry learns the work at every server") {
+  two_entries fleet;
+  entry_heartbeat heartbeat;
+  heartbeat.node = "entry-3";
+  heartbeat.zone = "zone-a";
+  heartbeat.relay.emplace();
+  for (std::size_t i = 0; i < kServers; ++i) {
+    heartbeat.relay->loads.push_back(
+        {ServerKey(fleet.first.Server(i).id_hash), 1'000});
+  }
+  fleet.Heartbeat(heartbeat, 3);
+  std::size_t known = 0;
+  CHECK(fleet.RunUntil(
+      [&] {
+        known = 0;
+        for (std::size_t i = 0; i < kServers; ++i) {
+          if (fleet.second.Server(i).OtherEntriesWork() > 900) ++known;
+        }
+        return known == kServers;
+      },
+      milliseconds(1'500)));
+  CAPTURE(known);
+  CHECK(known == kServers);
+}
+
+// Guards against a slow server that only the entries know which got its
+// answers.
+TEST_CASE("an entry learns the work and the pace that others report") {
   two_entries fleet;
-  // More than one report has room for, as a report has the busiest 32.
   for (std::size_t i = 0; i < 30; ++i) fleet.first.Server(i).work = 5'000;
   for (std::size_t i = 30; i < 60; ++i) fleet.second.Server(i).work = 9'000;
   CHECK(fleet.RunUntil([&] {
