Let less urgent requests wait for their turn at the entry

Cause: all requests queue in the servers, which process them in the order of arrival, so that in a burst urgent requests wait behind all others. Change: scheduling/admission_queue decides which requests of a service with several priorities go, wait or are refused; scheduling/admission_gate suspends the calls; work_pace turns queued work into milliseconds. Settings admission (on) and admission_strict (off).

--- a/benchmark/micro_main.cpp
+++ b/benchmark/micro_main.cpp
@@ -11,6 +11,8 @@
 #include "lovagedale/discovery/list_changes.h"
 #include "lovagedale/entry/routing_table.h"
 #include "lovagedale/placement/placement.h"
+#include "lovagedale/relay/server_table.h"
+#include "lovagedale/scheduling/admission_gate.h"
 #include "scale/scale_fleet.h"
 
 namespace lovagedale::benchmark {
@@ -137,6 +139,58 @@
 }
 BENCHMARK(ExchangeServerLimits)->Arg(3)->Arg(30);
 
+/// A decision on a request while as many wait as the argument says: the
+/// prediction among 600 servers, the request's own place, and a look at all
+/// waiting requests. 24 customers, 3 priorities.
+auto DecideAdmission(::benchmark::State& state) -> void {
+  constexpr std::size_t kServers = 600;
+  constexpr std::size_t kCustomers = 24;
+  server_table servers;
+  server_list list{1, {}};
+  std::vector<server_load> loads;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    listed_server server;
+    server.id = "i-" + std::to_string(i);
+    server.service = "engines";
+    loads.push_back({ServerKey(Hash64(server.id)), 50'000});
+    list.servers.push_back(server);
+  }
+  servers.Update(list);
+  servers.UpdateLoads(loads, 0);
+  work_pace pace;
+  for (int i = 0; i < 32; ++i) pace.Record(1'000, 20'000, 0);
+  admission_queue queue(0.5);
+  std::uint64_t random = 1;
+  const auto request = [&] {
+    random = MixBits(random);
+    return admission_request{"customer-" + std::to_string(random % kCustomers),
+                             static_cast<std::uint32_t>(1 + random % 2), 1'000,
+                             60'000, 120'000};
+  };
+  admission_conditions conditions;
+  const auto predict = [&] {
+    std::tie(conditions.best, conditions.servers) = PredictRoom(
+        "engines", servers, pace, queue_statistic::kLeast, /*now=*/0);
+    conditions.urgent_objective_ms = 1'500;
+    conditions.ranks = 3;
+    conditions.entries = 78;
+  };
+  predict();
+  const auto waiting = static_cast<std::size_t>(state.range(0));
+  while (queue.waiting() < waiting) queue.Add(request(), conditions, 0.5, 0);
+  for (auto _ : state) {
+    predict();
+    const auto decision = queue.Add(request(), conditions, 0.5, 0);
+    ::benchmark::DoNotOptimize(queue.Release(conditions, 0.5, 0));
+    queue.Remove(decision.id);
+    if (queue.waiting() != waiting) {
+      state.SkipWithError("a request did not wait");
+      return;
+    }
+  }
+}
+BENCHMARK(DecideAdmission)->Arg(0)->Arg(100)->Arg(999);
+
 /// The change of one server in a list; done twice a second in a release.
 auto UpdateServerList(::benchmark::State& state) -> void {
   server_list list{1, {}};
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -84,6 +84,7 @@
 auto relayed_call<Protocol>::Run() -> void {
   exchange_.OnCallerDisconnect([this] {
     caller_disconnected_ = true;
+    EndWait();
     if (connection_) connection_->Close();
   });
   const auto ender = state_.enders.Register([this] { EndAttempt(); });
@@ -255,6 +256,7 @@
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::RunAttempts() -> void {
+  if (!AwaitTurn()) return;
   const auto server_wait_deadline_ms = clock_.Now() + kServerWaitMs;
   while (!caller_disconnected_) {
     if (RemainingMs() < kMinUsefulMs || state_.ends_calls) break;
@@ -370,6 +372,7 @@
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::EndAttempt() -> void {
+  EndWait();
   if (!connection_) return;
   given_up_ = give_up_reason::kStopping;
   connection_->Close();
@@ -550,6 +553,7 @@
   if (const auto prompt = PromptWork()) {
     prompt_server_ = server;
     prompt_work_ = prompt->total_work;
+    queued_work_ = state_.admission.PredictedWork(service_) + prompt_work_;
     server->work += prompt_work_;
     prompt_tier_key_ = TierKey();
     prompt_sent_ms_ = clock_.Now();
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "lovagedale/common/fiber_event.h"
 #include "lovagedale/http/server.h"
 #include "lovagedale/relay/call.h"
 #include "lovagedale/relay/event_splitter.h"
@@ -42,6 +43,7 @@
   kServersLimited,  ///< the servers take no more for now, and say so
   kUnknownModel,    ///< the caller names a model that no server has
   kEvacuated,       ///< all zones with servers of the service are evacuated
+  kOverloaded,      ///< it could not begin within its time limit
 };
 
 struct refusal_answer {
@@ -112,6 +114,10 @@
   auto ForwardingNumber(std::string_view name) const -> std::uint64_t;
   /// Finds route, customer and service; false if the request was refused.
   auto Admit() -> bool;
+  /// Waits for the call's turn; false if it was refused.
+  auto AwaitTurn() -> bool;
+  /// Ends AwaitTurn early.
+  auto EndWait() -> void;
   auto RunAttempts() -> void;
   auto Attempt(const server_handle& server) -> attempt_result;
   /// Connects and sends; throws http_call_error.
@@ -308,6 +314,8 @@
   monotonic_ms sent_ms_ = 0;
   server_handle prompt_server_;  ///< the server that processes the prompt
   double prompt_work_ = 0;
+  double queued_work_ = 0;           ///< the predicted one, and its own
+  std::optional<fiber_event> turn_;  ///< set while the call may wait for it
   std::pair<std::string, std::string>
       prompt_tier_key_;  ///< a key of tier_table
   monotonic_ms prompt_sent_ms_ = 0;
@@ -320,6 +328,7 @@
 }  // namespace lovagedale
 
 #include "lovagedale/relay/relay-inl.h"
+#include "lovagedale/relay/relay_admission-inl.h"
 #include "lovagedale/relay/relay_answers-inl.h"
 #include "lovagedale/relay/relay_forwarding-inl.h"
 #include "lovagedale/relay/relay_servers-inl.h"
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -285,6 +285,9 @@
   const auto ms = static_cast<double>(now - sent_ms_);
   state_.tiers[TierKey()].first_event.RecordFirstEvent(ms, now);
   state_.first_event_histograms[TierKey()].Add(ms);
+  if (prompt_server_) {
+    state_.admission.RecordFirstEvent(service_, ms, queued_work_);
+  }
 }
 
 template <call_protocol Protocol>
@@ -338,7 +341,7 @@
   const auto answer = AnswerFor(why);
   header_list headers;
   if (!call_.id.empty()) headers = protocol_.OwnAnswerHeaders(call_);
-  if (why == refusal::kServersLimited) {
+  if (why == refusal::kServersLimited || why == refusal::kOverloaded) {
     const auto after_ms =
         std::max<monotonic_ms>(0, *limited_until_ms_ - clock_.Now());
     headers.emplace_back("Retry-After",
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -25,6 +25,7 @@
 #include "lovagedale/relay/tier_choice.h"
 #include "lovagedale/rollout/service_rollout.h"
 #include "lovagedale/route/route_table.h"
+#include "lovagedale/scheduling/admission_gate.h"
 
 namespace lovagedale {
 
@@ -35,6 +36,11 @@
   double retry_ratio = 0.5;
   monotonic_ms retry_window_ms = 10'000;
   double retry_floor = 3;
+  /// Whether requests of services with several priorities wait for their turn.
+  bool admission = true;
+  /// Whether less urgent ones are refused rather than sent late; see
+  /// admission_queue.
+  bool admission_strict = false;
 
   auto operator==(const relay_settings&) const -> bool = default;
 };
@@ -88,6 +94,7 @@
         prober(context, servers, pool),
         crashes(context),
         random(std::random_device{}()),
+        admission(context, servers, random, this->settings.admission_strict),
         routes_wait_deadline_ms(system_monotonic_clock{}.Now() + kStartTimeMs) {
   }
   relay_state(const relay_state&) = delete;
@@ -111,6 +118,7 @@
   crash_monitor crashes;
   tier_table tiers;
   std::mt19937_64 random;
+  admission_gate admission;
   /// Plain answers and incomplete events that are held until they are complete.
   byte_budget answer_memory{kMaxHeldAnswerBytes, kSmallAnswerBytes};
   /// Answers by service, version, route and model, of services under roll-out.
--- a/include/lovagedale/relay/server_table.h
+++ b/include/lovagedale/relay/server_table.h
@@ -160,6 +160,11 @@
   auto AreLoadsFresh(monotonic_ms now) const -> bool {
     return loads_at_ && now - *loads_at_ < kLoadsMaxAgeMs;
   }
+  /// Time since the last update of the loads; nothing if there was none.
+  auto LoadsAgeMs(monotonic_ms now) const -> std::optional<monotonic_ms> {
+    if (!loads_at_) return std::nullopt;
+    return now - *loads_at_;
+  }
   /// Time between the last two updates of the loads.
   auto loads_period_ms() const -> monotonic_ms { return loads_period_ms_; }
   /// Cancels the attempts at the zone's servers that can be repeated elsewhere.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -71,6 +71,8 @@
       return {421, "unknown_model", std::nullopt};
     case refusal::kEvacuated:
       return {503, "zones_evacuated", kUnreachableSeconds};
+    case refusal::kOverloaded:
+      return {503, "overloaded", kBusySeconds};
     case refusal::kServersLimited:
       return {503, "servers_limited", kBusySeconds};
   }
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -37,6 +37,37 @@
   }
 };
 
+/// Requests that have waited or were refused for lack of capacity.
+struct admission_metrics {
+  explicit admission_metrics(const admission_gate& gate) {
+    for (const auto& [key, counts] : gate.counts()) {
+      const auto& [route, customer] = key;
+      AddMetricValue(held, static_cast<double>(counts.held),
+                     {{"route", route}, {"customer", customer}});
+      const auto add_refused = [&](std::uint64_t count, const char* reason) {
+        AddMetricValue(
+            refused, static_cast<double>(count),
+            {{"route", route}, {"customer", customer}, {"reason", reason}});
+      };
+      add_refused(counts.refused_beyond_limit, "beyond_time_limit");
+      add_refused(counts.refused_late, "late");
+    }
+    for (const auto& [route, times] : gate.held_ms()) {
+      held_ms.metric.push_back(times.ToPrometheusMetric({{"route", route}}));
+    }
+    AddMetricValue(waiting, static_cast<double>(gate.waiting()));
+  }
+
+  prometheus::MetricFamily held =
+      MakeMetricFamily("lovagedale_held_requests_total", MetricType::Counter);
+  prometheus::MetricFamily held_ms =
+      MakeMetricFamily("lovagedale_held_ms", MetricType::Histogram);
+  prometheus::MetricFamily refused = MakeMetricFamily(
+      "lovagedale_requests_refused_total", MetricType::Counter);
+  prometheus::MetricFamily waiting =
+      MakeMetricFamily("lovagedale_requests_waiting", MetricType::Gauge);
+};
+
 }  // namespace
 
 auto FormatRelayMetrics(const relay_state& state) -> std::string {
@@ -104,10 +135,27 @@
   auto crashes = MakeMetricFamily("lovagedale_server_crashes_detected_total",
                                   MetricType::Counter);
   AddMetricValue(crashes, static_cast<double>(state.crashes.crashes()));
-  return prometheus::TextSerializer().Serialize(
-      {calls, attempts, durations, first_events, ejected, evacuated, forwarded,
-       active, answer_memory, revision, list, suppressed, crashes,
-       limits.requests, limits.limit, limits.demand});
+  const admission_metrics admission(state.admission);
+  return prometheus::TextSerializer().Serialize({calls,
+                                                 attempts,
+                                                 durations,
+                                                 first_events,
+                                                 ejected,
+                                                 evacuated,
+                                                 forwarded,
+                                                 active,
+                                                 answer_memory,
+                                                 revision,
+                                                 list,
+                                                 suppressed,
+                                                 crashes,
+                                                 limits.requests,
+                                                 limits.limit,
+                                                 limits.demand,
+                                                 admission.held,
+                                                 admission.held_ms,
+                                                 admission.refused,
+                                                 admission.waiting});
 }
 
 }  // namespace lovagedale
--- a/src/route_entry/settings.cpp
+++ b/src/route_entry/settings.cpp
@@ -46,6 +46,9 @@
       relay.retry_floor =
           reader.Number("floor", 0, kMaxRetryFloor, relay.retry_floor);
     });
+    settings.relay.admission = root.Bool("admission", settings.relay.admission);
+    settings.relay.admission_strict =
+        root.Bool("admission_strict", settings.relay.admission_strict);
     settings.relay.zone = settings.zone;
     if (settings.seeds.empty()) {
       root.AddError("seeds", "an empty list", "at least one IP:PORT");
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -148,6 +148,13 @@
     ledger.prefix = "/ledger/";
     ledger.services = {{"ledger", 1}};
     view.routes.routes = {item, ledger};
+    if (item.prompts) {
+      auto urgent = item;
+      urgent.name = "urgent";
+      urgent.prefix = "/urgent/";
+      urgent.priority = 0;
+      view.routes.routes.push_back(urgent);
+    }
     view.routes.services = {{"engines", 10, {}}, {"ledger", 10, {}}};
     state_.view = std::make_shared<const routing_view>(view);
     server_list list{1, {}};
@@ -192,6 +199,27 @@
       return true;
     });
   }
+  /// As if the servers had work of other entries, for `queue_ms`, and answers
+  /// had shown how long requests wait for it.
+  auto ReportQueue(double queue_ms) -> void {
+    OnItsThread([this, queue_ms] {
+      const auto now = system_monotonic_clock{}.Now();
+      std::vector<server_load> loads;
+      for (const auto& server : state_.servers.Servers("engines")) {
+        loads.push_back(
+            {ServerKey(server->id_hash),
+             static_cast<std::uint32_t>(queue_ms / ReportFraction(0))});
+      }
+      state_.servers.UpdateLoads(loads, now);
+      for (int i = 0; i < 40; ++i) {
+        state_.admission.RecordFirstEvent("engines", 100, 100);
+      }
+      return true;
+    });
+  }
+  auto CountWaiting() -> std::size_t {
+    return OnItsThread([this] { return state_.admission.waiting(); });
+  }
   auto EndCalls() -> void {
     OnItsThread([this] {
       state_.EndCalls();
@@ -1067,6 +1095,61 @@
   CHECK(refused.took_ms < 100 + kMaxLateMs);
 }
 
+// Guards against calls that wait for their turn after their caller has left or
+// the process has no time left, and against urgent ones that wait.
+TEST_CASE("a call that waits for its turn leaves the queue at its end") {
+  scripted_server server(
+      [](const std::string&) { return Answer("200 OK", "", "x"); });
+  auto item = MakeRoute(route_kind::kRepeatable);
+  item.prompts = true;
+  item.priority = 1;
+  item.objective_ms = 1'500;
+  running_relay relay(item, {server.port()});
+  // An objective of 1,500 ms leaves slack for 750.
+  relay.ReportQueue(400);
+  CHECK(relay.Call({{"Parts", "12"}}).body == "x");
+  relay.ReportQueue(1'000);
+  CHECK(relay.Call({{"Parts", "12"}}, "", "/urgent/").body == "x");
+  SUBCASE("the process stops") {
+    auto call = std::async(std::launch::async, [&] {
+      return relay.Call({{"Parts", "12"}});
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK(relay.CountWaiting() == 1);
+    relay.EndCalls();
+    CHECK(call.get().head.status == 503);
+  }
+  SUBCASE("the caller disconnects") {
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), relay.port()});
+    asio::write(socket, asio::buffer(std::string(
+                            "GET / HTTP/1.1\r\nHost: h\r\nId: r1\r\n"
+                            "Parts: 12\r\n\r\n")));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK(relay.CountWaiting() == 1);
+    socket.close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  CHECK(relay.CountWaiting() == 0);
+  CHECK(server.requests() == 2);
+}
+
+// Guards against an off-switch without effect.
+TEST_CASE("no call waits for its turn if admission is switched off") {
+  scripted_server server(
+      [](const std::string&) { return Answer("200 OK", "", "x"); });
+  auto item = MakeRoute(route_kind::kRepeatable);
+  item.prompts = true;
+  item.priority = 1;
+  item.objective_ms = 1'500;
+  relay_settings settings;
+  settings.admission = false;
+  running_relay relay(item, {server.port()}, {}, settings);
+  relay.ReportQueue(1'000'000);
+  CHECK(relay.Call({{"Parts", "12"}}).body == "x");
+}
+
 // Guards against requests to a server that has said that it shuts down, while
 // the list does not show it yet.
 TEST_CASE("a server that announces its end gets no more requests") {
