--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -41,16 +41,10 @@
 struct admission_metrics {
   explicit admission_metrics(const admission_gate& gate) {
     for (const auto& [key, counts] : gate.counts()) {
-      const auto& [route, customer] = key;
       AddMetricValue(held, static_cast<double>(counts.held),
-                     {{"route", route}, {"customer", customer}});
-      const auto add_refused = [&](std::uint64_t count, const char* reason) {
-        AddMetricValue(
-            refused, static_cast<double>(count),
-            {{"route", route}, {"customer", customer}, {"reason", reason}});
-      };
-      add_refused(counts.refused_beyond_limit, "beyond_time_limit");
-      add_refused(counts.refused_late, "late");
+                     {{"route", key.first}, {"customer", key.second}});
+      AddRefused(key, "beyond_time_limit", counts.refused_beyond_limit);
+      AddRefused(key, "late", counts.refused_late);
     }
     for (const auto& [route, times] : gate.held_ms()) {
       held_ms.metric.push_back(times.ToPrometheusMetric({{"route", route}}));
@@ -58,6 +52,14 @@
     AddMetricValue(waiting, static_cast<double>(gate.waiting()));
   }
 
+  /// `key`: route and customer.
+  auto AddRefused(const std::pair<std::string, std::string>& key,
+                  const char* reason, std::uint64_t count) -> void {
+    AddMetricValue(
+        refused, static_cast<double>(count),
+        {{"route", key.first}, {"customer", key.second}, {"reason", reason}});
+  }
+
   prometheus::MetricFamily held =
       MakeMetricFamily("lovagedale_held_requests_total", MetricType::Counter);
   prometheus::MetricFamily held_ms =
