--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -84,6 +84,7 @@
 auto relayed_call<Protocol>::Run() -> void {
   exchange_.OnCallerDisconnect([this] {
     caller_disconnected_ = true;
+    EndWait();
     if (connection_) connection_->Close();
   });
   const auto ender = state_.enders.Register([this] { EndAttempt(); });
@@ -255,6 +256,7 @@
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::RunAttempts() -> void {
+  if (!AwaitTurn()) return;
   const auto server_wait_deadline_ms = clock_.Now() + kServerWaitMs;
   while (!caller_disconnected_) {
     if (RemainingMs() < kMinUsefulMs || state_.ends_calls) break;
@@ -370,6 +372,7 @@
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::EndAttempt() -> void {
+  EndWait();
   if (!connection_) return;
   given_up_ = give_up_reason::kStopping;
   connection_->Close();
--- a/include/lovagedale/relay/relay_servers-inl.h
+++ b/include/lovagedale/relay/relay_servers-inl.h
@@ -314,6 +314,7 @@
   if (!prompt) return;
   prompt_server_ = server;
   prompt_work_ = prompt->total_work;
+  queued_work_ = state_.admission.PredictedWork(service_) + prompt_work_;
   server->work += prompt_work_;
   prompt_tier_key_ = TierKey();
   prompt_sent_ms_ = clock_.Now();
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -27,6 +27,7 @@
 #include "lovagedale/relay/tier_choice.h"
 #include "lovagedale/rollout/service_rollout.h"
 #include "lovagedale/route/route_table.h"
+#include "lovagedale/scheduling/admission_gate.h"
 #include "lovagedale/scheduling/model_choice.h"
 
 namespace lovagedale {
@@ -38,6 +39,11 @@
   double retry_ratio = 0.5;
   monotonic_ms retry_window_ms = 10'000;
   double retry_floor = 3;
+  /// Whether requests of services with several priorities wait for their turn.
+  bool admission = true;
+  /// Whether less urgent ones are refused rather than sent late; see
+  /// admission_queue.
+  bool admission_strict = false;
 
   auto operator==(const relay_settings&) const -> bool = default;
 };
@@ -107,6 +113,7 @@
         prober(context, servers, pool),
         crashes(context),
         random(std::random_device{}()),
+        admission(context, servers, random, this->settings.admission_strict),
         routes_wait_deadline_ms(system_monotonic_clock{}.Now() + kStartTimeMs) {
   }
   relay_state(const relay_state&) = delete;
@@ -131,6 +138,7 @@
   tier_table tiers;
   service_groups_table groups;
   std::mt19937_64 random;
+  admission_gate admission;
   /// Plain answers and incomplete events that are held until they are complete.
   byte_budget answer_memory{kMaxHeldAnswerBytes, kSmallAnswerBytes};
   /// Answers by service, version, route and model, of services under roll-out.
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -61,6 +61,39 @@
   }
 };
 
+/// Requests that have waited or were refused for lack of capacity.
+struct admission_metrics {
+  explicit admission_metrics(const admission_gate& gate) {
+    for (const auto& [key, counts] : gate.counts()) {
+      AddMetricValue(held, static_cast<double>(counts.held),
+                     {{"route", key.first}, {"customer", key.second}});
+      AddRefused(key, "beyond_time_limit", counts.refused_beyond_limit);
+      AddRefused(key, "late", counts.refused_late);
+    }
+    for (const auto& [route, times] : gate.held_ms()) {
+      held_ms.metric.push_back(times.ToPrometheusMetric({{"route", route}}));
+    }
+    AddMetricValue(waiting, static_cast<double>(gate.waiting()));
+  }
+
+  /// `key`: route and customer.
+  auto AddRefused(const std::pair<std::string, std::string>& key,
+                  const char* reason, std::uint64_t count) -> void {
+    AddMetricValue(
+        refused, static_cast<double>(count),
+        {{"route", key.first}, {"customer", key.second}, {"reason", reason}});
+  }
+
+  prometheus::MetricFamily held =
+      MakeMetricFamily("lovagedale_held_requests_total", MetricType::Counter);
+  prometheus::MetricFamily held_ms =
+      MakeMetricFamily("lovagedale_held_ms", MetricType::Histogram);
+  prometheus::MetricFamily refused = MakeMetricFamily(
+      "lovagedale_requests_refused_total", MetricType::Counter);
+  prometheus::MetricFamily waiting =
+      MakeMetricFamily("lovagedale_requests_waiting", MetricType::Gauge);
+};
+
 }  // namespace
 
 auto FormatRelayMetrics(const relay_state& state) -> std::string {
@@ -166,13 +199,34 @@
   auto crashes = MakeMetricFamily("lovagedale_server_crashes_detected_total",
                                   MetricType::Counter);
   AddMetricValue(crashes, static_cast<double>(state.crashes.crashes()));
-  return prometheus::TextSerializer().Serialize(
-      {calls,         attempts,          given_up,        durations,
-       first_events,  prediction_errors, paces,           ejected,
-       evacuated,     heavy_work,        boundary,        forwarded,
-       active,        answer_memory,     revision,        list,
-       suppressed,    crashes,           limits.requests, limits.limit,
-       limits.demand, cold.requests,     cold.limit});
+  const admission_metrics admission(state.admission);
+  return prometheus::TextSerializer().Serialize({calls,
+                                                 attempts,
+                                                 given_up,
+                                                 durations,
+                                                 first_events,
+                                                 prediction_errors,
+                                                 paces,
+                                                 ejected,
+                                                 evacuated,
+                                                 heavy_work,
+                                                 boundary,
+                                                 forwarded,
+                                                 active,
+                                                 answer_memory,
+                                                 revision,
+                                                 list,
+                                                 suppressed,
+                                                 crashes,
+                                                 limits.requests,
+                                                 limits.limit,
+                                                 limits.demand,
+                                                 cold.requests,
+                                                 cold.limit,
+                                                 admission.held,
+                                                 admission.held_ms,
+                                                 admission.refused,
+                                                 admission.waiting});
 }
 
 }  // namespace lovagedale
