--- a/benchmark/micro_main.cpp
+++ b/benchmark/micro_main.cpp
@@ -163,7 +163,7 @@
     input.prompt->shared_part_id = MixBits(input.prompt->shared_part_id);
     const auto chosen = *ChooseServer(servers, input);
     const auto& server = servers[chosen];
-    const auto work = IsPartCached(servers, chosen, *input.prompt)
+    const auto work = IsPartCached(servers, chosen, input)
                           ? input.prompt->total_work - input.prompt->shared_work
                           : input.prompt->total_work;
     ::benchmark::DoNotOptimize(PredictFirstEvent(
