Learn the escalation threshold from the confidences of all entries

Cause: an entry uses a learned threshold after 60 answers of a route and model.

Change: entries report counts of confidences every 30 s (field 3 of entry_heartbeat), and the leader answers with the threshold of their sums (field 4 of heartbeat_response) once it has 120 answers. The total of loads names 62 servers instead of 63, so that control stays within 4 KB a second.

--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -19,6 +19,7 @@
 #include "lovagedale/relay/server_load.h"
 #include "lovagedale/replication/messages.h"
 #include "lovagedale/rollout/service_rollout.h"
+#include "lovagedale/scheduling/shared_thresholds.h"
 
 namespace lovagedale {
 
@@ -120,18 +121,28 @@
   /// To the leader, every kWorkReportPeriodMs: work of prompts that the entry
   /// has sent recently.
   std::vector<service_work> work;
+  /// To the leader, every kConfidenceReportPeriodMs.
+  std::vector<confidence_report> confidences;
 
   static constexpr std::uint16_t kWorkField = 2;
+  static constexpr std::uint16_t kConfidencesField = 3;
 
   auto AddedFields() const -> added_fields {
     added_fields fields;
     if (!work.empty()) fields.emplace(kWorkField, EncodeFixed(work));
+    if (!confidences.empty()) {
+      fields.emplace(kConfidencesField, EncodeFixed(confidences));
+    }
     return fields;
   }
   auto SetAddedFields(const added_fields& fields) -> void {
     if (const auto found = fields.find(kWorkField); found != fields.end()) {
       work = DecodeFixed<std::vector<service_work>>(found->second);
     }
+    if (const auto found = fields.find(kConfidencesField);
+        found != fields.end()) {
+      confidences = DecodeFixed<std::vector<confidence_report>>(found->second);
+    }
   }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
@@ -159,14 +170,20 @@
   std::optional<relay_update> relay;
   /// Sent by the leader if the heartbeat had `work`: the fleet's shares.
   std::vector<heavy_work_share> heavy_shares;
+  /// Sent by the leader if the heartbeat had `confidences`.
+  std::vector<fleet_threshold> thresholds;
 
   static constexpr std::uint16_t kHeavySharesField = 3;
+  static constexpr std::uint16_t kThresholdsField = 4;
 
   auto AddedFields() const -> added_fields {
     added_fields fields;
     if (!heavy_shares.empty()) {
       fields.emplace(kHeavySharesField, EncodeFixed(heavy_shares));
     }
+    if (!thresholds.empty()) {
+      fields.emplace(kThresholdsField, EncodeFixed(thresholds));
+    }
     return fields;
   }
   auto SetAddedFields(const added_fields& fields) -> void {
@@ -174,6 +191,10 @@
         found != fields.end()) {
       heavy_shares = DecodeFixed<std::vector<heavy_work_share>>(found->second);
     }
+    if (const auto found = fields.find(kThresholdsField);
+        found != fields.end()) {
+      thresholds = DecodeFixed<std::vector<fleet_threshold>>(found->second);
+    }
   }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -182,6 +182,7 @@
   monotonic_ms answer_ranks_logged_at_ = 0;
   server_load_total loads_;
   work_share_total work_shares_;
+  shared_thresholds thresholds_;
   helper_table helpers_;
   /// The present roll-outs, by service.
   std::map<std::string, seen_rollout> seen_rollouts_;
--- a/include/lovagedale/relay/server_load.h
+++ b/include/lovagedale/relay/server_load.h
@@ -51,7 +51,7 @@
   /// Servers in a total: half a kilobyte in each heartbeat response, so that
   /// loads fit into what control may send to an entry
   /// (tests/configuration/budget_test.cpp).
-  static constexpr std::size_t kMaxServers = 63;
+  static constexpr std::size_t kMaxServers = 62;
 
  private:
   /// Requests of an entry that has not reported for longer have ended or moved.
--- a/include/lovagedale/relay/tier_choice.h
+++ b/include/lovagedale/relay/tier_choice.h
@@ -5,22 +5,41 @@
 #include <cmath>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <span>
 #include <string>
+#include <vector>
 
 #include "lovagedale/common/time.h"
+#include "lovagedale/scheduling/shared_thresholds.h"
 
 namespace lovagedale {
 
+/// The value that best separates two groups of values between 0 and 1, counted
+/// in bins of equal width (Otsu, 1979); nothing if all are in one bin.
+auto SeparatingThreshold(std::span<const std::uint64_t> counts)
+    -> std::optional<double>;
+
 /// Learns, from the confidences that a model reports, which of its answers to
 /// keep and which requests to send to a larger model. Answers are not rated:
 /// the confidences of sufficient and of insufficient answers form two groups,
-/// and the threshold is the one that separates them best (Otsu, 1979).
+/// and the threshold is the one that separates them best. The fleet's threshold
+/// is used if control has sent one, as an entry of many sees few answers.
 class confidence_threshold {
  public:
   /// `confidence` is 0 to 1.
   auto Add(double confidence) -> void;
   /// Requests whose answers are below it are sent to a larger model.
-  auto Threshold() const -> double { return threshold_; }
+  auto Threshold() const -> double {
+    return fleet_threshold_.value_or(threshold_);
+  }
+  auto AdoptFleet(double threshold) -> void { fleet_threshold_ = threshold; }
+  auto HasFleetThreshold() const -> bool {
+    return fleet_threshold_.has_value();
+  }
+  /// Answers that TakeUnreported has not returned yet.
+  auto unreported() const -> std::uint64_t { return unreported_; }
+  auto TakeUnreported() -> confidence_counts;
 
  private:
   static constexpr std::size_t kBins = 50;
@@ -33,6 +52,9 @@
   std::array<std::uint64_t, kBins> counts_{};
   std::uint64_t total_ = 0;
   double threshold_ = 0.5;
+  std::optional<double> fleet_threshold_;
+  confidence_counts unreported_counts_{};
+  std::uint64_t unreported_ = 0;
 };
 
 /// Estimates the time to the first event of a model's answers.
@@ -122,4 +144,11 @@
 /// By route and model.
 using tier_table = std::map<std::pair<std::string, std::string>, tier_state>;
 
+/// Takes this entry's report to control: the models with the most unreported
+/// answers.
+auto TakeConfidenceReports(tier_table& tiers) -> std::vector<confidence_report>;
+/// Adopts control's answer; models that it does not name keep their threshold.
+auto AdoptThresholds(tier_table& tiers,
+                     const std::vector<fleet_threshold>& thresholds) -> void;
+
 }  // namespace lovagedale
--- a/include/lovagedale/route_entry/fleet_link.h
+++ b/include/lovagedale/route_entry/fleet_link.h
@@ -46,6 +46,8 @@
   auto OwnReach() const -> reach_report;
   /// The work for the next heartbeat to the leader; empty if it is not due.
   auto DueWork() -> std::vector<service_work>;
+  /// The same of the models' confidences.
+  auto DueConfidences() -> std::vector<confidence_report>;
   /// Whether the next heartbeat to `replica`, whose last response had
   /// `told_revision`, asks for a newer configuration.
   auto MayAsk(const std::string& replica, config_revision told_revision) const
@@ -99,6 +101,7 @@
   std::string reach_reported_to_;
   std::string work_reported_to_;  ///< the replica that had the last report
   monotonic_ms work_reported_ms_ = 0;
+  monotonic_ms confidences_reported_ms_ = 0;
   std::uint32_t helpers_hash_ = 0;
   bool is_helping_ = true;
   bool leaving_ = false;
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -197,6 +197,7 @@
                       deferred.heartbeat.relay->answers);
       loads_.Report(deferred.heartbeat.node, deferred.heartbeat.relay->loads,
                     now);
+      thresholds_.Report(deferred.heartbeat.confidences);
       if (!deferred.heartbeat.work.empty()) {
         work_shares_.Report(deferred.heartbeat.node, deferred.heartbeat.work,
                             now);
@@ -369,6 +370,7 @@
             feed_.UpdateFrom(due.heartbeat.relay->server_list_number);
       }
       response.relay->loads = loads_.Total(clock_.Now());
+      response.thresholds = thresholds_.Thresholds(due.heartbeat.confidences);
       if (!due.heartbeat.work.empty()) {
         response.heavy_shares = work_shares_.Shares(clock_.Now());
       }
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -39,6 +39,10 @@
 constexpr milliseconds kFallbackListPeriod{1'500};
 /// The period of reports of work until the leader has answered one with shares.
 constexpr monotonic_ms kFirstWorkReportPeriodMs = 2'000;
+/// The same of reports of confidences.
+constexpr monotonic_ms kFirstConfidenceReportPeriodMs = 3'000;
+/// Oldest format of leaders that read the reports.
+constexpr format_number kSharedStateFormat = 4;
 
 auto RandomIncarnation() -> process_incarnation {
   std::random_device device;
@@ -114,6 +118,7 @@
                                            : version_answers_table{});
     heartbeat.relay->loads = state_.servers.OwnLoads();
     heartbeat.work = DueWork();
+    heartbeat.confidences = DueConfidences();
     heartbeat.relay->helpers_hash = helpers_hash_;
     // Another leader has no report of this entry.
     const auto reach = OwnReach();
@@ -144,6 +149,24 @@
   return work;
 }
 
+auto fleet_link::DueConfidences() -> std::vector<confidence_report> {
+  const auto now = clock_.Now();
+  const bool lacks_threshold = std::any_of(
+      state_.tiers.begin(), state_.tiers.end(), [](const auto& item) {
+        const auto& threshold = item.second.threshold;
+        return threshold.unreported() > 0 && !threshold.HasFleetThreshold();
+      });
+  const auto period = lacks_threshold ? kFirstConfidenceReportPeriodMs
+                                      : kConfidenceReportPeriodMs;
+  // A leader of an older format would drop the counts.
+  if (leader_format_ < kSharedStateFormat ||
+      now - confidences_reported_ms_ < period) {
+    return {};
+  }
+  confidences_reported_ms_ = now;
+  return TakeConfidenceReports(state_.tiers);
+}
+
 auto fleet_link::OwnReach() const -> reach_report {
   reach_report reach;
   reach.unreachable_services = state_.servers.UnreachableServices();
@@ -399,7 +422,10 @@
   if (response.relay->loads) {
     state_.servers.UpdateLoads(*response.relay->loads, clock_.Now());
   }
-  if (response.is_leader) AdoptShares(state_.groups, response.heavy_shares);
+  if (response.is_leader) {
+    AdoptShares(state_.groups, response.heavy_shares);
+    AdoptThresholds(state_.tiers, response.thresholds);
+  }
   if (response.relay->helpers) {
     helpers_hash_ = HashHelpers(*response.relay->helpers);
     state_.helpers.Set(*response.relay->helpers);
--- a/tests/configuration/budget_test.cpp
+++ b/tests/configuration/budget_test.cpp
@@ -87,6 +87,16 @@
   return Encode(heartbeat).size() + Encode(response).size() - before;
 }
 
+/// The most that a report of confidences and its answer add to a heartbeat.
+auto ConfidenceBytes() -> std::size_t {
+  entry_heartbeat heartbeat;
+  heartbeat_response response;
+  const auto before = Encode(heartbeat).size() + Encode(response).size();
+  heartbeat.confidences.resize(kMaxConfidenceReports);
+  response.thresholds.resize(kMaxConfidenceReports);
+  return Encode(heartbeat).size() + Encode(response).size() - before;
+}
+
 /// What a cut between entries and servers adds: the entry's report, and its
 /// helpers each time that they change.
 auto CutBytes() -> std::size_t {
@@ -137,10 +147,12 @@
   const auto limits = static_cast<double>(LimitBytes(/*customers=*/0));
   constexpr double kCutsPerSecond = 1.0 / 60;
   const auto cuts = static_cast<double>(CutBytes()) * kCutsPerSecond;
+  const auto confidences = static_cast<double>(ConfidenceBytes()) * 1'000 /
+                           kConfidenceReportPeriodMs;
   const auto work =
       static_cast<double>(WorkBytes()) * 1'000 / kWorkReportPeriodMs;
   CHECK(heartbeats + position + views + static_cast<double>(RelayBytes()) +
-            limits + reports + cuts + work <=
+            limits + reports + cuts + work + confidences <=
         kBudgetBytesPerSecond);
 }
 
--- a/tests/formats/samples.h
+++ b/tests/formats/samples.h
@@ -38,6 +38,7 @@
 inline auto MakeHeartbeat() -> entry_heartbeat {
   auto heartbeat = MakeSample<entry_heartbeat>();
   heartbeat.work = MakeSample<std::vector<service_work>>();
+  heartbeat.confidences = MakeSample<std::vector<confidence_report>>();
   return heartbeat;
 }
 
@@ -45,6 +46,7 @@
 inline auto MakeHeartbeatResponse() -> heartbeat_response {
   auto response = MakeSample<heartbeat_response>();
   response.heavy_shares = MakeSample<std::vector<heavy_work_share>>();
+  response.thresholds = MakeSample<std::vector<fleet_threshold>>();
   return response;
 }
 
--- a/tests/route_entry/fleet_link_test.cpp
+++ b/tests/route_entry/fleet_link_test.cpp
@@ -90,6 +90,7 @@
     return grant;
   }
 
+  auto Tiers() -> tier_table& { return state_.tiers; }
   /// The groups of the service `app` at the entry.
   auto Groups() -> service_groups& { return state_.groups["app"]; }
 
@@ -163,6 +164,25 @@
   CHECK(std::abs(*entry.Groups().HeavyShare(now) - 0.9) < 0.01);
 }
 
+// Guards against entries that use the middle of the range as the threshold all
+// day, as each of them sees few answers.
+TEST_CASE("the leader answers reports of confidences with a threshold") {
+  entry_behind_slow_link entry;
+  REQUIRE(entry.RunUntil([&] { return entry.IsListed("s-1"); }));
+  auto& threshold = entry.Tiers()[{"route", "small"}].threshold;
+  // Few at a time, as the entry would learn a threshold itself from more.
+  REQUIRE(entry.RunUntil([&] {
+    threshold = confidence_threshold();
+    for (int i = 0; i < 50; ++i) threshold.Add(i % 5 == 0 ? 0.7 : 0.9);
+    entry.RunUntil([&] { return threshold.unreported() == 0; });
+    entry.RunUntil([&] { return threshold.HasFleetThreshold(); },
+                   milliseconds(500));
+    return threshold.HasFleetThreshold();
+  }));
+  CHECK(threshold.Threshold() > 0.7);
+  CHECK(threshold.Threshold() <= 0.9);
+}
+
 // Guards against calls that wait for a leader that does not answer.
 TEST_CASE("a call does not wait for a grant that comes late") {
   // A part of the configuration takes half a second on this link.
