--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -261,6 +261,7 @@
       answers_.Report(deferred.heartbeat.node, deferred.heartbeat.incarnation,
                       deferred.heartbeat.relay->answers);
       ReportLoads(deferred.heartbeat);
+      thresholds_.Report(deferred.heartbeat.confidences);
       if (!deferred.heartbeat.work.empty()) {
         work_shares_.Report(deferred.heartbeat.node, deferred.heartbeat.work,
                             now);
@@ -469,6 +470,7 @@
         response.cold_servers =
             ColdServers(response.relay->servers->servers, clock_.Now());
       }
+      response.thresholds = thresholds_.Thresholds(due.heartbeat.confidences);
       if (!due.heartbeat.work.empty()) {
         response.heavy_shares = work_shares_.Shares(clock_.Now());
       }
