Bound the connections and memory of a process's HTTP ports together

ReadBody kept the memory of bodies that it had refused (std::string::clear), the allocator kept freed blocks of up to 32 MB, nothing bounded the number of connections, and parsed heads counted for nothing.

A pure order decides which connection gives way; running requests never do. transfer_pace ends stalled peers in place of a limit on a whole body or answer. Accepting takes the backlog in batches and frees a descriptor when none is left. Setting `connections`, checked at start; metrics, log lines of bounded rate. The chat API refuses negative token limits, two keys and too long keys with 400.

--- a/include/lovagedale/control/settings.h
+++ b/include/lovagedale/control/settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "lovagedale/common/format.h"
+#include "lovagedale/http/connection_settings.h"
 #include "lovagedale/replication/replica_core.h"
 #include "lovagedale/rpc/channel.h"
 
@@ -28,6 +29,7 @@
   /// Set for the first start of a new group: the seeds are its initial voters.
   bool bootstrap = false;
   replication_options replication;
+  connection_settings connections;
   /// Highest format that this replica, as the leader, raises the fleet to.
   format_number raise_fleet_format_to = kFirstFormat;
   /// For so long operators send an order that has no id again, at most.
--- a/include/lovagedale/entry/caller_api.h
+++ b/include/lovagedale/entry/caller_api.h
@@ -9,6 +9,11 @@
 
 namespace lovagedale {
 
+/// Refuses a request with two API keys or two idempotency keys, as another
+/// program on its way may take the other one, or with a longer key than
+/// allowed. Throws request_refused (400).
+auto CheckKeyHeaders(const http_request& request) -> void;
+
 /// The callers' HTTP API of one traffic thread:
 ///   POST /v1/chat/completions, GET /v1/models, any /services/<pool>/...,
 ///   and GET /health and /ready for the load balancer.
--- a/include/lovagedale/http/server.h
+++ b/include/lovagedale/http/server.h
@@ -13,6 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include "lovagedale/http/connection_account.h"
+
 namespace lovagedale {
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
@@ -21,11 +23,13 @@
 struct http_limits {
   std::size_t max_header_bytes = 16UL << 10U;
   std::size_t max_body_bytes = 4UL << 20U;
-  /// Memory for the bodies of all requests in progress together, with the
-  /// copies that are sent on. Leaves most of a small host's memory to the
-  /// process.
+  /// Memory for all connections together, with their requests' bodies and the
+  /// copies that are sent on; of a server that shares no account with others.
   std::size_t max_held_body_bytes = 48UL << 20U;
   std::chrono::milliseconds header_timeout{10'000};
+  /// End a peer from which no byte of a body comes for so long, or that takes
+  /// no byte of an answer, and one that is so far behind an ordinary peer; see
+  /// transfer_pace.
   std::chrono::milliseconds body_timeout{30'000};
   std::chrono::milliseconds write_timeout{30'000};
   std::chrono::milliseconds idle_timeout{60'000};
@@ -87,17 +91,25 @@
 
 using http_handler = std::function<void(http_exchange&)>;
 
+/// The account that a server's connections draw from. Without one, the server
+/// has its own, which bounds memory only.
+struct port_account {
+  std::shared_ptr<connection_account> account;
+  port_class ports = port_class::kGeneral;
+};
+
 /// HTTP/1.1 server with keep-alive; each connection runs as one fiber on the
 /// thread of `context`. Slow, oversized and malformed requests are answered
-/// with 408, 413 and 400. If a handler throws before it has started an answer,
-/// the caller gets 500.
+/// with 408, 413 and 400, and with 503 if the account has no memory for them.
+/// Connections that give way to others are closed without an answer. If a
+/// handler throws before it has started an answer, the caller gets 500.
 class http_server {
  public:
   /// Port 0 lets the kernel choose a free one. With `share_port`, several
   /// servers of this process may listen on the same port.
   http_server(boost::asio::io_context& context, const std::string& host,
               std::uint16_t port, bool share_port, http_limits limits,
-              http_handler handler);
+              http_handler handler, port_account account = {});
   ~http_server();
   http_server(const http_server&) = delete;
   auto operator=(const http_server&) -> http_server& = delete;
@@ -120,6 +132,10 @@
   struct shared_state;
 
   auto AcceptLoop(boost::asio::yield_context yield) -> void;
+  /// Accepts a part of the backlog.
+  auto AcceptWaiting() -> void;
+  /// Frees a descriptor for the next connection, if too few are left.
+  auto HandleAcceptError(const boost::system::error_code& error) -> void;
   auto StartSession(boost::asio::ip::tcp::socket socket) -> void;
 
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/include/lovagedale/process/replica_process.h
+++ b/include/lovagedale/process/replica_process.h
@@ -31,10 +31,13 @@
                   const replica_settings& settings)
       : context_(context),
         service_(service),
-        http_(
-            context, settings.host, settings.http_port, /*share_port=*/false,
-            http_limits{},
-            [this](http_exchange& exchange) { service_.HandleHttp(exchange); }),
+        connections_(std::make_shared<connection_account>(
+            MakeAccountLimits(settings.connections, MaxDescriptors(),
+                              /*has_reserved_ports=*/false))),
+        http_(context, settings.host, settings.http_port, /*share_port=*/false,
+              http_limits{},
+              [this](http_exchange& exchange) { Handle(exchange); },
+              {connections_, port_class::kGeneral}),
         signals_(context, SIGTERM, SIGINT, SIGHUP),
         timer_(context) {}
 
@@ -51,6 +54,15 @@
   /// Time to send the last answers and to transfer leadership before exiting.
   static constexpr std::chrono::milliseconds kFinalAnswerDelay{300};
 
+  auto Handle(http_exchange& exchange) -> void {
+    if (exchange.request().Path() == "/metrics") {
+      exchange.Respond(200, "text/plain; version=0.0.4",
+                       FormatConnectionMetrics(*connections_), {});
+    } else {
+      service_.HandleHttp(exchange);
+    }
+  }
+
   auto WaitForSignal() -> void {
     signals_.async_wait([this](boost::system::error_code error, int signal) {
       if (error) return;
@@ -92,6 +104,7 @@
 
   boost::asio::io_context& context_;
   Service& service_;
+  const std::shared_ptr<connection_account> connections_;
   http_server http_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer timer_;
--- a/include/lovagedale/route_entry/route_entry-inl.h
+++ b/include/lovagedale/route_entry/route_entry-inl.h
@@ -39,25 +39,33 @@
       relay_(state_, std::move(protocol)),
       link_(context, settings_, state_, std::move(source),
             [this] { ApplyLimits(); }),
+      connections_(std::make_shared<connection_account>(
+          MakeAccountLimits(settings_.connections, MaxDescriptors(),
+                            /*has_reserved_ports=*/true))),
       callers_(context, settings_.callers.host, settings_.callers.port,
                /*share_port=*/false, http_limits{},
                [this](http_exchange& exchange) {
                  relay_.Handle(exchange, call_origin::kCaller);
-               }),
+               },
+               {connections_, port_class::kGeneral}),
       ready_(context, settings_.ready.host, settings_.ready.port,
              /*share_port=*/false, http_limits{},
-             [this](http_exchange& exchange) { HandleReady(exchange); }),
+             [this](http_exchange& exchange) { HandleReady(exchange); },
+             {connections_, port_class::kReserved}),
       metrics_(context, settings_.ready.host, settings_.metrics_port,
                /*share_port=*/false, http_limits{},
-               [this](http_exchange& exchange) { HandleMetrics(exchange); }),
+               [this](http_exchange& exchange) { HandleMetrics(exchange); },
+               {connections_, port_class::kReserved}),
       signals_(context, SIGTERM, SIGINT, SIGHUP),
       clean_up_timer_(context) {
   if (settings_.entry_port == 0) return;
-  entries_.emplace(context, settings_.callers.host, settings_.entry_port,
-                   /*share_port=*/false, http_limits{},
-                   [this](http_exchange& exchange) {
-                     relay_.Handle(exchange, call_origin::kEntry);
-                   });
+  entries_.emplace(
+      context, settings_.callers.host, settings_.entry_port,
+      /*share_port=*/false, http_limits{},
+      [this](http_exchange& exchange) {
+        relay_.Handle(exchange, call_origin::kEntry);
+      },
+      port_account{connections_, port_class::kGeneral});
 }
 
 template <call_protocol Protocol>
@@ -219,8 +227,9 @@
 
 template <call_protocol Protocol>
 auto route_entry<Protocol>::HandleMetrics(http_exchange& exchange) -> void {
-  exchange.Respond(200, "text/plain; version=0.0.4", FormatRelayMetrics(state_),
-                   {});
+  exchange.Respond(
+      200, "text/plain; version=0.0.4",
+      FormatRelayMetrics(state_) + FormatConnectionMetrics(*connections_), {});
 }
 
 }  // namespace lovagedale
--- a/include/lovagedale/route_entry/route_entry.h
+++ b/include/lovagedale/route_entry/route_entry.h
@@ -53,6 +53,8 @@
   relay_state state_;
   relay<Protocol> relay_;
   fleet_link link_;
+  /// Shared by all ports: a crowd at one of them draws from the same memory.
+  const std::shared_ptr<connection_account> connections_;
   http_server callers_;
   std::optional<http_server> entries_;  ///< if calls of other entries are taken
   http_server ready_;
--- a/include/lovagedale/route_entry/settings.h
+++ b/include/lovagedale/route_entry/settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "lovagedale/common/settings_fields.h"
+#include "lovagedale/http/connection_settings.h"
 #include "lovagedale/relay/relay_state.h"
 
 namespace lovagedale {
@@ -27,6 +28,7 @@
   /// server, where it differs.
   std::map<std::string, ip_endpoint> server_addresses;
   relay_settings relay;
+  connection_settings connections;
   /// Time for the balancer to stop sending connections once a drain has
   /// started.
   std::chrono::milliseconds drain_delay{2'500};
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -64,6 +64,7 @@
     settings.seeds = root.StringList("seeds");
     settings.bootstrap = root.Bool("bootstrap", false);
     ReadLogSettings(root, settings.log_file, settings.log_level);
+    settings.connections = ReadConnectionSettings(root);
     root.Object("replication", [&](object_reader& reader) {
       settings.replication = ReadReplication(reader);
     });
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -1,5 +1,7 @@
 #include "lovagedale/entry/caller_api.h"
 
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <boost/json.hpp>
 
 #include "lovagedale/common/log.h"
@@ -11,6 +13,9 @@
 
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::size_t kMaxRequestIdBytes = 128;
+constexpr std::size_t kMaxKeyBytes = 1'024;
+/// As for services, also where the key is not used.
+constexpr std::size_t kMaxIdempotencyKeyBytes = 256;
 constexpr monotonic_ms kMsPerSecond = 1'000;
 
 /// Releases a request's slot in its customer's concurrency limit, which Admit
@@ -28,6 +33,30 @@
   std::string customer_name_;
 };
 
+auto CheckKeyHeader(const http_request& request, std::string_view name,
+                    std::size_t max_bytes) -> void {
+  std::size_t keys = 0;
+  std::size_t longest = 0;
+  for (const auto& [given_name, value] : request.headers) {
+    if (!boost::beast::iequals(given_name, name)) continue;
+    ++keys;
+    longest = std::max(longest, value.size());
+  }
+  if (keys > 1) {
+    throw request_refused(400, "invalid",
+                          std::string(name) + ": got " + std::to_string(keys) +
+                              " keys; allowed: one",
+                          ran_state::kNo);
+  }
+  if (longest > max_bytes) {
+    throw request_refused(
+        400, "invalid",
+        std::string(name) + ": got " + std::to_string(longest) +
+            " bytes; allowed: at most " + std::to_string(max_bytes),
+        ran_state::kNo);
+  }
+}
+
 auto IsReady(const entry_state& state) -> bool {
   const auto table = state.table.load();
   return table && !table->view().document.empty() && !state.draining;
@@ -35,8 +64,14 @@
 
 }  // namespace
 
+auto CheckKeyHeaders(const http_request& request) -> void {
+  CheckKeyHeader(request, "Authorization", kBearer.size() + kMaxKeyBytes);
+  CheckKeyHeader(request, "Idempotency-Key", kMaxIdempotencyKeyBytes);
+}
+
 auto caller_api::Authenticate(const http_request& request) -> caller_identity {
   const auto table = context_.state.table.load();
+  CheckKeyHeaders(request);
   auto key = request.Header("Authorization");
   if (!table || !key.starts_with(kBearer)) {
     throw request_refused(401, "unauthorized",
--- a/src/entry/chat_body.cpp
+++ b/src/entry/chat_body.cpp
@@ -3,6 +3,8 @@
 #include <boost/json.hpp>
 #include <cmath>
 
+#include "lovagedale/common/bounded_json.h"
+
 namespace lovagedale {
 namespace {
 
@@ -10,6 +12,9 @@
 
 constexpr std::string_view kEventPrefix = "data:";
 constexpr std::size_t kMaxShownValueBytes = 60;
+/// The parsed form of a request. A body of 4 MiB with messages of 100 bytes
+/// takes some 12 MB.
+constexpr std::size_t kMaxParsedBytes = 64UL << 20U;
 
 [[noreturn]] auto RefuseField(const std::string& field,
                               const std::string& found,
@@ -42,6 +47,29 @@
   return value->get_bool();
 }
 
+/// Servers take a negative limit as none, and the caller would pay for it.
+auto CheckTokenLimit(const json::object& object, std::string_view key) -> void {
+  const auto* value = object.if_contains(key);
+  if (value == nullptr || value->is_null()) return;
+  const bool is_negative = (value->is_int64() && value->get_int64() < 0) ||
+                           (value->is_double() && value->get_double() < 0);
+  if (is_negative) RefuseField(std::string(key), Show(value), "0 or more");
+}
+
+/// Throws request_refused unless `body` is JSON of a bounded parsed form.
+auto ParseBody(const std::string& body) -> json::value {
+  boost::system::error_code error;
+  std::string problem;
+  try {
+    auto value = ParseBoundedJson(body, kMaxParsedBytes, error);
+    if (!error) return value;
+    problem = "not JSON: " + error.message();
+  } catch (const json_too_large& too_large) {
+    problem = too_large.what();
+  }
+  throw request_refused(400, "invalid", "body: " + problem, ran_state::kNo);
+}
+
 auto ReadCount(const json::object& usage, std::string_view key)
     -> std::uint64_t {
   const auto* value = usage.if_contains(key);
@@ -116,12 +144,7 @@
 }  // namespace
 
 auto ParseChatRequest(const std::string& body) -> chat_request {
-  boost::system::error_code error;
-  const auto value = json::parse(body, error);
-  if (error) {
-    throw request_refused(400, "invalid", "body: not JSON: " + error.message(),
-                          ran_state::kNo);
-  }
+  const auto value = ParseBody(body);
   const auto* object = value.if_object();
   if (object == nullptr) RefuseField("body", Show(&value), "a JSON object");
   chat_request request;
@@ -146,6 +169,8 @@
     request.prompt += '\n';
     ++index;
   }
+  CheckTokenLimit(*object, "max_tokens");
+  CheckTokenLimit(*object, "max_completion_tokens");
   request.stream = ReadFlag(*object, "stream");
   if (const auto* options = Member(*object, "stream_options")) {
     request.include_usage = ReadFlag(*options, "include_usage");
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -7,6 +7,7 @@
 #include "lovagedale/common/fiber_event.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/common/spawn.h"
+#include "lovagedale/http/connection_settings.h"
 
 namespace lovagedale {
 namespace {
@@ -26,15 +27,30 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+/// An account of this entry's connections. Accounts are not thread-safe: each
+/// traffic thread has its own, with its part of the descriptors.
+auto MakeAccount(const entry_settings& settings, port_class ports)
+    -> port_account {
+  connection_settings connections;
+  connections.max_memory_bytes = settings.limits.max_held_body_bytes;
+  auto limits = MakeAccountLimits(connections, MaxDescriptors(),
+                                  /*has_reserved_ports=*/true);
+  limits.general.max_connections /= settings.traffic_threads;
+  limits.general.max_bytes = settings.limits.max_held_body_bytes;
+  return {std::make_shared<connection_account>(limits), ports};
+}
+
 }  // namespace
 
 traffic_thread::traffic_thread(entry_state& state, std::size_t index,
                                std::uint64_t seed)
     : context_(state, index, seed),
       api_(context_),
-      server_(context_.io, state.settings.host, state.settings.http_port,
-              /*share_port=*/true, state.settings.limits,
-              [this](http_exchange& exchange) { api_.Handle(exchange); }),
+      server_(
+          context_.io, state.settings.host, state.settings.http_port,
+          /*share_port=*/true, state.settings.limits,
+          [this](http_exchange& exchange) { api_.Handle(exchange); },
+          MakeAccount(state.settings, port_class::kGeneral)),
       timer_(context_.io) {}
 
 traffic_thread::~traffic_thread() {
@@ -72,9 +88,11 @@
 entry_process::entry_process(entry_settings settings)
     : state_(std::move(settings)),
       link_(context_, state_, RandomSeed()),
-      admin_(context_, state_.settings.host, state_.settings.admin_port,
-             /*share_port=*/false, http_limits{},
-             [this](http_exchange& exchange) { HandleAdmin(exchange); }),
+      admin_(
+          context_, state_.settings.host, state_.settings.admin_port,
+          /*share_port=*/false, http_limits{},
+          [this](http_exchange& exchange) { HandleAdmin(exchange); },
+          MakeAccount(state_.settings, port_class::kReserved)),
       signals_(context_, SIGTERM, SIGINT) {
   state_.report_crash = [this](const crash_report& report) {
     link_.ReportCrash(report);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,11 +3,13 @@
 #include <boost/asio/detached.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 #include <list>
 
-#include "lovagedale/common/byte_budget.h"
+#include "lovagedale/common/fiber_event.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/common/spawn.h"
+#include "lovagedale/relay/log_budget.h"
 #include "lovagedale/rpc/connection.h"
 #include "lovagedale/rpc/server.h"
 
@@ -22,10 +24,23 @@
 constexpr int kCallerAckTimeoutMs = 30'000;
 constexpr std::size_t kMaxReadBufferBytes = 64UL << 10U;
 constexpr unsigned kStatusBusy = 503;
-/// Bodies up to this size pass while large ones hold all of the memory.
-constexpr std::size_t kSmallBodyBytes = 16UL << 10U;
+/// Of a read buffer; part of connection_account::kConnectionBytes.
+constexpr std::size_t kFirstReadBytes = 4'096;
+/// Memory of a header field beside its text: the parser's and the request's
+/// objects, and what the allocator adds to them.
+constexpr std::size_t kFieldBytes = 200;
 /// The body of a request that is relayed, and the copy that is being sent.
 constexpr std::size_t kCopiesOfBody = 2;
+/// Answers above this size are counted while they are sent.
+constexpr std::size_t kCountedAnswerBytes = 4'096;
+/// How often a connection asks again for memory that others have been told to
+/// free; they need one turn of the event loop.
+constexpr int kReserveTries = 100;
+constexpr std::chrono::milliseconds kReservePause{1};
+/// Of the backlog in one turn of the event loop. One a turn leaves an ordinary
+/// caller behind a crowd that opens its connections again and again.
+constexpr int kAcceptedAtOnce = 64;
+constexpr monotonic_ms kClosedLogPeriodMs = 1'000;
 /// When a caller may retry whose body did not fit in the memory: about the time
 /// of a large request.
 constexpr const char* kBodyMemoryRetrySeconds = "0.5";
@@ -63,12 +78,43 @@
 }
 
 struct http_server::shared_state {
-  explicit shared_state(const http_limits& initial_limits)
+  shared_state(const http_limits& initial_limits, port_account port)
       : limits(initial_limits),
-        body_memory(initial_limits.max_held_body_bytes, kSmallBodyBytes) {}
+        account(std::move(port.account)),
+        ports(port.ports) {
+    if (account) return;
+    // Connections and small requests have their part beside the bodies.
+    const port_limits own{std::numeric_limits<std::size_t>::max(),
+                          initial_limits.max_held_body_bytes / 7 * 8};
+    account = std::make_shared<connection_account>(account_limits{own, own});
+  }
+
+  /// Writes a line about connections that were closed for others, or refused,
+  /// at most one a second.
+  auto LogClosed() -> void {
+    const auto& counts = account->counts(ports);
+    const auto sum = counts.closed_for_connections + counts.closed_for_bytes +
+                     counts.closed_for_descriptors + counts.refused_connections;
+    const auto now = system_monotonic_clock{}.Now();
+    if (sum == logged_closed || now - logged_at_ms < kClosedLogPeriodMs) return;
+    logged_at_ms = now;
+    logged_closed = sum;
+    log_line(log_level::kWarning, "connections_closed")
+        .With("ports", ports == port_class::kGeneral ? "general" : "reserved")
+        .With("open", counts.connections)
+        .With("held_bytes", counts.bytes)
+        .With("for_connections_total", counts.closed_for_connections)
+        .With("for_memory_total", counts.closed_for_bytes)
+        .With("for_descriptors_total", counts.closed_for_descriptors)
+        .With("refused_total", counts.refused_connections);
+  }
 
   http_limits limits;
-  byte_budget body_memory;
+  std::shared_ptr<connection_account> account;
+  port_class ports;
+  log_budget log;
+  std::uint64_t logged_closed = 0;
+  monotonic_ms logged_at_ms = -kClosedLogPeriodMs;
   http_handler handler;
   bool draining = false;
   std::size_t active_requests = 0;
@@ -77,6 +123,62 @@
 
 namespace {
 
+auto Now() -> monotonic_ms { return system_monotonic_clock{}.Now(); }
+
+auto PeerOf(const tcp::socket& socket) -> std::string {
+  beast::error_code error;
+  const auto endpoint = socket.remote_endpoint(error);
+  return error ? std::string() : endpoint.address().to_string();
+}
+
+/// A caller's connection and its place in the account.
+struct caller_connection {
+  caller_connection(tcp::socket socket,
+                    const std::shared_ptr<connection_account>& account,
+                    port_class ports)
+      : stream(std::move(socket)),
+        entry(account, ports, PeerOf(stream.socket()), Now(),
+              [this] { stream.close(); }) {}
+
+  caller_stream stream;
+  accounted_connection entry;
+};
+
+/// The body of a request that is read: kept, or dropped when there is no memory
+/// for it. Unlike http::string_body, it takes no memory on its own.
+struct held_body {
+  struct value_type {
+    std::string text;
+    bool is_kept = true;
+
+    auto operator==(const value_type&) const -> bool = default;
+  };
+  class reader {
+   public:
+    template <bool is_request, class Fields>
+    reader(http::header<is_request, Fields>& /*head*/, value_type& body)
+        : body_(body) {}
+    auto init(const boost::optional<std::uint64_t>& /*length*/,
+              beast::error_code& error) -> void {
+      error = {};
+    }
+    template <class Buffers>
+    auto put(const Buffers& buffers, beast::error_code& error) -> std::size_t {
+      error = {};
+      if (body_.is_kept) {
+        for (const auto part : beast::buffers_range_ref(buffers)) {
+          body_.text.append(static_cast<const char*>(part.data()), part.size());
+        }
+      }
+      return beast::buffer_bytes(buffers);
+    }
+    auto finish(beast::error_code& error) -> void { error = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
 /// Detects that a caller disconnects while its request is in progress.
 class disconnect_watcher {
  public:
@@ -130,10 +232,11 @@
 /// Answers one request on a caller's connection.
 class beast_exchange : public http_exchange {
  public:
-  beast_exchange(caller_stream& stream, asio::yield_context& yield,
+  beast_exchange(caller_connection& connection, asio::yield_context& yield,
                  const http_limits& limits, http_request request,
                  bool keep_alive, disconnect_watcher& watcher)
-      : stream_(stream),
+      : stream_(connection.stream),
+        entry_(connection.entry),
         yield_(yield),
         limits_(limits),
         request_(std::move(request)),
@@ -167,9 +270,16 @@
     } else {
       response.prepare_payload();
     }
-    beast::error_code error;
-    stream_.expires_after(limits_.write_timeout);
-    http::async_write(stream_, response, yield_[error]);
+    const auto held = entry_.held_bytes();
+    const bool is_counted = body.size() > kCountedAnswerBytes;
+    if (is_counted) entry_.Charge(held + body.size(), Now());
+    http::response_serializer<http::span_body<const char>> serializer(response);
+    const auto error = SendInParts(
+        [&](beast::error_code& failure) {
+          return http::async_write_some(stream_, serializer, yield_[failure]);
+        },
+        [&] { return serializer.is_done(); });
+    if (is_counted) entry_.Charge(held, Now());
     ThrowIfDisconnected(error);
     complete_ = true;
   }
@@ -181,32 +291,56 @@
     FillHeader(response, status, content_type, headers);
     response.chunked(true);
     http::response_serializer<http::empty_body> serializer(response);
-    beast::error_code error;
-    stream_.expires_after(limits_.write_timeout);
-    http::async_write_header(stream_, serializer, yield_[error]);
-    ThrowIfDisconnected(error);
+    serializer.split(true);
+    ThrowIfDisconnected(SendInParts(
+        [&](beast::error_code& failure) {
+          return http::async_write_some(stream_, serializer, yield_[failure]);
+        },
+        [&] { return serializer.is_header_done(); }));
   }
 
   auto Write(std::string_view bytes) -> void override {
     if (bytes.empty()) return;
-    beast::error_code error;
-    stream_.expires_after(limits_.write_timeout);
-    asio::async_write(
-        stream_,
-        http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())),
-        yield_[error]);
-    ThrowIfDisconnected(error);
+    SendBuffers(
+        http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())));
   }
 
   auto EndStream() -> void override {
-    beast::error_code error;
-    stream_.expires_after(limits_.write_timeout);
-    asio::async_write(stream_, http::make_chunk_last(), yield_[error]);
-    ThrowIfDisconnected(error);
+    SendBuffers(http::make_chunk_last());
     complete_ = true;
   }
 
  private:
+  /// Calls `send_some` until `is_done`, and ends a peer that has stalled.
+  template <typename SendSome, typename IsDone>
+  auto SendInParts(const SendSome& send_some, const IsDone& is_done)
+      -> beast::error_code {
+    beast::error_code error;
+    entry_.SetPhase(connection_phase::kAnswering, Now());
+    while (!error && !is_done()) {
+      const auto now = Now();
+      const auto due = entry_.pace().DueAt(limits_.write_timeout.count());
+      stream_.expires_after(
+          std::chrono::milliseconds(std::max<monotonic_ms>(0, due - now)));
+      const auto bytes = send_some(error);
+      entry_.AddProgress(bytes, Now());
+    }
+    stream_.expires_never();
+    entry_.SetPhase(connection_phase::kRunning, Now());
+    return error;
+  }
+  template <typename Buffers>
+  auto SendBuffers(const Buffers& buffers) -> void {
+    beast::buffers_suffix<Buffers> rest(buffers);
+    ThrowIfDisconnected(SendInParts(
+        [&](beast::error_code& failure) {
+          const auto bytes = stream_.async_write_some(rest, yield_[failure]);
+          rest.consume(bytes);
+          return bytes;
+        },
+        [&] { return beast::buffer_bytes(rest) == 0; }));
+  }
+
   template <typename Response>
   auto FillHeader(Response& response, unsigned status,
                   std::string_view content_type, const header_list& headers)
@@ -228,6 +362,7 @@
   }
 
   caller_stream& stream_;
+  accounted_connection& entry_;
   asio::yield_context& yield_;
   const http_limits& limits_;
   http_request request_;
@@ -265,7 +400,7 @@
              std::to_string(limits.max_header_bytes) + " bytes, body " +
              std::to_string(limits.max_body_bytes) + R"( bytes"}})";
     case kStatusBusy:
-      return R"({"error":{"type":"busy","message":"the requests in progress hold all memory for bodies"}})";
+      return R"({"error":{"type":"busy","message":"the requests in progress hold all memory for requests"}})";
     case 408:
       return R"({"error":{"type":"timeout","message":"request did not arrive within the time limit"}})";
     default:
@@ -273,16 +408,22 @@
   }
 }
 
+template <typename Fields>
+auto CountFields(const Fields& fields) -> std::size_t {
+  return static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+}
+
 template <typename Parser>
 auto ReleaseRequest(Parser& parser) -> http_request {
   auto message = parser.release();
   http_request request;
+  request.headers.reserve(CountFields(message));
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   for (const auto& field : message) {
     request.headers.emplace_back(field.name_string(), field.value());
   }
-  request.body = std::move(message.body());
+  request.body = std::move(message.body().text);
   return request;
 }
 
@@ -292,12 +433,8 @@
  public:
   read_deadline(caller_stream& stream, std::chrono::milliseconds timeout)
       : state_(std::make_shared<state>(stream)) {
-    state_->timer.expires_after(timeout);
-    state_->timer.async_wait([shared = state_](beast::error_code cancelled) {
-      if (cancelled || shared->stream == nullptr) return;
-      shared->passed = true;
-      shared->stream->socket().cancel();
-    });
+    state_->due = std::chrono::steady_clock::now() + timeout;
+    Wait(state_);
   }
   read_deadline(const read_deadline&) = delete;
   auto operator=(const read_deadline&) -> read_deadline& = delete;
@@ -306,6 +443,11 @@
     state_->timer.cancel();
   }
   auto HasPassed() const -> bool { return state_->passed; }
+  /// Only later than before: the running timer looks at it when it ends.
+  auto Postpone(std::chrono::milliseconds timeout) -> void {
+    state_->due =
+        std::max(state_->due, std::chrono::steady_clock::now() + timeout);
+  }
 
  private:
   struct state {
@@ -313,8 +455,24 @@
         : timer(read_stream.get_executor()), stream(&read_stream) {}
     asio::steady_timer timer;
     caller_stream* stream;
+    std::chrono::steady_clock::time_point due;
     bool passed = false;
   };
+
+  static auto Wait(const std::shared_ptr<state>& shared) -> void {
+    shared->timer.expires_at(shared->due);
+    shared->timer.async_wait([shared](beast::error_code cancelled) {
+      if (cancelled || shared->stream == nullptr) return;
+      if (std::chrono::steady_clock::now() < shared->due) {
+        Wait(shared);
+        return;
+      }
+      shared->passed = true;
+      beast::error_code ignored;  // it may have given way to another one
+      shared->stream->socket().cancel(ignored);
+    });
+  }
+
   std::shared_ptr<state> state_;
 };
 
@@ -322,9 +480,13 @@
 template <typename State>
 class caller_session {
  public:
-  caller_session(tcp::socket socket, std::shared_ptr<State> state,
+  caller_session(caller_connection& connection, std::shared_ptr<State> state,
                  asio::yield_context yield)
-      : stream_(std::move(socket)), state_(std::move(state)), yield_(yield) {}
+      : connection_(connection),
+        stream_(connection.stream),
+        entry_(connection.entry),
+        state_(std::move(state)),
+        yield_(yield) {}
 
   auto Run() -> void {
     ConfigureSocket(stream_.socket(), kCallerAckTimeoutMs);
@@ -337,18 +499,19 @@
  private:
   auto ServeRequest() -> bool {
     if (!WaitForRequest()) return false;
-    http::request_parser<http::string_body> parser;
+    http::request_parser<held_body> parser;
     parser.header_limit(
         static_cast<std::uint32_t>(state_->limits.max_header_bytes));
     parser.body_limit(state_->limits.max_body_bytes);
     beast::error_code error;
-    byte_reservation memory(state_->body_memory);
-    const bool fits = ReadRequest(parser, memory, error);
+    const bool fits = ReadRequest(parser, error);
+    if (entry_.IsClosing()) return false;
     if (error || !fits) {
       if (error) {
         RefuseUnreadable(error);
       } else {
-        Refuse(kStatusBusy, "bodies exceed their memory",
+        entry_.CountRefusedRequest();
+        Refuse(kStatusBusy, "requests exceed their memory",
                {{"Retry-After", kBodyMemoryRetrySeconds}});
       }
       return false;
@@ -357,60 +520,136 @@
     return HandleRequest(ReleaseRequest(parser), keep_alive);
   }
 
-  /// False if the body does not fit in the memory for bodies: it is read to its
+  /// False if the request does not fit in the memory: its body is read to its
   /// end, so that the caller gets the answer, and not kept.
   template <typename Parser>
-  auto ReadRequest(Parser& parser, byte_reservation& memory,
-                   beast::error_code& error) -> bool {
+  auto ReadRequest(Parser& parser, beast::error_code& error) -> bool {
     stream_.expires_never();
-    {
-      const read_deadline deadline(stream_, state_->limits.header_timeout);
-      http::async_read_header(stream_, buffer_, parser, yield_[error]);
-      if (deadline.HasPassed()) error = beast::error::timeout;
-    }
+    ReadHead(parser, error);
     if (!error && HasAmbiguousLength(parser.get())) {
       error = http::error::bad_transfer_encoding;
     }
-    if (error || parser.is_done()) return true;
+    if (error) return true;
+    const auto head_bytes = HeadBytes(parser.get());
+    if (!ReserveSoon(head_bytes)) return false;
+    if (parser.is_done()) return true;
     AnswerExpectContinue(parser, error);
     if (error) return true;
-    const read_deadline deadline(stream_, state_->limits.body_timeout);
-    const bool fits = ReadBody(parser, memory, error);
+    return ReadBody(parser, head_bytes, error);
+  }
+
+  template <typename Parser>
+  auto ReadHead(Parser& parser, beast::error_code& error) -> void {
+    const read_deadline deadline(stream_, state_->limits.header_timeout);
+    while (!error && !parser.is_header_done()) {
+      const auto bytes =
+          http::async_read_some(stream_, buffer_, parser, yield_[error]);
+      entry_.AddProgress(bytes, Now());
+    }
     if (deadline.HasPassed()) error = beast::error::timeout;
-    return fits;
+  }
+
+  /// Memory of a request's head beyond that of the connection.
+  template <typename Head>
+  auto HeadBytes(const Head& head) const -> std::size_t {
+    std::size_t bytes = buffer_.capacity() + 2 * head.target().size();
+    for (const auto& field : head) {
+      bytes +=
+          kFieldBytes + 2 * (field.name_string().size() + field.value().size());
+    }
+    return bytes - std::min(bytes, kFirstReadBytes);
+  }
+
+  /// Waits for others to free memory, if they have been told to; false if there
+  /// is none.
+  auto ReserveSoon(std::size_t bytes) -> bool {
+    for (int tries = 0; tries < kReserveTries; ++tries) {
+      const auto result = entry_.Reserve(bytes, Now());
+      if (result != reserve_result::kWait) {
+        return result == reserve_result::kGranted;
+      }
+      state_->LogClosed();
+      Pause(stream_.get_executor(), kReservePause, yield_);
+    }
+    return false;
+  }
+
+  /// Takes memory for a body of `capacity` bytes. If there is none, the body is
+  /// dropped, so that its part of the memory lets others go on.
+  auto GrowBody(held_body::value_type& body, std::size_t capacity,
+                std::size_t head_bytes) -> void {
+    if (ReserveSoon(head_bytes + kCopiesOfBody * capacity)) {
+      body.text.reserve(capacity);
+      return;
+    }
+    DropBody(body);
+    entry_.Charge(head_bytes, Now());
+  }
+  auto DropBody(held_body::value_type& body) -> void {
+    body.is_kept = false;
+    // clear() would keep the memory.
+    std::string().swap(body.text);
+    entry_.SetPhase(connection_phase::kRefused, Now());
   }
 
   template <typename Parser>
-  auto ReadBody(Parser& parser, byte_reservation& memory,
+  auto ReadBody(Parser& parser, std::size_t head_bytes,
                 beast::error_code& error) -> bool {
+    auto& body = parser.get().body();
     // All of it at once if the length is known: otherwise many bodies that grow
     // at the same time would all end as too large.
     const auto announced = parser.content_length_remaining();
-    bool fits = !announced || memory.Resize(kCopiesOfBody * *announced);
+    // No request at a reserved port has a use for a body: it is served without.
+    const bool is_reserved = state_->ports == port_class::kReserved;
+    if (is_reserved) DropBody(body);
+    if (announced && !is_reserved) GrowBody(body, *announced, head_bytes);
+    transfer_pace pace(Now());
+    const auto timeout = state_->limits.body_timeout;
+    read_deadline deadline(stream_, timeout);
     while (!error && !parser.is_done()) {
-      http::async_read_some(stream_, buffer_, parser, yield_[error]);
-      auto& body = parser.get().body();
-      if (!announced) fits = fits && memory.Resize(kCopiesOfBody * body.size());
-      if (fits) continue;
-      // Its part of the memory lets others go on that grow beside it.
-      body.clear();
-      memory.Resize(0);
+      const auto free_bytes = body.text.capacity() - body.text.size();
+      if (!announced && body.is_kept && free_bytes < buffer_.capacity()) {
+        GrowBody(body,
+                 std::max(body.text.size() + buffer_.capacity(),
+                          body.text.size() + body.text.size() / 2),
+                 head_bytes);
+      }
+      const auto bytes =
+          http::async_read_some(stream_, buffer_, parser, yield_[error]);
+      const auto now = Now();
+      entry_.AddProgress(bytes, now);
+      pace.Add(bytes, now);
+      deadline.Postpone(
+          std::chrono::milliseconds(pace.DueAt(timeout.count()) - now));
     }
-    return fits;
+    if (deadline.HasPassed()) error = beast::error::timeout;
+    return body.is_kept || is_reserved;
   }
 
   /// Waits for data on an idle connection; false if the connection is closed,
   /// timed out or cancelled by CloseIdle.
   auto WaitForRequest() -> bool {
-    if (buffer_.size() > 0) return true;
+    entry_.Charge(0, Now());
+    if (buffer_.size() > 0) {
+      // Requests sent ahead keep a connection busy without a pause, so that it
+      // would never be idle enough to give way.
+      entry_.SetPhase(connection_phase::kRefused, Now());
+      return true;
+    }
+    if (buffer_.capacity() > kFirstReadBytes) buffer_.shrink_to_fit();
+    if (has_answered_) entry_.SetPhase(connection_phase::kKept, Now());
     const auto idle_position =
         state_->idle_streams.insert(state_->idle_streams.end(), &stream_);
     beast::error_code error;
     stream_.expires_after(state_->limits.idle_timeout);
-    const auto bytes =
-        stream_.async_read_some(buffer_.prepare(4096), yield_[error]);
+    const auto bytes = stream_.async_read_some(buffer_.prepare(kFirstReadBytes),
+                                               yield_[error]);
     state_->idle_streams.erase(idle_position);
     buffer_.commit(bytes);
+    if (!error) {
+      entry_.SetPhase(connection_phase::kReading, Now());
+      entry_.AddProgress(bytes, Now());
+    }
     return !error;
   }
 
@@ -435,11 +674,14 @@
 
   auto Refuse(unsigned status, const std::string& reason, header_list headers)
       -> void {
-    log_line(log_level::kInfo, "request_refused")
-        .With("status", status)
-        .With("reason", reason);
+    if (state_->log.AllowFailure(Now())) {
+      log_line(log_level::kInfo, "request_refused")
+          .With("status", status)
+          .With("reason", reason)
+          .With("lines_left_out", state_->log.suppressed());
+    }
     headers.emplace_back("Lovagedale-Ran", "no");
-    beast_exchange exchange(stream_, yield_, state_->limits, {}, false,
+    beast_exchange exchange(connection_, yield_, state_->limits, {}, false,
                             disconnect_watcher_);
     try {
       exchange.RespondJson(status, RefusalBody(status, state_->limits),
@@ -450,9 +692,11 @@
   }
 
   auto HandleRequest(http_request request, bool keep_alive) -> bool {
-    beast_exchange exchange(stream_, yield_, state_->limits, std::move(request),
-                            keep_alive && !state_->draining,
+    beast_exchange exchange(connection_, yield_, state_->limits,
+                            std::move(request), keep_alive && !state_->draining,
                             disconnect_watcher_);
+    entry_.SetPhase(connection_phase::kRunning, Now());
+    has_answered_ = true;
     ++state_->active_requests;
     bool failed = false;
     try {
@@ -481,9 +725,12 @@
     }
   }
 
-  caller_stream stream_;
+  caller_connection& connection_;
+  caller_stream& stream_;
+  accounted_connection& entry_;
   std::shared_ptr<State> state_;
   asio::yield_context yield_;
+  bool has_answered_ = false;
   disconnect_watcher disconnect_watcher_{stream_};
   beast::flat_buffer buffer_{kMaxReadBufferBytes};
 };
@@ -492,9 +739,10 @@
 
 http_server::http_server(asio::io_context& context, const std::string& host,
                          std::uint16_t port, bool share_port,
-                         http_limits limits, http_handler handler)
+                         http_limits limits, http_handler handler,
+                         port_account account)
     : acceptor_(Listen(context, host, port, share_port)),
-      state_(std::make_shared<shared_state>(limits)) {
+      state_(std::make_shared<shared_state>(limits, std::move(account))) {
   state_->handler = std::move(handler);
   SpawnTask(context, [this](asio::yield_context yield) { AcceptLoop(yield); });
 }
@@ -541,22 +789,48 @@
     acceptor_.async_accept(socket, yield[error]);
     if (error == asio::error::operation_aborted) return;
     if (error) {
-      // For example no free file descriptors: wait instead of retrying at once.
+      HandleAcceptError(error);
+      // Waits instead of retrying at once: the descriptors may all be in use.
       asio::steady_timer retry_timer(acceptor_.get_executor(),
                                      std::chrono::milliseconds(10));
       retry_timer.async_wait(yield[error]);
       continue;
     }
     StartSession(std::move(socket));
+    AcceptWaiting();
+  }
+}
+
+auto http_server::AcceptWaiting() -> void {
+  beast::error_code error;
+  acceptor_.non_blocking(true, error);
+  for (int i = 0; i < kAcceptedAtOnce && !error; ++i) {
+    tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (!error) StartSession(std::move(socket));
+  }
+}
+
+auto http_server::HandleAcceptError(const boost::system::error_code& error)
+    -> void {
+  if (error != asio::error::no_descriptors &&
+      error != boost::system::errc::too_many_files_open_in_system) {
+    return;
   }
+  state_->account->FreeDescriptor(Now());
+  state_->LogClosed();
 }
 
 auto http_server::StartSession(tcp::socket socket) -> void {
+  auto connection = std::make_unique<caller_connection>(
+      std::move(socket), state_->account, state_->ports);
+  state_->LogClosed();
+  if (!connection->entry.IsAccepted()) return;
   asio::spawn(
       acceptor_.get_executor(),
       [state = state_,
-       socket = std::move(socket)](asio::yield_context yield) mutable {
-        caller_session<shared_state> session(std::move(socket), state, yield);
+       connection = std::move(connection)](asio::yield_context yield) {
+        caller_session<shared_state> session(*connection, state, yield);
         session.Run();
       },
       asio::detached);
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -4,6 +4,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -62,6 +63,13 @@
   std::_Exit(exit_code);
 }
 
+/// Large blocks go back to the system when they are freed. By default the
+/// allocator raises this size up to 32 MB as it meets large blocks, and keeps
+/// them: bodies of 4 MiB then stay in the process's memory for good.
+constexpr int kReturnedBlockBytes = 256 << 10;
+/// Free memory at the heap's end beyond this is returned too.
+constexpr int kKeptFreeBytes = 1 << 20;
+
 }  // namespace
 
 auto ReadSettingsFile() -> std::string {
@@ -70,6 +78,8 @@
 
 auto RunProcess(int argc, char** argv, const program_definition& program)
     -> int {
+  ::mallopt(M_MMAP_THRESHOLD, kReturnedBlockBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kKeptFreeBytes);
   absl::SetProgramUsageMessage(program.description);
   absl::FlagsUsageConfig usage;
   usage.version_string = [&program] {
--- a/src/route_entry/settings.cpp
+++ b/src/route_entry/settings.cpp
@@ -37,6 +37,7 @@
                     static_cast<double>(settings.grace.count()) / 1'000) *
         1'000));
     ReadLogSettings(root, settings.log_file, settings.log_level);
+    settings.connections = ReadConnectionSettings(root);
     root.Object("retries", [&](object_reader& reader) {
       auto& relay = settings.relay;
       relay.retry_ratio =
--- a/tests/entry/chat_body_test.cpp
+++ b/tests/entry/chat_body_test.cpp
@@ -37,6 +37,20 @@
             .starts_with("stream: got \"yes\""));
 }
 
+// Guards against a limit that servers take as none, at the caller's cost.
+TEST_CASE("a negative limit of tokens is refused") {
+  const auto body = [](const std::string& field) {
+    return R"({"model":"auto","messages":[{"content":"x"}],)" + field + "}";
+  };
+  CHECK(
+      RefusalOf(body(R"("max_tokens":-1)")).starts_with("max_tokens: got -1"));
+  CHECK(RefusalOf(body(R"("max_tokens":-0.5)")).starts_with("max_tokens: got"));
+  CHECK(RefusalOf(body(R"("max_completion_tokens":-9)"))
+            .starts_with("max_completion_tokens: got -9"));
+  CHECK(RefusalOf(body(R"("max_tokens":16)")).empty());
+  CHECK(RefusalOf(body(R"("max_tokens":null)")).empty());
+}
+
 TEST_CASE("a resumed request includes the text already delivered") {
   const auto body = MakeEngineBody(
       R"({"model":"auto","messages":[{"role":"user","content":"q"}]})",
--- a/tests/support/uncontrolled_callers.cpp
+++ b/tests/support/uncontrolled_callers.cpp
@@ -65,7 +65,8 @@
   const std::string filler(1'024, 'x');
   const std::string chunk = "400\r\n" + filler + "\r\n";
   const std::string chunked = "Transfer-Encoding: chunked\r\n";
-  const std::string get = "GET " + path + " HTTP/1.1\r\nHost: h.example\r\n\r\n";
+  const std::string get =
+      "GET " + path + " HTTP/1.1\r\nHost: h.example\r\n\r\n";
   const auto short_body = Length(10);
   std::map<std::string, shape> shapes;
   shapes["body_whole"] = {Post(path, Length(kLegalBodyBytes)), filler,
@@ -85,14 +86,18 @@
   shapes["query_fields"] = {
       Post(path + "?" + Repeat("a=b&", kLegalHeadBytes), short_body), "x", 9};
   shapes["pipelined"] = {"", get, get.size() * kRequestsAhead};
-  shapes["slow_head"] = {"GET " + path + " HTTP/1.1\r\nHost: h.example\r\nX-A: ",
-                         "x", kLegalHeadBytes, 1, kSlowPause};
+  shapes["slow_head"] = {
+      "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nX-A: ", "x",
+      kLegalHeadBytes, 1, kSlowPause};
   shapes["half_head"] = {"GET " + path + " HTTP/1.1\r\nHos"};
   shapes["slow_body"] = {Post(path, Length(kLegalBodyBytes)), "x",
                          kLegalBodyBytes - 1, 1, kSlowPause};
-  shapes["slow_read"] = {
-      "", get, get.size() * kRequestsAhead, kWholeBytes, milliseconds(0),
-      reading::kSlowly};
+  shapes["slow_read"] = {"",
+                         get,
+                         get.size() * kRequestsAhead,
+                         kWholeBytes,
+                         milliseconds(0),
+                         reading::kSlowly};
   shapes["opened"] = {};
   return shapes;
 }
@@ -151,8 +156,8 @@
       const auto& text = is_head ? shape_->head : shape_->unit;
       const auto begin =
           is_head ? sent_ : (sent_ - shape_->head.size()) % text.size();
-      const auto bytes = std::min({text.size() - begin, total - sent_,
-                                   is_head ? text.size() : left});
+      const auto bytes = std::min(
+          {text.size() - begin, total - sent_, is_head ? text.size() : left});
       const auto result = ::send(socket_, text.data() + begin, bytes,
                                  MSG_DONTWAIT | MSG_NOSIGNAL);
       if (result <= 0) return;
