--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -20,6 +20,7 @@
 #include "lovagedale/relay/server_load.h"
 #include "lovagedale/replication/messages.h"
 #include "lovagedale/rollout/service_rollout.h"
+#include "lovagedale/scheduling/shared_thresholds.h"
 
 namespace lovagedale {
 
@@ -127,14 +128,20 @@
   /// To the leader, every kWorkReportPeriodMs: work of prompts that the entry
   /// has sent recently.
   std::vector<service_work> work;
+  /// To the leader, every kConfidenceReportPeriodMs.
+  std::vector<confidence_report> confidences;
 
   static constexpr std::uint16_t kLoadsField = 1;
   static constexpr std::uint16_t kWorkField = 2;
+  static constexpr std::uint16_t kConfidencesField = 3;
 
   auto AddedFields() const -> added_fields {
     added_fields fields;
     if (loads) fields.emplace(kLoadsField, EncodeFixed(*loads));
     if (!work.empty()) fields.emplace(kWorkField, EncodeFixed(work));
+    if (!confidences.empty()) {
+      fields.emplace(kConfidencesField, EncodeFixed(confidences));
+    }
     return fields;
   }
   auto SetAddedFields(const added_fields& fields) -> void {
@@ -144,6 +151,10 @@
     if (const auto found = fields.find(kWorkField); found != fields.end()) {
       work = DecodeFixed<std::vector<service_work>>(found->second);
     }
+    if (const auto found = fields.find(kConfidencesField);
+        found != fields.end()) {
+      confidences = DecodeFixed<std::vector<confidence_report>>(found->second);
+    }
   }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
@@ -176,6 +187,8 @@
   std::optional<fleet_loads> loads;
   /// Sent by the leader if the heartbeat had `work`: the fleet's shares.
   std::vector<heavy_work_share> heavy_shares;
+  /// Sent by the leader if the heartbeat had `confidences`.
+  std::vector<fleet_threshold> thresholds;
 
   auto AddedFields() const -> added_fields {
     added_fields fields;
@@ -186,6 +199,9 @@
     if (!heavy_shares.empty()) {
       fields.emplace(kHeavySharesField, EncodeFixed(heavy_shares));
     }
+    if (!thresholds.empty()) {
+      fields.emplace(kThresholdsField, EncodeFixed(thresholds));
+    }
     return fields;
   }
   auto SetAddedFields(const added_fields& fields) -> void {
@@ -200,6 +216,10 @@
         found != fields.end()) {
       heavy_shares = DecodeFixed<std::vector<heavy_work_share>>(found->second);
     }
+    if (const auto found = fields.find(kThresholdsField);
+        found != fields.end()) {
+      thresholds = DecodeFixed<std::vector<fleet_threshold>>(found->second);
+    }
   }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
@@ -211,6 +231,7 @@
   static constexpr std::uint16_t kColdServersField = 1;
   static constexpr std::uint16_t kLoadsField = 2;
   static constexpr std::uint16_t kHeavySharesField = 3;
+  static constexpr std::uint16_t kThresholdsField = 4;
 };
 
 /// A control replica's request to become a member; repeated until a leader
--- a/include/lovagedale/control/service.h
+++ b/include/lovagedale/control/service.h
@@ -214,6 +214,7 @@
   server_positions positions_;
   std::optional<fleet_loads> fleet_loads_;
   monotonic_ms fleet_loads_at_ = 0;
+  shared_thresholds thresholds_;
   helper_table helpers_;
   /// The present roll-outs, by service.
   std::map<std::string, seen_rollout> seen_rollouts_;
--- a/include/lovagedale/relay/relay_state.h
+++ b/include/lovagedale/relay/relay_state.h
@@ -40,7 +40,7 @@
   monotonic_ms retry_window_ms = 10'000;
   double retry_floor = 3;
   /// Whether requests of services with several priorities wait for their turn.
-  bool admission = true;
+  bool admission = false;
   /// Whether less urgent ones are refused rather than sent late; see
   /// admission_queue.
   bool admission_strict = false;
--- a/include/lovagedale/relay/server_load.h
+++ b/include/lovagedale/relay/server_load.h
@@ -54,7 +54,7 @@
 
   /// Most servers of Busiest: half a kilobyte in each heartbeat response, so
   /// that loads fit into what control may send to an entry.
-  static constexpr std::size_t kMaxServers = 63;
+  static constexpr std::size_t kMaxServers = 62;
 
  private:
   /// Requests of an entry that has not reported for longer have ended or moved.
--- a/tests/formats/samples.h
+++ b/tests/formats/samples.h
@@ -41,6 +41,7 @@
   if (format < kFleetLoadsFormat) return;
   heartbeat.loads = MakeSample<entry_loads>();
   heartbeat.work = MakeSample<std::vector<service_work>>();
+  heartbeat.confidences = MakeSample<std::vector<confidence_report>>();
 }
 
 inline auto AddFieldsOf(format_number format, heartbeat_response& response)
@@ -49,6 +50,7 @@
   response.cold_servers = MakeSample<std::vector<cold_server>>();
   response.loads = MakeSample<fleet_loads>();
   response.heavy_shares = MakeSample<std::vector<heavy_work_share>>();
+  response.thresholds = MakeSample<std::vector<fleet_threshold>>();
 }
 
 inline auto AddFieldsOf(format_number format, view_update& update) -> void {
