--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1171,7 +1171,9 @@
   item.prompts = true;
   item.priority = 1;
   item.objective_ms = 1'500;
-  running_relay relay(item, {server.port()});
+  relay_settings settings;
+  settings.admission = true;
+  running_relay relay(item, {server.port()}, {}, settings);
   // An objective of 1,500 ms leaves slack for 750.
   relay.ReportQueue(400);
   CHECK(relay.Call({{"Parts", "12"}}).body == "x");
@@ -1202,17 +1204,15 @@
   CHECK(server.requests() == 2);
 }
 
-// Guards against an off-switch without effect.
-TEST_CASE("no call waits for its turn if admission is switched off") {
+// Guards against calls that wait in deployments that do not ask for it.
+TEST_CASE("no call waits for its turn unless admission is switched on") {
   scripted_server server(
       [](const std::string&) { return Answer("200 OK", "", "x"); });
   auto item = MakeRoute(route_kind::kRepeatable);
   item.prompts = true;
   item.priority = 1;
   item.objective_ms = 1'500;
-  relay_settings settings;
-  settings.admission = false;
-  running_relay relay(item, {server.port()}, {}, settings);
+  running_relay relay(item, {server.port()});
   relay.ReportQueue(1'000'000);
   CHECK(relay.Call({{"Parts", "12"}}).body == "x");
 }
