--- a/tests/scheduling/admission_gate_test.cpp
+++ b/tests/scheduling/admission_gate_test.cpp
@@ -42,8 +42,9 @@
     servers.UpdateLoads({{key, work}}, clock.Now());
   }
   auto SetReachable(bool is_reachable) -> void {
-    servers.SetEvacuatedZones(is_reachable ? std::set<std::string>{}
-                                           : std::set<std::string>{""});
+    servers.SetEvacuatedZones(
+        is_reachable ? std::set<std::string>{} : std::set<std::string>{""},
+        /*now=*/0);
   }
   auto Call(const std::string& name, std::uint32_t priority) -> void {
     admission_call call{"engines", name, priority, {}};
