--- a/review/stand-ins-2/scenario_8.cpp
+++ b/review/stand-ins-2/scenario_8.cpp
@@ -1,5 +1,8 @@
-// Case 8: the operator takes away the keys of a tenant, and with the last one
-// the only tenant, so that the config contains an empty list of tenants.
+// Case 8: a crowd of consumers sends heads of legal size that are made of very
+// many short fields, and stops just short of their end. The script reads the
+// memory of the entry afterwards.
+
+#include <boost/asio/write.hpp>
 
 #include "scenario.h"
 
@@ -8,16 +11,26 @@
 using namespace review;  // NOLINT: a program's main file.
 using std::chrono::milliseconds;
 
-/// Of the pages: `revoke` takes 2 keys away, gap_s = 1.5 between them.
-constexpr milliseconds kRevokeGap{1'500};
-/// Of the pages: config_apply_ms. The requests are sent one second later still.
-constexpr milliseconds kConfigApply{2'000};
-constexpr milliseconds kBeyondApply{1'000};
+/// Below half of the descriptors of an edge machine.
+constexpr int kConnections = 1'750;
+/// Of the config: max_header_bytes is 16,384, header_timeout_ms 3,000.
+constexpr std::size_t kHeadBytes = 16'200;
+constexpr milliseconds kHeldFor{2'000};
+/// After header_timeout_ms the crowd is gone.
+constexpr milliseconds kSettle{2'500};
 constexpr milliseconds kTimeout{3'000};
-constexpr int kRequestsPerKey = 10;
-const std::vector<std::string> kKeys{"first-key-of-coast", "last-key-of-coast"};
-/// No config ever holds this one.
-constexpr const char* kUnknownKey = "a-key-of-nobody";
+const tenant kTenant{"coast-carts", {"key-of-coast-carts"}};
+
+/// A head without the empty line at its end.
+auto MakeHead(bool has_short_fields) -> std::string {
+  std::string head = "POST /order/1 HTTP/1.1\r\nHost: " + std::string(kHost) +
+                     "\r\nContent-Length: 10\r\n";
+  const std::string field = "a:\r\n";
+  while (has_short_fields && head.size() + field.size() <= kHeadBytes) {
+    head += field;
+  }
+  return head;
+}
 
 auto Play(scenario& frame, asio::yield_context yield) -> int {
   const listed_replica ledger{"i-ledger", "cart-ledger",
@@ -28,57 +41,40 @@
                  });
   frame.list().Set({ledger});
   const route order{"order", "/order/", "non_idempotent", "cart-ledger"};
-  const auto put = [&](int version, const std::vector<tenant>& tenants) {
-    frame.RequireConfig(boost::json::serialize(MakeConfig(
-                            version, {order}, {"cart-ledger"}, tenants)),
-                        yield);
-  };
-  std::size_t next = 0;
-  const auto send = [&](const std::string& key, const std::string& id) {
-    call item;
-    item.target = "/order/1";
-    item.headers = {{"Authorization", "Token " + key}};
-    item.body = "{}";
-    return frame.Request(next++ % frame.settings().consumers.size(), item, id,
-                         kTimeout, yield);
-  };
-
-  put(3, {{"coast-carts", kKeys}});
+  frame.RequireConfig(boost::json::serialize(
+                          MakeConfig(3, {order}, {"cart-ledger"}, {kTenant})),
+                      yield);
   frame.AwaitReady(yield);
-  for (const auto& key : kKeys) {
-    if (send(key, "known-" + key).status != 200) {
-      throw cannot_run("a request with a key is not served");
-    }
-  }
-  if (send(kUnknownKey, "unknown-before").status != 401) {
-    throw cannot_run("an unknown key is not refused");
+  call item;
+  item.target = "/order/1";
+  item.headers = {{"Authorization", "Token " + kTenant.keys.front()}};
+  item.body = "{}";
+  if (frame.Request(0, item, "before", kTimeout, yield).status != 200) {
+    throw cannot_run("an ordinary request is not served");
   }
 
-  put(7, {{"coast-carts", {kKeys.back()}}});
-  Pause(kRevokeGap, yield);
-  if (frame.settings().has_trouble) {
-    put(12, {});
-  } else {
-    // The tenant stays, without a key.
-    put(12, {{"coast-carts", {}}});
-  }
-  Pause(kConfigApply + kBeyondApply, yield);
-  int sent = 0;
-  int run = 0;
-  for (int i = 0; i < kRequestsPerKey; ++i) {
-    for (const auto& key :
-         {kKeys.front(), kKeys.back(), std::string(kUnknownKey)}) {
-      const auto id = "late-" + std::to_string(sent++);
-      const auto result = send(key, id);
-      if (!server.runs().contains(id)) continue;
-      ++run;
-      frame.record().Write("RUN " + id + " with the key " + key +
-                           ", answered " + std::to_string(result.status));
-    }
+  const auto head = MakeHead(frame.settings().has_trouble);
+  const auto& entry = frame.settings().consumers.at(0);
+  const tcp::endpoint address(asio::ip::make_address(entry.host), entry.port);
+  std::vector<tcp::socket> crowd;
+  for (int i = 0; i < kConnections; ++i) {
+    boost::system::error_code error;
+    auto& socket = crowd.emplace_back(frame.context());
+    socket.async_connect(address, yield[error]);
+    if (!error) asio::async_write(socket, asio::buffer(head), yield[error]);
+    // The entry may close such a connection.
+    if (error) crowd.pop_back();
   }
-  frame.record().Write("requests with a key that is not in force " +
-                       std::to_string(sent) + ", run " + std::to_string(run));
-  return run > 0 ? kRuleBroken : kRuleHeld;
+  frame.record().Write("crowd of " + std::to_string(crowd.size()) +
+                       " connections, " + std::to_string(head.size()) +
+                       " bytes of a head on each");
+  Pause(kHeldFor, yield);
+  crowd.clear();
+  Pause(kSettle, yield);
+  const auto after = frame.Request(0, item, "after", kTimeout, yield);
+  frame.record().Write("an ordinary request after the crowd: " +
+                       std::to_string(after.status));
+  return after.status == 200 ? kRuleHeld : kRuleBroken;
 }
 
 }  // namespace
