--- a/review/stand-ins-2/fleet.sh
+++ b/review/stand-ins-2/fleet.sh
@@ -1,11 +1,11 @@
 # Starts a small deployment on loopback with the programs of the deploy file and
 # plays a scenario against it. Sourced by the run.sh of a case, which sets `case`
-# (its folder) and calls play_scenario. Settings are those of deploy/*.tmpl.
+# (its folder) and `trouble` (0: without the disruption), and calls play_scenario. Settings are those of deploy/*.tmpl.
 
 root="$(cd "$case/../.." && pwd)"
 tools="$root/target/review-2"
+: >"$case/record.txt"
 programs="$root/target/platform"
-trouble="${TROUBLE:-1}"
 not_run=2
 entries="${entries:-2}"
 replicas="${replicas:-4}"
@@ -78,16 +78,21 @@
   process_ids[entry-$1]=$!
 }
 
-# Plays a scenario; its name, then further arguments. Sets `verdict`.
-play_scenario() {
-  local name=$1 number process code
-  shift
+start_fleet() {
+  local number
   for number in 0 1 2; do start_control "$number"; done
   for ((number = 0; number < entries; ++number)); do start_entry "$number"; done
-  timeout 100 "$tools/$name" --control="$controls" --consumer="$consumers" \
+}
+
+# Plays a scenario against the fleet; its name. Adds to record.txt and sets
+# `verdict`.
+run_scenario() {
+  local process code
+  timeout 60 "$tools/$1" --control="$controls" --consumer="$consumers" \
     --ready="$ready" --list="127.0.0.1:$list_port" --replica="$replica_list" \
-    --record="$case/record.txt" --trouble="$trouble" "$@"
+    --record="$run/record.txt" --trouble="$trouble"
   verdict=$?
+  cat "$run/record.txt" >>"$case/record.txt"
   # Nothing has been told to stop yet: a process that is gone ended by itself.
   for process in "${!process_ids[@]}"; do
     kill -0 "${process_ids[$process]}" 2>/dev/null && continue
@@ -97,6 +102,10 @@
     echo "$process ended by itself with exit code $code" |
       tee -a "$case/record.txt"
   done
-  [ -z "${KEEP_LOGS:-}" ] || cp "$run"/*.out "$KEEP_LOGS"
   case $verdict in 0 | 1) ;; *) verdict=$not_run ;; esac
 }
+
+play_scenario() { # name
+  start_fleet
+  run_scenario "$1"
+}
--- a/review/stand-ins-2/scenario.cpp
+++ b/review/stand-ins-2/scenario.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds kOperatorPause{100};
 constexpr std::int64_t kOperatorMaxMs = 10'000;
 constexpr std::int64_t kReadyMaxMs = 20'000;
+/// Of the pages: connected_ms is 3,000. A start is a disturbance: a machine is
+/// in touch, and the core stable, when that time has passed since.
+constexpr milliseconds kConnected{3'200};
 /// How long a consumer waits beyond the time that the entry was told, so that
 /// an answer that is late by half a second is seen.
 constexpr milliseconds kConsumerSlack{700};
@@ -140,6 +143,8 @@
     }
   }
   record_.Write("all entries are ready");
+  Pause(kConnected, yield);
+  record_.Write("all entries are in touch");
 }
 
 auto scenario::Request(std::size_t entry, const call& item,
--- a/review/stand-ins-2/scenario.h
+++ b/review/stand-ins-2/scenario.h
@@ -82,8 +82,8 @@
   /// Calls PutConfig and requires 200.
   auto RequireConfig(const std::string& document, asio::yield_context yield)
       -> void;
-  /// Waits until all entries say that they are ready. Throws cannot_run after
-  /// 20 s.
+  /// Waits until all entries say that they are ready, and for connected_ms
+  /// after that. Throws cannot_run if they are not ready after 20 s.
   auto AwaitReady(asio::yield_context yield) -> void;
   /// Sends a consumer's request to an entry and records both ends of it.
   auto Request(std::size_t entry, const call& item, const std::string& id,
