Fail answers without a length that are reset during the upload

Plain routes passed the part on with a length of its own; streams ended as complete, and resumable ones did not resume; calls through another entry did the same.

Cause: http_connection reads the answer while it writes the request. Linux reports a reset to one operation only. Where the write took it, the read saw an ordinary end of file, which ends an answer without a length.

Ruled out: an error that the parser drops.

The fix looks at the result of the write where an answer ends with its connection. A write that failed before the server's end makes the answer broken, so that a call that may run once gets 502, a repeatable one another server, and a stream resumes or is cut. If the server's end came first, the write fails with broken_pipe, and the answer is whole: a second test has servers that answer early, end their side, and then read on or close.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -128,6 +128,14 @@
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::array<char, kReadBufferBytes> read_buffer{};
   bool failed = false;
+
+  /// Whether the connection failed before the server ended its side. The system
+  /// reports a failure to one operation only; if that is the write, the read
+  /// sees an ordinary end. A write that fails after the server's end gets
+  /// broken_pipe instead.
+  auto HasBrokenOff() const -> bool {
+    return write->error && write->error != asio::error::broken_pipe;
+  }
 };
 
 http_connection::http_connection(asio::io_context& context, std::string host,
@@ -238,6 +246,8 @@
     beast::error_code error;
     http::async_read_some(impl_->stream, impl_->buffer, parser, yield[error]);
     if (error == http::error::need_buffer) error = {};
+    const bool is_at_end = !error && parser.need_eof() && parser.is_done();
+    if (is_at_end && impl_->HasBrokenOff()) error = impl_->write->error;
     if (error) {
       FailRead(stage::kAnswerBroken, "answer broke off: " + error.message(),
                error == beast::error::timeout);
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <vector>
+
 #include "support/raw_server.h"
 
 namespace lovagedale::testing {
@@ -31,13 +33,13 @@
 };
 
 auto Call(const raw_server& server,
-          std::size_t max_body_bytes = kMaxAnswerBytes) -> call_end {
+          std::size_t max_body_bytes = kMaxAnswerBytes,
+          const http_request& request = {"GET", "/", {}, ""}) -> call_end {
   call_end end;
   const auto started = std::chrono::steady_clock::now();
   try {
-    end.answer =
-        BlockingHttpCall("127.0.0.1", server.port(), {"GET", "/", {}, ""},
-                         ShortDeadlines(), max_body_bytes);
+    end.answer = BlockingHttpCall("127.0.0.1", server.port(), request,
+                                  ShortDeadlines(), max_body_bytes);
   } catch (const http_call_error& error) {
     end.failed_at = error.failure_stage();
     end.timed_out = error.timed_out();
@@ -47,6 +49,15 @@
   return end;
 }
 
+auto Upload(const raw_server& server, std::size_t bytes) -> call_end {
+  return Call(server, kMaxAnswerBytes,
+              {"POST", "/", {}, std::string(bytes, 'x')});
+}
+
+/// The last one does not fit into the buffers of the system, so that it is
+/// still being written when the answer comes.
+constexpr std::size_t kUploads[] = {300'000, 3'900'000, 32'000'000};
+
 const std::string kOkLine = "HTTP/1.1 200 OK\r\n";
 
 }  // namespace
@@ -191,6 +202,76 @@
   }
 }
 
+// Guards against part of an answer being taken for all of it: a reset that is
+// reported to the write looks like an orderly end to the read.
+TEST_CASE("an answer without a length is broken by a reset during the upload") {
+  const std::string heads[] = {kOkLine, "HTTP/1.0 200 OK\r\n",
+                               "HTTP/1.1 100 Continue\r\n\r\n" + kOkLine};
+  for (const auto& head : heads) {
+    for (const auto bytes : kUploads) {
+      for (const bool is_close : {false, true}) {
+        for (const auto pause : {milliseconds(0), milliseconds(50)}) {
+          CAPTURE(head);
+          CAPTURE(bytes);
+          CAPTURE(is_close);
+          CAPTURE(pause.count());
+          raw_server server([&](raw_server::peer& client, const std::string&) {
+            client.Send(head + "\r\npart of it");
+            std::this_thread::sleep_for(pause);
+            if (is_close) {
+              client.Close();
+            } else {
+              client.Reset();
+            }
+          });
+          const auto end = Upload(server, bytes);
+          CHECK(end.failed_at == stage::kAnswerBroken);
+          CHECK_FALSE(end.timed_out);
+        }
+      }
+    }
+  }
+}
+
+// Guards against sound answers being lost: the end of the answer counts, not
+// what happens to the rest of the upload.
+TEST_CASE("an answer that ends before the upload is whole") {
+  const std::pair<std::string, std::string> answers[] = {
+      {kOkLine + "\r\nall of it", "all of it"},
+      {kOkLine + "Content-Length: 2\r\n\r\nok", "ok"},
+      {kOkLine + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+       "ok"}};
+  for (const auto& [answer, body] : answers) {
+    for (const auto bytes : kUploads) {
+      for (const bool reads_on : {false, true}) {
+        raw_server server([&](raw_server::peer& client, const std::string&) {
+          client.Send(answer);
+          client.EndSending();
+          if (reads_on) client.AwaitClose();
+          // Otherwise the connection is reset after the end of the answer.
+        });
+        CAPTURE(answer);
+        CAPTURE(bytes);
+        CAPTURE(reads_on);
+        boost::asio::io_context context(1);
+        boost::asio::spawn(
+            context,
+            [&](boost::asio::yield_context yield) {
+              http_connection connection(context, "127.0.0.1", server.port());
+              connection.Connect({}, yield);
+              connection.Send({"POST", "/", {}, std::string(bytes, 'x')}, {},
+                              yield);
+              // The end and a reset are both there before the body is read.
+              std::this_thread::sleep_for(milliseconds(50));
+              CHECK(connection.ReadAll({}, yield) == body);
+            },
+            [](std::exception_ptr error) { CHECK_FALSE(error); });
+        context.run();
+      }
+    }
+  }
+}
+
 // Guards against bytes after an answer being read as part of the next one.
 TEST_CASE("a connection with bytes after its answer is not reused") {
   for (const bool is_later : {false, true}) {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -916,6 +916,60 @@
   CHECK(end.answer->head.status == 502);
 }
 
+// Guards against part of an answer being passed on as all of it: the server
+// resets the connection while the upload is still being written.
+TEST_CASE("an answer that is reset during the upload is a failed attempt") {
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\n";
+  const std::string stream_type = "Content-Type: text/event-stream\r\n";
+  for (const std::size_t upload_bytes : {300'000, 3'900'000}) {
+    for (const bool is_reset : {false, true}) {
+      CAPTURE(upload_bytes);
+      CAPTURE(is_reset);
+      const std::string upload(upload_bytes, 'x');
+      std::atomic<int> requests = 0;
+      bool is_stream = false;
+      const auto script = [&](raw_server::peer& client, const std::string&) {
+        if (++requests > 1) {
+          client.Send(is_stream
+                          ? kStreamHead + "\r\n" + Chunk(Event(2)) + "0\r\n\r\n"
+                          : Answer("200 OK", "", "right"));
+          client.AwaitClose();
+          return;
+        }
+        client.Send(is_stream ? head + stream_type + "\r\n" + Event(1)
+                              : head + "\r\npart");
+        // Otherwise the connection is closed with bytes that are not read.
+        if (is_reset) client.Reset();
+      };
+      raw_server a(script);
+      raw_server b(script);
+      const std::vector<std::uint16_t> ports = {a.port(), b.port()};
+      CHECK(running_relay(MakeRoute(route_kind::kOnce), ports)
+                .Call({}, upload)
+                .head.status == 502);
+      CHECK(requests == 1);
+      requests = 0;
+      running_relay forwarding(MakeRoute(route_kind::kOnce), {FreePort()});
+      forwarding.SetHelpers(ports);
+      CHECK(forwarding.Call({}, upload).head.status == 502);
+      CHECK(requests == 1);
+      requests = 0;
+      CHECK(running_relay(MakeRoute(route_kind::kRepeatable), ports)
+                .Call({}, upload)
+                .body == "right");
+      is_stream = true;
+      requests = 0;
+      CHECK(running_relay(MakeRoute(route_kind::kStream, true), ports)
+                .Call({}, upload)
+                .body == Event(1) + Event(2));
+      requests = 0;
+      const running_relay relay(MakeRoute(route_kind::kStream, false), ports);
+      CHECK_THROWS_AS(relay.Call({}, upload), http_call_error);
+      CHECK(requests == 1);
+    }
+  }
+}
+
 TEST_CASE("an uncertain answer is dropped for the largest model's") {
   const auto script = [](const std::string& request) {
     const bool is_large = request.find("Model: large") != std::string::npos;
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -54,12 +54,19 @@
       char byte = 0;
       while (!error) socket_.read_some(boost::asio::buffer(&byte, 1), error);
     }
+    /// Ends the answer in an orderly way; the rest of the request can be read.
+    auto EndSending() -> void {
+      boost::system::error_code ignored;
+      socket_.shutdown(boost::asio::socket_base::shutdown_send, ignored);
+    }
     /// Closes the connection with a reset instead of an orderly end.
     auto Reset() -> void {
       boost::system::error_code ignored;
       socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
       Close();
     }
+    /// Resets the connection too if the client has sent bytes that are not
+    /// read.
     auto Close() -> void {
       const std::lock_guard lock(mutex_);
       boost::system::error_code ignored;
