Fail answers whose head has a folded line

Cause: Beast's parser unfolds such lines (obs-fold, RFC 9112, 5.2), and nothing tells an unfolded value from a plain one. The RFC lets a proxy answer with 502 instead, and forbids servers to send them.

Ruled out: the same in a trailer, which is not passed on.

The fix reads a head in the steps in which the parser takes it, with an early failure as before, and looks at the lines that it has taken.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -16,6 +16,7 @@
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
 using stage = http_call_error::stage;
+using answer_parser = http::response_parser<http::buffer_body>;
 
 constexpr std::size_t kReadBufferBytes = 16UL << 10U;
 constexpr std::size_t kMaxParseBufferBytes = 64UL << 10U;
@@ -84,6 +85,36 @@
   return std::chrono::seconds(seconds);
 }
 
+/// Whether one of the complete lines of a head continues the one before it
+/// (obs-fold in RFC 9112). The parser would append it to that field's value.
+auto HasFoldedLine(std::string_view lines) -> bool {
+  return lines.find("\r\n ") != std::string_view::npos ||
+         lines.find("\r\n\t") != std::string_view::npos;
+}
+
+/// Reads the head of one answer, like http::async_read_header, but fails if it
+/// has a folded line.
+auto ReadUnfoldedHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                      answer_parser& parser, asio::yield_context yield,
+                      beast::error_code& error) -> void {
+  bool needs_bytes = buffer.size() == 0;
+  while (!error && !parser.is_header_done()) {
+    if (needs_bytes) {
+      const auto size = beast::read_size(buffer, kReadBufferBytes);
+      buffer.commit(stream.async_read_some(buffer.prepare(size), yield[error]));
+      if (error) return;
+    }
+    const auto bytes = buffer.data();
+    const auto parsed = parser.put(bytes, error);
+    if (HasFoldedLine({static_cast<const char*>(bytes.data()), parsed})) {
+      error = http::error::bad_field;
+    }
+    buffer.consume(parsed);
+    needs_bytes = error == http::error::need_more;
+    if (needs_bytes) error = {};
+  }
+}
+
 /// The fields of a head that are passed on.
 auto CopyHead(const http::response_header<>& head) -> http_response_head {
   http_response_head result;
@@ -125,7 +156,7 @@
   std::shared_ptr<pending_write> write;
   bool is_head_request = false;
   beast::flat_buffer buffer{kMaxParseBufferBytes};
-  std::optional<http::response_parser<http::buffer_body>> parser;
+  std::optional<answer_parser> parser;
   std::array<char, kReadBufferBytes> read_buffer{};
   bool failed = false;
 
@@ -225,8 +256,7 @@
   impl_->parser->body_limit(boost::none);
   if (impl_->is_head_request) impl_->parser->skip(true);
   // The time limit was set by the caller and is not extended here.
-  http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
-                          yield[error]);
+  ReadUnfoldedHead(impl_->stream, impl_->buffer, *impl_->parser, yield, error);
   if (error) {
     const bool is_unsent = write->done && write->error && write->written == 0;
     FailRead(is_unsent ? stage::kNotSent : stage::kSent,
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -272,6 +272,34 @@
   }
 }
 
+// Guards against a line that is no field being passed on, or taken for a part
+// of the field before it.
+TEST_CASE("a head with a byte that no field may hold is no answer") {
+  const std::string nul(1, '\0');
+  std::vector<std::string> lines = {
+      " Name: v",     "\tName: v",  "Na me: v",        "Name : v",  "Name\t: v",
+      ": v",          "no colon",   "Na(me: v",        "N\x7f: v",  "N\x80: v",
+      "N\r: v",       "N\n: v",     "N: a\rb",         "N: a\nb",   "N: a\x7f",
+      "N: a\r\n b:c", "N: \r\n\tb", "N" + nul + ": v", "N: a" + nul};
+  for (char control = 1; control < ' '; ++control) {
+    lines.push_back(std::string("N") + control + ": v");
+    if (control != '\t') lines.push_back(std::string("N: a") + control);
+  }
+  for (const auto& line : lines) {
+    for (const auto& before : {std::string(), std::string("Before: x\r\n")}) {
+      CAPTURE(before + line);
+      raw_server server([&](raw_server::peer& client, const std::string&) {
+        client.Send(kOkLine + before + line +
+                    "\r\nContent-Length: 2\r\n\r\nno");
+        client.AwaitClose();
+      });
+      const auto end = Call(server);
+      CHECK(end.failed_at == stage::kSent);
+      CHECK_FALSE(end.timed_out);
+    }
+  }
+}
+
 // Guards against bytes after an answer being read as part of the next one.
 TEST_CASE("a connection with bytes after its answer is not reused") {
   for (const bool is_later : {false, true}) {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -916,6 +916,44 @@
   CHECK(end.answer->head.status == 502);
 }
 
+// Guards against a broken answer reaching a caller, against a second run of a
+// call that may run only once, and against "not run" of a call that may have.
+TEST_CASE("a broken answer is a failed attempt") {
+  const std::string ok = "HTTP/1.1 200 OK\r\nId: r1\r\n";
+  const std::string length = "Content-Length: 2\r\n\r\nno";
+  const std::string answers[] = {
+      "HTTP/1.1 000 X\r\nId: r1\r\n" + length,
+      "HTTP/1.1 600 X\r\nId: r1\r\n" + length,
+      "HTTP/1.1 000 X\r\nId: r1\r\nNot-Run: 1\r\n" + length,
+      ok + "Bad Name: 1\r\n" + length,
+      ok + "Bad\x01: 1\r\n" + length,
+      ok + "Other: 1\r\n Folded: 1\r\n" + length,
+      ok + "Not-Run: 1\r\nBad\t: 1\r\n" + length,
+  };
+  for (const auto& answer : answers) {
+    CAPTURE(answer);
+    std::atomic<int> requests = 0;
+    const auto sound = kStreamHead + "\r\n" + Chunk(Event(1)) + "0\r\n\r\n";
+    const auto script = [&](raw_server::peer& client, const std::string&) {
+      client.Send(++requests == 1 ? answer : sound);
+      client.AwaitClose();
+    };
+    raw_server a(script);
+    raw_server b(script);
+    const std::vector<std::uint16_t> ports = {a.port(), b.port()};
+    CHECK(
+        running_relay(MakeRoute(route_kind::kOnce), ports).Call().head.status ==
+        502);
+    CHECK(requests == 1);
+    for (const auto kind : {route_kind::kRepeatable, route_kind::kStream}) {
+      requests = 0;
+      CHECK(running_relay(MakeRoute(kind, true), ports).Call().body ==
+            Event(1));
+      CHECK(requests == 2);
+    }
+  }
+}
+
 // Guards against part of an answer being passed on as all of it: the server
 // resets the connection while the upload is still being written.
 TEST_CASE("an answer that is reset during the upload is a failed attempt") {
