Await the write's result where an answer ends with its connection

Cause: the write can take the reset and have its handler run after that of the read, so that its result was looked at too early.

Evidence: relay_test failed in 2 of 7 whole runs ("part" passed on as the answer of a repeatable call, 3.9 MB, close with unread bytes). A plain asio program saw that order in 10 of 12,000 connections, and the reset was always in the result that came later.

The fix closes the connection at that end, as it cannot be reused, and waits for the write, which the close completes if nothing else does. The error that the close itself causes, and broken_pipe, follow an orderly end.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "lovagedale/http/client.h"
 
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -160,12 +161,19 @@
   std::array<char, kReadBufferBytes> read_buffer{};
   bool failed = false;
 
-  /// Whether the connection failed before the server ended its side. The system
-  /// reports a failure to one operation only; if that is the write, the read
-  /// sees an ordinary end. A write that fails after the server's end gets
-  /// broken_pipe instead.
-  auto HasBrokenOff() const -> bool {
-    return write->error && write->error != asio::error::broken_pipe;
+  /// Closes the connection after the server's end of it. Returns why that end
+  /// was not an orderly one, if so: the system reports a failure to one
+  /// operation only, and if that is the write, the read sees an orderly end.
+  auto CloseAtEnd(asio::yield_context yield) -> beast::error_code {
+    stream.close();
+    while (!write->done) asio::post(stream.get_executor(), yield);
+    const auto& result = write->error;
+    // Of a write that fails after an orderly end, that the close has ended
+    // while it waited, and that the close has ended between two of its parts.
+    const bool is_orderly_end = result == asio::error::broken_pipe ||
+                                result == asio::error::operation_aborted ||
+                                result == asio::error::bad_descriptor;
+    return is_orderly_end ? beast::error_code() : result;
   }
 };
 
@@ -277,7 +285,7 @@
     http::async_read_some(impl_->stream, impl_->buffer, parser, yield[error]);
     if (error == http::error::need_buffer) error = {};
     const bool is_at_end = !error && parser.need_eof() && parser.is_done();
-    if (is_at_end && impl_->HasBrokenOff()) error = impl_->write->error;
+    if (is_at_end) error = impl_->CloseAtEnd(yield);
     if (error) {
       FailRead(stage::kAnswerBroken, "answer broke off: " + error.message(),
                error == beast::error::timeout);
