Read a chunked body whose only chunk arrives in pieces

A server, or a caller, could end an entry with a chunked message without a body: when "0 CRLF" and the next CR arrived by themselves, the process aborted and all of its calls were cut. Found by sending answers byte by byte.

Cause: Beast 1.81 asserts that the parser has at least 5 bytes when it continues a last chunk ("n >= 5" in parse_chunk_header). If that chunk is the first one there may be 4, and our builds keep assertions.

Ruled out: a last chunk after others, which begins with the CRLF of the one before it; the tests cut those too.

The fix lets the parser see a chunked body from its fifth byte on: the shortest one has five. Later reads are as before. The tests also cut each answer after each byte, which then must not be taken for a whole one.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -173,6 +173,7 @@
   bool is_head_request = false;
   beast::flat_buffer buffer{kMaxParseBufferBytes};
   std::optional<answer_parser> parser;
+  bool has_begun_body = false;
   std::array<char, kReadBufferBytes> read_buffer{};
   bool failed = false;
 
@@ -274,6 +275,7 @@
   const auto write = impl_->write;
   beast::error_code error;
   impl_->parser.emplace();
+  impl_->has_begun_body = false;
   impl_->parser->header_limit(kMaxHeadBytes);
   // Limits on the body are those of the methods that read it.
   impl_->parser->body_limit(boost::none);
@@ -300,7 +302,12 @@
     body.data = impl_->read_buffer.data();
     body.size = impl_->read_buffer.size();
     beast::error_code error;
-    http::async_read_some(impl_->stream, impl_->buffer, parser, yield[error]);
+    if (parser.chunked() && !std::exchange(impl_->has_begun_body, true)) {
+      ReadMinChunkedBody(impl_->stream, impl_->buffer, yield, error);
+    }
+    if (!error) {
+      http::async_read_some(impl_->stream, impl_->buffer, parser, yield[error]);
+    }
     if (error == http::error::need_buffer) error = {};
     const bool is_at_end = !error && parser.need_eof() && parser.is_done();
     if (is_at_end) error = impl_->CloseAtEnd(yield);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -599,6 +599,11 @@
     transfer_pace pace(Now());
     const auto timeout = state_->limits.body_timeout;
     read_deadline deadline(stream_, timeout);
+    if (parser.chunked()) {
+      const auto bytes = ReadMinChunkedBody(stream_, buffer_, yield_, error);
+      entry_.AddProgress(bytes, Now());
+      pace.Add(bytes, Now());
+    }
     while (!error && !parser.is_done()) {
       const auto free_bytes = body.text.capacity() - body.text.size();
       if (!announced && body.is_kept && free_bytes < buffer_.capacity()) {
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -341,6 +341,37 @@
   }
 }
 
+// Guards against part of an answer being taken for all of it, and against the
+// end of the process by a last chunk that arrives in pieces.
+TEST_CASE("an answer is whole in any pieces, and broken without its end") {
+  const auto chunked = kOkLine + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> answers[] = {
+      {kOkLine + "Content-Length: 2\r\n\r\nok", "ok"},
+      {chunked + "1\r\no\r\n1;a=b\r\nk\r\n0\r\nTrailer: x\r\n\r\n", "ok"},
+      {chunked + "0\r\n\r\n", ""},
+      {"HTTP/1.1 103 Hints\r\nA: b\r\n\r\nHTTP/1.1 204 OK\r\nA: b\r\n\r\n",
+       ""}};
+  for (const auto& [answer, body] : answers) {
+    CAPTURE(answer);
+    raw_server whole([&](raw_server::peer& client, const std::string&) {
+      for (const char byte : answer) {
+        client.Send({byte});
+        std::this_thread::sleep_for(milliseconds(1));
+      }
+    });
+    const auto end = Call(whole);
+    REQUIRE(end.answer);
+    CHECK(end.answer->body == body);
+    for (std::size_t cut = 1; cut < answer.size(); ++cut) {
+      CAPTURE(cut);
+      raw_server broken([&](raw_server::peer& client, const std::string&) {
+        client.Send(answer.substr(0, cut));
+      });
+      CHECK_FALSE(Call(broken).answer);
+    }
+  }
+}
+
 // Guards against bytes after an answer being read as part of the next one.
 TEST_CASE("a connection with bytes after its answer is not reused") {
   for (const bool is_later : {false, true}) {
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <future>
 #include <thread>
+#include <vector>
 
 #include "lovagedale/common/fiber_event.h"
 #include "lovagedale/http/client.h"
@@ -44,18 +45,30 @@
   std::thread thread_;
 };
 
-/// Sends raw bytes and returns all data until the server closes the connection.
-auto Exchange(std::uint16_t port, const std::string& bytes) -> std::string {
+/// Sends raw bytes, each part by itself, and returns all data until the server
+/// closes the connection.
+auto Exchange(std::uint16_t port, const std::vector<std::string>& parts)
+    -> std::string {
   asio::io_context context;
   asio::ip::tcp::socket socket(context);
   socket.connect({asio::ip::make_address("127.0.0.1"), port});
+  socket.set_option(asio::ip::tcp::no_delay(true));
   boost::system::error_code error;
-  asio::write(socket, asio::buffer(bytes), error);
+  for (const auto& part : parts) {
+    if (&part != &parts.front()) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    asio::write(socket, asio::buffer(part), error);
+  }
   std::string answer;
   asio::read(socket, asio::dynamic_buffer(answer), error);
   return answer;
 }
 
+auto Exchange(std::uint16_t port, const std::string& bytes) -> std::string {
+  return Exchange(port, std::vector<std::string>{bytes});
+}
+
 auto Echo(http_exchange& exchange) -> void {
   exchange.RespondJson(200, exchange.request().body);
 }
@@ -105,6 +118,21 @@
   CHECK(handled == 0);
 }
 
+// Guards against the end of the process by a caller whose last chunk arrives in
+// pieces.
+TEST_CASE("a chunked body is read in any pieces") {
+  const running_server server({}, Echo);
+  const std::string head = std::string("POST / HTTP/1.1\r\n") + kClose +
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string body : {"0\r\n\r\n", "2\r\nok\r\n0\r\nA: b\r\n\r\n"}) {
+    std::vector<std::string> parts = {head};
+    for (const char byte : body) parts.emplace_back(1, byte);
+    const auto answer = Exchange(server.port(), parts);
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.ends_with(body.starts_with('0') ? "\r\n\r\n" : "ok"));
+  }
+}
+
 TEST_CASE("a handler's exception gets 500 and the server keeps serving") {
   running_server server({}, [](http_exchange& exchange) {
     if (exchange.request().target == "/fail") throw std::runtime_error("x");
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -23,7 +23,11 @@
   class peer {
    public:
     explicit peer(boost::asio::ip::tcp::socket socket)
-        : socket_(std::move(socket)) {}
+        : socket_(std::move(socket)) {
+      // Bytes that are sent one by one arrive one by one.
+      boost::system::error_code ignored;
+      socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    }
     ~peer() { Close(); }
     peer(const peer&) = delete;
     auto operator=(const peer&) -> peer& = delete;
