--- a/tests/platform/server_directory_test.cpp
+++ b/tests/platform/server_directory_test.cpp
@@ -65,6 +65,10 @@
       EntryWith("10.0.0.9:8080", "10.0.0.9"),
       EntryWith("10.0.0.9:8080", "10.0.0.9:99999"),
       EntryWith(R"("id":"i-1")", R"("id":7)"),
+      // Ids that would end or change a header of the requests to the server.
+      EntryWith(R"("id":"i-1")", R"("id":"i-1\r\nHost: other")"),
+      EntryWith(R"("id":"i-1")", R"("id":"i-1\u0000")"),
+      EntryWith(R"("id":"i-1")", R"("id":" i-1")"),
   };
   for (const auto& entry : invalid_entries) {
     const auto page = ParseServerListPage(Page(entry + "," + kValidEntry));
@@ -105,6 +109,7 @@
 }
 
 TEST_CASE("an invalid page is an error, not an empty list") {
+  CHECK_THROWS(ParseServerListPage(Page(kValidEntry, R"("p 5\r\nHost: b")")));
   CHECK_THROWS(ParseServerListPage(""));
   CHECK_THROWS(ParseServerListPage("{}"));
   CHECK_THROWS(ParseServerListPage(R"({"instances":3})"));
