--- a/include/lovagedale/http/client.h
+++ b/include/lovagedale/http/client.h
@@ -20,7 +20,7 @@
  public:
   enum class stage {
     kNotSent,      ///< no byte of the request was written
-    kSent,         ///< no answer arrived; the request may have been handled
+    kSent,         ///< no valid head arrived; the request may have been handled
     kAnswerBroken  ///< the answer ended before it was complete
   };
   http_call_error(stage failed_at, const std::string& reason,
