--- a/tests/platform/server_directory_test.cpp
+++ b/tests/platform/server_directory_test.cpp
@@ -79,6 +79,13 @@
 
 // Guards against one entry of another writer that stops the whole list from
 // being read, and against processes that end by it.
+TEST_CASE("an id with a blank inside or bytes above 127 is kept") {
+  for (const std::string id : {"i 1", "\xc3\xbc-1"}) {
+    const auto entry = EntryWith(R"("id":"i-1")", R"("id":")" + id + '"');
+    CHECK(ParseServerListPage(Page(entry)).servers.at(0).id == id);
+  }
+}
+
 TEST_CASE("an entry that cannot be read is skipped and the others are kept") {
   constexpr int kDeep = 100'000;
   const auto nested = std::string(kDeep, '[') + std::string(kDeep, ']');
