--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -89,9 +89,10 @@
   };
   using script = std::function<void(peer&, const std::string& request)>;
 
-  explicit raw_server(script answers)
+  /// Port 0 lets the kernel choose a free one.
+  explicit raw_server(script answers, std::uint16_t port = 0)
       : answers_(std::move(answers)),
-        acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), port}),
         thread_([this] { Run(); }) {}
   ~raw_server() {
     is_stopped_ = true;
