Serve answers that give one length twice; check heads in one place

Callers got 502, since, for a complete answer that gives the same Content-Length twice. No call on record shows it; found by reading the change once more.

A request goes on to another reader, who may see another end of it; an answer's length does not, and RFC 9112 (6.3) has equal lengths read as one. Different ones, and a length beside chunks, are refused by the parser.

The fix leaves only the unknown codings to both checks. All that the parser lets pass and an answer may not have is now in FaultOf, for interim and final heads, and the log names the fault. The reading of a body's part is a function of its own.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -6,8 +6,9 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <optional>
+#include <utility>
 
-#include "lovagedale/http/message_length.h"
+#include "lovagedale/http/message_framing.h"
 #include "lovagedale/rpc/connection.h"
 
 namespace lovagedale {
@@ -25,6 +26,7 @@
 constexpr std::uint32_t kMaxHeadBytes = 16UL << 10U;
 /// Interim responses before one answer; servers send one or two.
 constexpr int kMaxInterimResponses = 32;
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kLastStatus = 599;
 /// As Beast numbers the versions.
@@ -119,16 +121,30 @@
   }
 }
 
-/// Whether it is uncertain where the body of an answer ends.
-auto HasUncertainLength(const answer_parser& parser) -> bool {
+auto IsInterim(unsigned status) -> bool {
+  return status >= kFirstStatus && status < kFirstFinalStatus;
+}
+
+/// Why an answer with this head, interim or final, cannot be relied on; empty
+/// if it can. The parser has checked the names, the values and the numbers.
+auto FaultOf(const answer_parser& parser) -> std::string {
   const auto& head = parser.get();
-  if (HasAmbiguousLength(head)) return true;
-  const bool is_chunked = parser.chunked();
-  if (is_chunked && head.version() < kHttp11) return true;
-  const bool may_have_body = head.result_int() >= kFirstFinalStatus &&
-                             head.result() != http::status::no_content;
-  const bool has_body = is_chunked || parser.content_length().value_or(0) > 0;
-  return has_body && !may_have_body;
+  const auto status = head.result_int();
+  if (status < kFirstStatus || status > kLastStatus ||
+      head.result() == http::status::switching_protocols) {
+    return "status " + std::to_string(status);
+  }
+  if (HasUnknownCoding(head)) return "an unknown transfer coding";
+  if (parser.chunked() && head.version() < kHttp11) {
+    return "chunks in HTTP/1.0";
+  }
+  const bool announces_body =
+      parser.chunked() || parser.content_length().value_or(0) > 0;
+  if (announces_body &&
+      (IsInterim(status) || head.result() == http::status::no_content)) {
+    return "a body with status " + std::to_string(status);
+  }
+  return {};
 }
 
 /// The fields of a head that are passed on.
@@ -177,19 +193,32 @@
   std::array<char, kReadBufferBytes> read_buffer{};
   bool failed = false;
 
-  /// Closes the connection after the server's end of it. Returns why that end
-  /// was not an orderly one, if so: the system reports a failure to one
-  /// operation only, and if that is the write, the read sees an orderly end.
+  /// Lets the parser take the next bytes of the body, or the end of it.
+  auto ParseSome(asio::yield_context yield) -> beast::error_code {
+    beast::error_code error;
+    if (parser->chunked() && !std::exchange(has_begun_body, true)) {
+      ReadMinChunkedBody(stream, buffer, yield, error);
+    }
+    if (!error) http::async_read_some(stream, buffer, *parser, yield[error]);
+    if (error == http::error::need_buffer) error = {};
+    const bool ends_with_connection = parser->need_eof() && parser->is_done();
+    return !error && ends_with_connection ? CloseAtEnd(yield) : error;
+  }
+
+  /// Closes the connection, of which a read has seen an orderly end. Returns an
+  /// error if it was none: the system reports a failure to one operation only,
+  /// and if that is the write, the read sees an orderly end.
   auto CloseAtEnd(asio::yield_context yield) -> beast::error_code {
+    // Completes the write, if it is still pending, so that it has a result.
     stream.close();
     while (!write->done) asio::post(stream.get_executor(), yield);
     const auto& result = write->error;
-    // Of a write that fails after an orderly end, that the close has ended
-    // while it waited, and that the close has ended between two of its parts.
-    const bool is_orderly_end = result == asio::error::broken_pipe ||
-                                result == asio::error::operation_aborted ||
-                                result == asio::error::bad_descriptor;
-    return is_orderly_end ? beast::error_code() : result;
+    const bool is_ended_by_close =
+        result == asio::error::operation_aborted ||
+        result == asio::error::bad_descriptor;  // between two of its parts
+    // A failure after an orderly end.
+    const bool is_late = result == asio::error::broken_pipe;
+    return is_ended_by_close || is_late ? beast::error_code() : result;
   }
 };
 
@@ -259,13 +288,7 @@
   for (int i = 0; i <= kMaxInterimResponses; ++i) {
     ReadOneHead(yield);
     const auto& head = impl_->parser->get();
-    const auto status = head.result_int();
-    const bool is_interim = status >= 100 && status < kFirstFinalStatus &&
-                            head.result() != http::status::switching_protocols;
-    if (is_interim) continue;
-    if (status < kFirstFinalStatus || status > kLastStatus) {
-      FailRead(stage::kSent, "no answer: status " + std::to_string(status));
-    }
+    if (IsInterim(head.result_int())) continue;
     return CopyHead(head);
   }
   FailRead(stage::kSent, "no answer: only interim responses");
@@ -282,13 +305,11 @@
   if (impl_->is_head_request) impl_->parser->skip(true);
   // The time limit was set by the caller and is not extended here.
   ReadUnfoldedHead(impl_->stream, impl_->buffer, *impl_->parser, yield, error);
-  if (!error && HasUncertainLength(*impl_->parser)) {
-    error = http::error::bad_content_length;
-  }
-  if (error) {
+  const auto fault = error ? error.message() : FaultOf(*impl_->parser);
+  if (!fault.empty()) {
     const bool is_unsent = write->done && write->error && write->written == 0;
-    FailRead(is_unsent ? stage::kNotSent : stage::kSent,
-             "no answer: " + error.message(), error == beast::error::timeout);
+    FailRead(is_unsent ? stage::kNotSent : stage::kSent, "no answer: " + fault,
+             error == beast::error::timeout);
   }
 }
 
@@ -301,16 +322,7 @@
     auto& body = parser.get().body();
     body.data = impl_->read_buffer.data();
     body.size = impl_->read_buffer.size();
-    beast::error_code error;
-    if (parser.chunked() && !std::exchange(impl_->has_begun_body, true)) {
-      ReadMinChunkedBody(impl_->stream, impl_->buffer, yield, error);
-    }
-    if (!error) {
-      http::async_read_some(impl_->stream, impl_->buffer, parser, yield[error]);
-    }
-    if (error == http::error::need_buffer) error = {};
-    const bool is_at_end = !error && parser.need_eof() && parser.is_done();
-    if (is_at_end) error = impl_->CloseAtEnd(yield);
+    const auto error = impl_->ParseSome(yield);
     if (error) {
       FailRead(stage::kAnswerBroken, "answer broke off: " + error.message(),
                error == beast::error::timeout);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,7 +9,7 @@
 #include "lovagedale/common/fiber_event.h"
 #include "lovagedale/common/log.h"
 #include "lovagedale/common/spawn.h"
-#include "lovagedale/http/message_length.h"
+#include "lovagedale/http/message_framing.h"
 #include "lovagedale/relay/log_budget.h"
 #include "lovagedale/rpc/connection.h"
 #include "lovagedale/rpc/server.h"
@@ -377,6 +377,16 @@
   bool complete_ = false;
 };
 
+/// Whether a request gives its length twice or in two ways, or has an unknown
+/// transfer coding. A backend server could then see another end of the request
+/// than this server does (request smuggling).
+template <typename Fields>
+auto HasAmbiguousLength(const Fields& fields) -> bool {
+  const auto lengths = fields.count(http::field::content_length);
+  const auto codings = fields.count(http::field::transfer_encoding);
+  return lengths + codings > 1 || HasUnknownCoding(fields);
+}
+
 auto RefusalStatus(const beast::error_code& error) -> unsigned {
   if (error == http::error::body_limit || error == http::error::header_limit ||
       error == http::error::buffer_overflow) {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1009,6 +1009,22 @@
   }
 }
 
+TEST_CASE("a sound answer that ends before the upload is returned unchanged") {
+  raw_server server([](raw_server::peer& client, const std::string&) {
+    client.Send(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 413 Too Large\r\nId: r1\r\n"
+        "Value: caf\xe9\r\nEmpty:\r\n\r\nall of it");
+    client.EndSending();
+    client.AwaitClose();
+  });
+  const running_relay relay(MakeRoute(route_kind::kOnce), {server.port()});
+  const auto answer = relay.Call({}, std::string(3'900'000, 'x'));
+  CHECK(answer.head.status == 413);
+  CHECK(answer.head.Header("Value") == "caf\xe9");
+  CHECK(answer.body == "all of it");
+  CHECK(server.requests() == 1);
+}
+
 TEST_CASE("an uncertain answer is dropped for the largest model's") {
   const auto script = [](const std::string& request) {
     const bool is_large = request.find("Model: large") != std::string::npos;
