Read the begin of a chunked body in reads of the usual size

Callers saw nothing of it; found by reading the change once more. Since the first read of a chunked body took 512 bytes at most, and a plain answer that comes apart from its head cost a further read.

Cause: a size of its own, where Beast's reads take what the buffer has room for. The fix takes the same size as those.

--- a/include/lovagedale/http/message_framing.h
+++ b/include/lovagedale/http/message_framing.h
@@ -4,6 +4,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
 
@@ -31,10 +32,10 @@
 auto ReadMinChunkedBody(Stream& stream, boost::beast::flat_buffer& buffer,
                         boost::asio::yield_context yield,
                         boost::system::error_code& error) -> std::size_t {
-  constexpr std::size_t kReadBytes = 512;
+  constexpr std::size_t kMaxReadBytes = 16UL << 10U;
   if (buffer.size() >= kMinChunkedBodyBytes) return 0;
   const auto bytes = boost::asio::async_read(
-      stream, buffer.prepare(kReadBytes),
+      stream, buffer.prepare(boost::beast::read_size(buffer, kMaxReadBytes)),
       boost::asio::transfer_at_least(kMinChunkedBodyBytes - buffer.size()),
       yield[error]);
   buffer.commit(bytes);
