--- a/include/lovagedale/route/route_config.h
+++ b/include/lovagedale/route/route_config.h
@@ -110,6 +110,8 @@
   route_config_version version = 0;
   std::vector<route> routes;
   std::vector<routed_service> services;
+  /// Without customers no route needs a key. Where keys are needed but none is
+  /// valid, there is a customer without keys.
   std::vector<route_customer> customers;
   caller_limits limits;
 
--- a/tests/platform/config_document_test.cpp
+++ b/tests/platform/config_document_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "lovagedale/route/route_table.h"
+
 namespace lovagedale::testing {
 namespace {
 
@@ -61,6 +63,30 @@
   CHECK(config.customers[0].priority == 1U);
 }
 
+// Guards against a document that takes away the last customer, and with it lets
+// every caller in.
+TEST_CASE("an empty list of customers admits nobody") {
+  const auto table_of = [](const std::string& list) {
+    return route_table(ParseConfigDocument(Replaced(kValidDocument,
+                                                    R"(,
+  "tenants": [{"name": "carts", "api_keys": ["k1", "k2"], "priority": 1}])",
+                                                    list)));
+  };
+  for (const std::string list : {"[]", "null", R"([{"name": "carts"}])",
+                                 R"([{"name": "carts", "api_keys": []}])"}) {
+    CAPTURE(list);
+    const auto table = table_of(R"(, "tenants": )" + list);
+    for (const auto* key : {"", "k1", "k9"}) {
+      CHECK(table.Match("h.example", "/o/", key).verdict ==
+            route_verdict::kUnknownKey);
+      CHECK(table.Match("h.example", "/c/", key).verdict ==
+            route_verdict::kAllowed);
+    }
+  }
+  CHECK(table_of("").Match("h.example", "/o/", "").verdict ==
+        route_verdict::kAllowed);
+}
+
 TEST_CASE("truncated and invalid documents are refused") {
   const std::string document = kValidDocument;
   for (std::size_t length = 0; length < document.size(); length += 7) {
