Let calls that wait for a server follow changed routes as a whole

Cause: a waiting call repeated one step of its admission, the match of its route, and none of what follows from it. Without a route it went on to the end of calls that have one, where IsModelRefused reads the route's models if the caller leaves the choice of the model. Ruled out: a read of routes that were freed, as a call keeps its routes, and without the choice of a model the same call got 503 and no entry ended.

Evidence: relay_test, "a call that waits for a server follows a change of the routes", failed before in all five cases: SIGSEGV if the route is removed or the key withdrawn; 503 instead of 404, 421 and 200 if all routes are removed, the model is withdrawn or the route moves to another service.

Why this works: MatchRoute sets all that follows from the routes (route, customer, time limit, service, session). Admit uses it, and so does FollowRoutes, by which a call that no server has got goes on by the newest routes or is refused at once with their reason. A call counts towards the retry budget at the time of the count, no longer at its begin.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -132,24 +132,10 @@
     Refuse(refusal::kNoConfiguration, "");
     return false;
   }
-  match_ =
-      view_->routes.Match(request.Header("Host"), request.Path(), call_.key);
-  if (match_.verdict == route_verdict::kNoRoute) {
-    Refuse(refusal::kNoRoute, "");
+  if (const auto why = MatchRoute()) {
+    Refuse(*why, "");
     return false;
   }
-  if (match_.verdict == route_verdict::kUnknownKey) {
-    Refuse(refusal::kUnknownKey, "");
-    return false;
-  }
-  if (!IsModelAllowed()) {
-    Refuse(refusal::kUnknownModel, "");
-    return false;
-  }
-  const auto& item = *match_.matched_route;
-  const auto limit =
-      std::min(item.timeout_ms, call_.time_limit_ms.value_or(item.timeout_ms));
-  deadline_ms_ = started_ms_ + limit;
   if (caller_disconnected_) {
     exchange_.CloseAfterResponse();
     LogOutcome("caller_gone", 0, "");
@@ -159,21 +145,52 @@
     Refuse(refusal::kStopping, "");
     return false;
   }
-  crash_candidates_ = CrashCandidates(
-      call_, match_.customer == nullptr ? "" : match_.customer->name, request);
   if (IsQuarantined()) {
     Refuse(refusal::kQuarantined, "");
     return false;
   }
+  CountRequest();
+  return true;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::MatchRoute() -> std::optional<refusal> {
+  const auto& request = exchange_.request();
+  match_ =
+      view_->routes.Match(request.Header("Host"), request.Path(), call_.key);
+  if (match_.verdict == route_verdict::kNoRoute) return refusal::kNoRoute;
+  if (match_.verdict == route_verdict::kUnknownKey) return refusal::kUnknownKey;
+  if (!IsModelAllowed()) return refusal::kUnknownModel;
+  const auto& item = *match_.matched_route;
+  const auto limit =
+      std::min(item.timeout_ms, call_.time_limit_ms.value_or(item.timeout_ms));
+  deadline_ms_ = started_ms_ + limit;
+  crash_candidates_ = CrashCandidates(
+      call_, match_.customer == nullptr ? "" : match_.customer->name, request);
   service_ = ChooseService(item, MixBits(Hash64(call_.id)));
   // All requests of a session use the same version of a service.
   session_hash_ =
       HashFields(service_, call_.session.empty() ? call_.id : call_.session);
+  return std::nullopt;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::FollowRoutes() -> std::optional<refusal> {
+  if (!state_.view || state_.view == view_) return std::nullopt;
+  const auto former_service = service_;
+  // match_ points into the view.
+  view_ = state_.view;
+  const auto why = MatchRoute();
+  if (!why && service_ != former_service) CountRequest();
+  return why;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::CountRequest() -> void {
   // A forwarded request is counted by the entry that got it from the caller.
   if (origin_ == call_origin::kCaller) {
-    state_.RetriesOf(service_).CountRequest(started_ms_);
+    state_.RetriesOf(service_).CountRequest(clock_.Now());
   }
-  return true;
 }
 
 template <call_protocol Protocol>
@@ -283,11 +300,12 @@
       }
       Pause(state_.context.get_executor(), kServerPollInterval,
             exchange_.yield());
-      // The list or the routes may have changed meanwhile.
-      if (state_.view) view_ = state_.view;
-      match_ = view_->routes.Match(exchange_.request().Header("Host"),
-                                   exchange_.request().Path(), call_.key);
-      if (match_.verdict != route_verdict::kAllowed) break;
+      if (const auto why = FollowRoutes()) {
+        if (!caller_disconnected_) {
+          Refuse(*why, "the routes changed while it waited for a server");
+        }
+        return;
+      }
       continue;
     }
     const auto result = Attempt(server);
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -115,6 +115,14 @@
   auto ForwardingNumber(std::string_view name) const -> std::uint64_t;
   /// Finds route, customer and service; false if the request was refused.
   auto Admit() -> bool;
+  /// Sets everything that follows from the routes of view_. Returns why they do
+  /// not allow the call, if so; the call must then be refused, as it has no
+  /// route any more.
+  auto MatchRoute() -> std::optional<refusal>;
+  /// The same by the newest routes, for a call that no server has got yet.
+  auto FollowRoutes() -> std::optional<refusal>;
+  /// Counts the call towards the retry budget of its service.
+  auto CountRequest() -> void;
   /// Waits for the call's turn; false if it was refused.
   auto AwaitTurn() -> bool;
   /// Ends AwaitTurn early.
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -201,6 +201,24 @@
       return true;
     });
   }
+  /// Puts changed routes into force, as a new configuration does.
+  auto ChangeRoutes(const std::function<void(route_config&)>& change) -> void {
+    OnItsThread([&] {
+      AdoptRoutes(change);
+      return true;
+    });
+  }
+  /// The same as soon as a call waits.
+  auto ChangeRoutesDuringCall(std::function<void(route_config&)> change)
+      -> void {
+    asio::post(context_, [this, change = std::move(change)] {
+      if (state_.active_calls == 0) {
+        ChangeRoutesDuringCall(change);
+      } else {
+        AdoptRoutes(change);
+      }
+    });
+  }
   /// Largest model's recent answers: their time to the first event and size.
   auto SetLargestModelAnswers(double first_event_ms, double tokens) -> void {
     OnItsThread([&] {
@@ -290,6 +308,15 @@
     return result.get_future().get();
   }
 
+  auto AdoptRoutes(const std::function<void(route_config&)>& change) -> void {
+    fleet_view view;
+    view.revision = state_.view->revision + 1;
+    view.routes = state_.view->routes.config();
+    ++view.routes.version;
+    change(view.routes);
+    state_.view = std::make_shared<const routing_view>(view);
+  }
+
   static auto Settings(double retries) -> relay_settings {
     relay_settings settings;
     settings.retry_ratio = 0;
@@ -1088,6 +1115,57 @@
         404);
 }
 
+// Guards against calls that end the process, or that the former routes refuse
+// or run, when the routes change while they wait for a server.
+TEST_CASE("a call that waits for a server follows a change of the routes") {
+  scripted_server ledger(
+      [](const std::string&) { return Answer("200 OK", "", "ledger"); });
+  auto item = MakeRoute(route_kind::kOnce);
+  item.models = {"small", "large"};
+  running_relay relay(item, {}, {ledger.port()}, relay_settings{});
+  relay.ChangeRoutes([](route_config& routes) {
+    routes.customers = {{"carts", {"k1"}, {}}, {"gloves", {"k2"}, {}}};
+  });
+  struct change_case {
+    const char* name;
+    std::string model;  ///< that the caller names; `*` leaves the choice
+    std::function<void(route_config&)> change;
+    unsigned status;
+    const char* body;  ///< or a part of it
+  };
+  const change_case cases[] = {
+      {"the route is removed", "*",
+       [](route_config& routes) { routes.routes.erase(routes.routes.begin()); },
+       404, "no_route"},
+      {"all routes are removed", "",
+       [](route_config& routes) { routes.routes.clear(); }, 404, "no_route"},
+      {"the key is withdrawn", "*",
+       [](route_config& routes) { routes.customers.front().keys.clear(); }, 401,
+       "unknown_key"},
+      {"the model is withdrawn", "large",
+       [](route_config& routes) { routes.routes[0].models = {"small"}; }, 421,
+       "unknown_model"},
+      {"the route moves to a service that has a server", "*",
+       [](route_config& routes) {
+         routes.routes[0].services = {{"ledger", 1}};
+         routes.routes[0].models.clear();
+       },
+       200, "ledger"},
+  };
+  for (const auto& tried : cases) {
+    SUBCASE(tried.name) {
+      relay.ChangeRoutesDuringCall(tried.change);
+      header_list headers = {{"Key", "k1"}};
+      if (!tried.model.empty()) {
+        headers.emplace_back("Model", tried.model);
+      }
+      const auto answer = relay.Call(headers);
+      CHECK(answer.head.status == tried.status);
+      CHECK(answer.body.find(tried.body) != std::string::npos);
+    }
+  }
+}
+
 TEST_CASE("the connection to the server closes when the caller disconnects") {
   std::atomic<bool> is_closed = false;
   asio::io_context context;
