Replace a chat request's customer together with its configuration

What callers saw: a configuration that removed a version for which chat requests waited ended the entry with signal 11 and cut all its streams.

Cause: a customer names its versions by their positions in the configuration. A waiting request whose version was gone chose again from the newest configuration with the customer of the former one, whose positions lie beyond the list's end or mean other versions. By reading, not shown: caller_api looked the customer up in a configuration that may be newer than that of the key, and used it unchecked.

Why this works: AdoptNewestTable replaces both together, and RequireCustomer, now the one look-up of a request's customer, refuses with 403 if it was removed.

--- a/include/lovagedale/entry/refusal.h
+++ b/include/lovagedale/entry/refusal.h
@@ -3,6 +3,7 @@
 #include <stdexcept>
 #include <string>
 
+#include "lovagedale/catalog/catalog.h"
 #include "lovagedale/http/server.h"
 
 namespace lovagedale {
@@ -33,6 +34,11 @@
   int retry_after_s_;
 };
 
+/// The customer of a request in `config`, which may be newer than the one that
+/// the request was admitted by. Throws request_refused if it was removed.
+auto RequireCustomer(const catalog& config, const std::string& name,
+                     ran_state ran) -> const customer&;
+
 /// Answers with the refusal as JSON, `Lovagedale-Ran` and `Retry-After`.
 auto RespondRefusal(http_exchange& exchange, const request_refused& refusal,
                     const std::string& request_id) -> void;
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -135,9 +135,9 @@
   const auto table = context_.state.table.load();
   const auto& config = table->config();
   json::array list;
-  const auto id = config.FindCustomer(caller.customer);
+  const auto& item = RequireCustomer(config, caller.customer, ran_state::kNo);
   const auto now = context_.clock.Now();
-  for (const auto version : config.customers[*id].versions) {
+  for (const auto version : item.versions) {
     if (!context_.state.MayRun(*table, version, now)) continue;
     list.push_back({{"id", config.versions[version].name},
                     {"object", "model"},
@@ -166,9 +166,7 @@
         ran_state::kNo);
   }
   const auto table = context_.state.table.load();
-  const auto id = table->config().FindCustomer(caller.customer);
-  const auto& item = table->config().customers[*id];
-  Admit(item);
+  Admit(RequireCustomer(table->config(), caller.customer, ran_state::kNo));
   const concurrency_slot slot(context_.state.limits, caller.customer);
   context_.metrics->Count(entry_counter::kRequests);
   if (is_chat) {
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -66,18 +66,16 @@
 
 /// State of one request while its cascade runs.
 struct chat_handler::chat_run {
-  chat_run(http_exchange& for_exchange, const caller_identity& for_caller,
-           std::shared_ptr<const routing_table> initial_table)
+  chat_run(http_exchange& for_exchange, const caller_identity& for_caller)
       : exchange(for_exchange),
         caller(for_caller),
-        request(ParseChatRequest(for_exchange.request().body)),
-        table(std::move(initial_table)) {}
+        request(ParseChatRequest(for_exchange.request().body)) {}
 
   http_exchange& exchange;
   const caller_identity& caller;
   chat_request request;
   std::shared_ptr<const routing_table> table;
-  customer owner;
+  customer owner;  ///< as in `table`, whose versions it names by position
   std::string task_class;
   std::uint64_t fingerprint = 0;
   version_choice choice;
@@ -108,13 +106,8 @@
 
 auto chat_handler::Handle(http_exchange& exchange,
                           const caller_identity& caller) -> void {
-  chat_run run(exchange, caller, context_.state.table.load());
-  const auto id = run.table->config().FindCustomer(caller.customer);
-  if (!id) {
-    throw request_refused(403, "not_allowed", "the customer was removed",
-                          ran_state::kNo);
-  }
-  run.owner = run.table->config().customers[*id];
+  chat_run run(exchange, caller);
+  AdoptNewestTable(run);
   run.task_class = TaskClassOf(exchange.request());
   run.fingerprint = HashFields(run.owner.name, exchange.request().body);
   run.started = context_.clock.Now();
@@ -186,12 +179,22 @@
       log_line(log_level::kInfo, "version_changed_before_dispatch")
           .With("request", run.caller.request_id)
           .With("reason", error.what());
-      run.table = context_.state.table.load();
+      AdoptNewestTable(run);
     }
   }
-  throw request_refused(
-      503, "no_version", "no allowed version stayed available",
-      run.attempts > 0 ? ran_state::kMaybe : ran_state::kNo, 1);
+  throw request_refused(503, "no_version",
+                        "no allowed version stayed available", RanState(run),
+                        1);
+}
+
+auto chat_handler::AdoptNewestTable(chat_run& run) -> void {
+  run.table = context_.state.table.load();
+  run.owner =
+      RequireCustomer(run.table->config(), run.caller.customer, RanState(run));
+}
+
+auto chat_handler::RanState(const chat_run& run) -> ran_state {
+  return run.attempts > 0 ? ran_state::kMaybe : ran_state::kNo;
 }
 
 auto chat_handler::ChooseVersions(chat_run& run) -> void {
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -93,17 +93,12 @@
 auto dispatcher::EnsureAllowed(const dispatch_job& job,
                                const routing_table& table) const -> void {
   const auto& config = table.config();
-  const auto owner_id = config.FindCustomer(job.customer);
-  if (!owner_id) {
-    throw request_refused(403, "not_allowed", "the customer was removed",
-                          ran_state::kNo);
-  }
+  const auto& allowed = RequireCustomer(config, job.customer, ran_state::kNo);
   if (const auto* item = table.QuarantineOf(job.fingerprint, WallClockMs())) {
     throw request_refused(422, "quarantined",
                           "this request is refused: it " + item->reason,
                           ran_state::kNo);
   }
-  const auto& allowed = config.customers[*owner_id];
   if (!job.pool.empty()) {
     const auto pool = config.FindPool(job.pool);
     if (!pool || !allowed.AllowsService(*pool)) {
--- a/src/entry/refusal.cpp
+++ b/src/entry/refusal.cpp
@@ -4,6 +4,15 @@
 
 namespace lovagedale {
 
+auto RequireCustomer(const catalog& config, const std::string& name,
+                     ran_state ran) -> const customer& {
+  const auto id = config.FindCustomer(name);
+  if (!id) {
+    throw request_refused(403, "not_allowed", "the customer was removed", ran);
+  }
+  return config.customers[*id];
+}
+
 auto RefusalJson(const request_refused& refusal, const std::string& request_id)
     -> std::string {
   return boost::json::serialize(boost::json::value{
--- a/tests/entry/caller_api_test.cpp
+++ b/tests/entry/caller_api_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "support/fixtures.h"
+
 namespace lovagedale::testing {
 namespace {
 
@@ -35,4 +37,18 @@
             .empty());
 }
 
+// Guards against a customer that is looked up in a newer configuration, and
+// used without a check that it is still there.
+TEST_CASE("a request whose customer was removed is refused") {
+  const auto config = ParseCatalog(SmallDocument());
+  CHECK(RequireCustomer(config, "carts", ran_state::kNo).name == "carts");
+  try {
+    RequireCustomer(config, "gloves", ran_state::kMaybe);
+    FAIL("not refused");
+  } catch (const request_refused& refusal) {
+    CHECK(refusal.status() == 403);
+    CHECK(refusal.ran() == ran_state::kMaybe);
+  }
+}
+
 }  // namespace lovagedale::testing
