Let an empty key belong to no customer

What callers saw: if a configuration gave a customer an empty key, callers without a key passed for that customer.

Cause: a request without a key is matched with an empty one.

Evidence: route_table_test, "an empty key belongs to no customer", failed before (kAllowed instead of kUnknownKey).

Why this works: the index of keys leaves empty ones out. The configuration stays valid, with the customer's other keys.

--- a/src/route/route_table.cpp
+++ b/src/route/route_table.cpp
@@ -31,7 +31,10 @@
                      });
   }
   for (const auto& customer : config_.customers) {
-    for (const auto& key : customer.keys) by_key_[key] = &customer;
+    for (const auto& key : customer.keys) {
+      // Callers without a key have an empty one.
+      if (!key.empty()) by_key_[key] = &customer;
+    }
   }
 }
 
--- a/tests/route/route_table_test.cpp
+++ b/tests/route/route_table_test.cpp
@@ -51,6 +51,17 @@
         route_verdict::kAllowed);
 }
 
+// Guards against callers without a key who pass for a customer whose key is
+// empty.
+TEST_CASE("an empty key belongs to no customer") {
+  auto config = MakeConfig();
+  config.customers.front().keys = {"", "key1"};
+  const route_table table(config);
+  CHECK(table.Match("shop.example", "/a/", "").verdict ==
+        route_verdict::kUnknownKey);
+  CHECK(table.Match("shop.example", "/a/", "key1").customer->name == "carts");
+}
+
 TEST_CASE("a customer's priority overrides its route's") {
   auto config = MakeConfig();
   config.routes[0].priority = 2;
