Say "maybe" where an earlier attempt of a chat request may have run

What callers saw: 403 or 404 with "Lovagedale-Ran: no" although an engine had got the request, if a configuration removed its customer or version before the next attempt.

Cause: the dispatcher refused by the configuration without asking whether its job was sent, and the chat handler counted only jobs that ended with an answer.

Why this works: EnsureAllowed says what its job knows, in version_unavailable too, and the place that ends a chat request adds what earlier jobs showed.

--- a/include/lovagedale/entry/chat_handler.h
+++ b/include/lovagedale/entry/chat_handler.h
@@ -42,7 +42,6 @@
   /// Goes on by the newest configuration. Throws request_refused if the
   /// customer was removed.
   auto AdoptNewestTable(chat_run& run) -> void;
-  static auto RanState(const chat_run& run) -> ran_state;
   auto ChooseVersions(chat_run& run) -> void;
   auto RunPlan(chat_run& run) -> void;
   auto RunBuffered(chat_run& run, std::size_t step) -> buffered_answer;
--- a/include/lovagedale/entry/dispatcher.h
+++ b/include/lovagedale/entry/dispatcher.h
@@ -20,7 +20,13 @@
 /// chat handler then chooses versions again.
 class version_unavailable : public std::runtime_error {
  public:
-  using std::runtime_error::runtime_error;
+  version_unavailable(const std::string& message, ran_state ran)
+      : std::runtime_error(message), ran_(ran) {}
+  /// Whether an earlier attempt of the job may have run.
+  auto ran() const -> ran_state { return ran_; }
+
+ private:
+  ran_state ran_;
 };
 
 /// A request for one version or one service, to be run on any of its servers.
@@ -92,8 +98,10 @@
     const backend_server* server = nullptr;
   };
 
-  auto EnsureAllowed(const dispatch_job& job, const routing_table& table) const
-      -> void;
+  /// Throws request_refused or version_unavailable, with `ran`, unless the job
+  /// may run by `table`.
+  auto EnsureAllowed(const dispatch_job& job, const routing_table& table,
+                     ran_state ran) const -> void;
   /// Waits in the entry's queue until a server has capacity. Throws
   /// request_refused (503) at the queue's time limit.
   auto Place(const dispatch_job& job, job_state& state,
--- a/include/lovagedale/entry/refusal.h
+++ b/include/lovagedale/entry/refusal.h
@@ -27,6 +27,13 @@
   auto ran() const -> ran_state { return ran_; }
   auto retry_after_s() const -> int { return retry_after_s_; }
 
+  /// The same refusal of a request of which an earlier attempt ended with
+  /// `earlier`.
+  auto After(ran_state earlier) const -> request_refused {
+    return {status_, type_, what(),
+            earlier == ran_state::kMaybe ? earlier : ran_, retry_after_s_};
+  }
+
  private:
   unsigned status_;
   std::string type_;
--- a/src/entry/chat_handler.cpp
+++ b/src/entry/chat_handler.cpp
@@ -90,6 +90,7 @@
   money_micros price = 0;      ///< of the current version, micros per 1k tokens
   money_micros cost = 0;
   std::uint32_t attempts = 0;
+  ran_state ran = ran_state::kNo;  ///< of all attempts that have ended
   std::string answered_by;
   /// The version whose answer was rejected, and that answer's signal bin.
   std::string rejected_version;
@@ -116,7 +117,7 @@
   try {
     RunPlan(run);
   } catch (const request_refused& error) {
-    refusal = error;
+    refusal = error.After(run.ran);
   } catch (const caller_disconnected_error&) {
     caller_disconnected = true;
   }
@@ -179,22 +180,18 @@
       log_line(log_level::kInfo, "version_changed_before_dispatch")
           .With("request", run.caller.request_id)
           .With("reason", error.what());
+      if (error.ran() == ran_state::kMaybe) run.ran = ran_state::kMaybe;
       AdoptNewestTable(run);
     }
   }
   throw request_refused(503, "no_version",
-                        "no allowed version stayed available", RanState(run),
-                        1);
+                        "no allowed version stayed available", run.ran, 1);
 }
 
 auto chat_handler::AdoptNewestTable(chat_run& run) -> void {
   run.table = context_.state.table.load();
   run.owner =
-      RequireCustomer(run.table->config(), run.caller.customer, RanState(run));
-}
-
-auto chat_handler::RanState(const chat_run& run) -> ran_state {
-  return run.attempts > 0 ? ran_state::kMaybe : ran_state::kNo;
+      RequireCustomer(run.table->config(), run.caller.customer, run.ran);
 }
 
 auto chat_handler::ChooseVersions(chat_run& run) -> void {
@@ -234,7 +231,7 @@
   // changes while it runs.
   const auto table = context_.state.table.load();
   const auto id = table->config().FindVersion(version);
-  if (!id) throw version_unavailable(version + " was removed");
+  if (!id) throw version_unavailable(version + " was removed", run.ran);
   run.price = table->config().versions[*id].price_micros_per_1k_tokens;
   dispatch_job job;
   job.request_id = run.caller.request_id;
@@ -285,6 +282,7 @@
       },
       yield);
   run.attempts += result.attempts;
+  run.ran = ran_state::kMaybe;
   run.answered_by = job.version;
   run.totals.input_tokens += answer.metadata.input_tokens;
   run.totals.output_tokens += answer.metadata.output_tokens;
@@ -348,6 +346,7 @@
   };
   const auto result = dispatcher_.Run(job, read_events, yield);
   run.attempts += result.attempts;
+  run.ran = ran_state::kMaybe;
   if (metadata.output_tokens == 0) {
     metadata.output_tokens = run.relay.event_count();
   }
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -91,36 +91,36 @@
 };
 
 auto dispatcher::EnsureAllowed(const dispatch_job& job,
-                               const routing_table& table) const -> void {
+                               const routing_table& table, ran_state ran) const
+    -> void {
   const auto& config = table.config();
-  const auto& allowed = RequireCustomer(config, job.customer, ran_state::kNo);
+  const auto& allowed = RequireCustomer(config, job.customer, ran);
   if (const auto* item = table.QuarantineOf(job.fingerprint, WallClockMs())) {
     throw request_refused(422, "quarantined",
-                          "this request is refused: it " + item->reason,
-                          ran_state::kNo);
+                          "this request is refused: it " + item->reason, ran);
   }
   if (!job.pool.empty()) {
     const auto pool = config.FindPool(job.pool);
     if (!pool || !allowed.AllowsService(*pool)) {
       throw request_refused(403, "not_allowed",
                             "the customer may not use service " + job.pool,
-                            ran_state::kNo);
+                            ran);
     }
     return;
   }
   const auto version = config.FindVersion(job.version);
   if (!version || !allowed.AllowsVersion(*version)) {
-    throw version_unavailable(job.version + " is not allowed");
+    throw version_unavailable(job.version + " is not allowed", ran);
   }
   if (!context_.state.MayRun(table, *version, context_.clock.Now())) {
-    throw version_unavailable(job.version + " may not receive new work");
+    throw version_unavailable(job.version + " may not receive new work", ran);
   }
 }
 
 auto dispatcher::TryPlace(const dispatch_job& job, job_state& state)
     -> std::optional<placed_attempt> {
   auto table = context_.state.table.load();
-  EnsureAllowed(job, *table);
+  EnsureAllowed(job, *table, RanState(state.was_sent));
   const auto& config = table->config();
   const auto& group = job.pool.empty()
                           ? table->ServersOf(*config.FindVersion(job.version))
@@ -236,7 +236,7 @@
   auto connection = context_.upstreams.Acquire(
       server.host, server.port, /*fresh=*/!job.repeatable, deadlines, yield);
   // The configuration may have changed while the connection was made.
-  EnsureAllowed(job, *context_.state.table.load());
+  EnsureAllowed(job, *context_.state.table.load(), RanState(state.was_sent));
   if (placed.choice.state->IsLeaving()) {
     context_.metrics->Count(entry_counter::kStoppedBeforeDispatch);
     return false;
