--- a/review/stand-ins-3/deployment.sh
+++ b/review/stand-ins-3/deployment.sh
@@ -14,9 +14,9 @@
 programs="$root/target/platform"
 run="$(mktemp -d)"
 started_ids=()
+started_groups=()
 # Of processes, by name.
 declare -A ids=()
-last_id=""
 
 now_ms() { date +%s%3N; }
 note() { echo "$(($(now_ms) - began_ms)) $*" >>"$record"; }
@@ -28,6 +28,7 @@
 
 end_all() {
   local id
+  for id in "${started_groups[@]}"; do kill -KILL -- "-$id" 2>/dev/null; done
   for id in "${started_ids[@]}"; do kill -KILL "$id" 2>/dev/null; done
   wait 2>/dev/null
   if [ -f "$run/stand_in.txt" ]; then
@@ -44,9 +45,18 @@
   ids[$name]=$!
   started_ids+=("$!")
 }
-end_process() { # name, signal
-  kill "-$2" "${ids[$1]}"
-  wait "${ids[$1]}" 2>/dev/null
+# Starts a function that runs beside the script, in a process group of its own.
+# Sets `loop_id`.
+start_loop() { # function, arguments...
+  set -m
+  "$@" &
+  loop_id=$!
+  set +m
+  started_groups+=("$loop_id")
+}
+end_loop() { # id
+  kill -KILL -- "-$1" 2>/dev/null
+  wait "$1" 2>/dev/null
 }
 
 control_ip() { echo "127.0.0.$1"; }   # 1 to 3
@@ -106,7 +116,7 @@
 stream_fields=',"itl_target_ms":800,"session_affinity":true'
 # Prints a configuration. Arguments: version, text of the list of routes.
 config() {
-  printf '%s' "{\"version\":$1,\"routes\":[$2],\"backends\":[{\"name\":\"engines\",\"health_check_path\":\"/healthz\",\"max_connections\":360,\"protocol\":\"h1\",\"upstream_tls\":false}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"hule930\",\"api_keys\":[\"n2ctnfzs989anu6wsjnb\"]}]}"
+  printf '%s' "{\"version\":$1,\"routes\":[$2],\"backends\":[{\"name\":\"engines\",\"health_check_path\":\"/healthz\",\"max_connections\":360,\"protocol\":\"h1\",\"upstream_tls\":false}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"hule930\",\"api_keys\":[\"n2ctnfzs989anu6wsjnb\"]},{\"name\":\"rada7437\",\"api_keys\":[\"anfqasnmgkcuyj8pjbvk\"]}]}"
 }
 # Sends a configuration to a core machine; prints the status, 000 without one.
 put_config() { # number, text
