--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -12,10 +12,9 @@
 for ((i = 1; i <= requests; ++i)); do
   path=/order/x
   [ $((i % 2)) = 0 ] || path=/stream/x
-  call 1 "q-$i" POST "$path" -H "X-Lovagedale-Model: *" \
-    -H "X-Lovagedale-Token-Usage: 322,20" \
-    -H "X-Lovagedale-Prefix-Hash: a1:172,5$(printf '%04x' "$i"):150" \
-    --data "text $i"
+  call 1 "q-$i" POST "$path" "X-Lovagedale-Model:*" \
+    "X-Lovagedale-Token-Usage:322,20" \
+    "X-Lovagedale-Prefix-Hash:a1:172,5$(printf '%04x' "$i"):150" "=text $i"
   sleep 0.05
 done
 ran=$(grep -c ' run q-' "$run/stand_in.txt")
