Run a call that must not be repeated on one model only

Callers of routes with several models saw orders, and streams that cannot resume, run at two servers: an answer of the smallest model with a low confidence was dropped and the call ran again on the largest one.

Cause: relayed_call::MaxAttempts returned the route's configured number for each call. All other repeats asked MayRepeat besides; EscalateIfUncertain asked MaxAttempts only, and AllowsAnotherAttempt let its result pass before it looked at either.

MaxAttempts is now 1 for such a call, so the escalation, each other repeat and the number of attempts that another entry is told have one source; an entry of an older build goes by that number too. DecideEscalation says "runs_once" when only this prevents an escalation. Repeatable calls and resumable streams escalate as before (relay and model choice tests pass).

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -351,11 +351,9 @@
   if (sends_ >= kMaxSends) return false;
   // A failed connection adds no load to the servers.
   if (result == attempt_result::kNotReached) return true;
+  if (runs_ >= MaxAttempts()) return false;
   // EscalateIfUncertain has counted this retry in the budget already.
   if (result == attempt_result::kEscalated) return true;
-  const bool was_run = result != attempt_result::kNotRun;
-  if (was_run && !MayRepeat()) return false;
-  if (runs_ >= MaxAttempts()) return false;
   return is_reserved || state_.RetriesOf(service_).TryRetry(clock_.Now());
 }
 
@@ -363,7 +361,7 @@
 auto relayed_call<Protocol>::ReserveAttempt(const server_handle& server)
     -> bool {
   if (has_reserved_attempt_) return true;
-  if (!MayRepeat() || sends_ >= kMaxSends || RemainingMs() < kMinUsefulMs ||
+  if (sends_ >= kMaxSends || RemainingMs() < kMinUsefulMs ||
       (was_sent_ && runs_ >= MaxAttempts())) {
     return false;
   }
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -223,7 +223,8 @@
   /// Called if no server is left: some may want no requests for a while.
   auto LimitByPauses() -> void;
   auto CountReachableServers() const -> std::size_t;
-  /// Servers that may run the call, including those that have.
+  /// Servers that may run the call, including those that have: one if the call
+  /// must not be repeated.
   auto MaxAttempts() const -> std::uint32_t;
   /// Servers that another entry may still try; at least 1.
   auto AttemptsLeft() const -> std::uint32_t;
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -115,6 +115,7 @@
   input.elapsed_ms = static_cast<double>(now - started_ms_);
   input.expected_ms = larger.ExpectedMs(now, assumed_ms);
   input.size_ratio = larger.SizeRatio(call_.prompt_tokens, now);
+  input.may_run_again = MayRepeat();
   for (const auto& other : view_->routes.config().routes) {
     const bool uses_service = std::any_of(
         other.services.begin(), other.services.end(),
--- a/include/lovagedale/relay/relay_forwarding-inl.h
+++ b/include/lovagedale/relay/relay_forwarding-inl.h
@@ -29,6 +29,7 @@
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::MaxAttempts() const -> std::uint32_t {
+  if (!MayRepeat()) return 1;
   const auto configured = match_.matched_route->max_attempts;
   const auto left = ForwardingNumber(forwarding_header::kAttemptsLeft);
   return left == 0 ? configured
--- a/include/lovagedale/scheduling/model_choice.h
+++ b/include/lovagedale/scheduling/model_choice.h
@@ -27,6 +27,7 @@
   /// The request's prompt tokens in proportion to the mean of those answers; 1
   /// if unknown.
   double size_ratio = 1;
+  bool may_run_again = true;  ///< false: the call must not be repeated
   std::vector<route_lateness> other_routes;  ///< of the same service
 
   auto operator==(const escalation_input&) const -> bool = default;
@@ -37,6 +38,7 @@
   kConfident,  ///< the answer is kept as it is good enough
   kLate,       ///< the larger model's answer would come late
   kYield,      ///< the capacity is left to more urgent or tighter routes
+  kRunsOnce,   ///< the call must not run again
   kNoAttempt,  ///< the call, or its service's retry budget, has none left
 };
 
--- a/src/scheduling/model_choice.cpp
+++ b/src/scheduling/model_choice.cpp
@@ -40,6 +40,8 @@
       return "late";
     case escalation_decision::kYield:
       return "yield";
+    case escalation_decision::kRunsOnce:
+      return "runs_once";
     case escalation_decision::kNoAttempt:
       return "no_attempt";
   }
@@ -87,9 +89,11 @@
           : 1;
   // At a price of 1 nothing is escalated, whatever its size.
   const auto given_up = std::pow(CapacityPrice(input), 1 / size);
-  return input.confidence >= min_confidence * (1 - given_up)
-             ? escalation_decision::kYield
-             : escalation_decision::kEscalate;
+  if (input.confidence >= min_confidence * (1 - given_up)) {
+    return escalation_decision::kYield;
+  }
+  return input.may_run_again ? escalation_decision::kEscalate
+                             : escalation_decision::kRunsOnce;
 }
 
 }  // namespace lovagedale
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1067,6 +1067,37 @@
   CHECK(relay.Call().body == Event(2));
 }
 
+// Guards against calls that must not be repeated but run again on the largest
+// model, as their first answer has a low confidence.
+TEST_CASE("an uncertain answer to a call that may run once is returned") {
+  for (const bool is_stream : {false, true}) {
+    CAPTURE(is_stream);
+    scripted_server server([is_stream](const std::string&) {
+      return is_stream ? kStreamHead + "Confidence: 0.1\r\n\r\n" +
+                             Chunk(Event(1)) + "0\r\n\r\n"
+                       : Answer("200 OK", "Confidence: 0.1\r\n", "done");
+    });
+    auto item = MakeRoute(is_stream ? route_kind::kStream : route_kind::kOnce);
+    item.models = {"small", "large"};
+    const running_relay relay(item, {server.port()});
+    CHECK(relay.Call().body == (is_stream ? Event(1) : "done"));
+    CHECK(server.requests() == 1);
+  }
+}
+
+// Guards against an entry of an older build that escalates a forwarded call
+// which must not be repeated: it goes by the attempts that are left.
+TEST_CASE("a forwarded call that may run once has one attempt left") {
+  scripted_server helper([](const std::string& request) {
+    CHECK(request.find("Lovagedale-Attempts-Left: 1") != std::string::npos);
+    return Answer("200 OK", "", "done");
+  });
+  running_relay relay(MakeRoute(route_kind::kOnce), {FreePort()});
+  relay.SetHelpers({helper.port()});
+  CHECK(relay.Call().head.status == 200);
+  CHECK(helper.requests() == 1);
+}
+
 TEST_CASE("a request gets status 504 when its time limit has passed") {
   scripted_server slow([](const std::string&) {
     std::this_thread::sleep_for(std::chrono::milliseconds(700));
--- a/tests/scheduling/model_choice_test.cpp
+++ b/tests/scheduling/model_choice_test.cpp
@@ -86,6 +86,24 @@
   CHECK(DecideEscalation(input) == escalation_decision::kConfident);
 }
 
+// Guards against a second run of a request that may run once, and against a
+// count of given up escalations that hides why.
+TEST_CASE("a request that may run once is never escalated") {
+  auto input = Uncertain();
+  input.may_run_again = false;
+  CHECK(DecideEscalation(input) == escalation_decision::kRunsOnce);
+  rc::check([] {
+    auto any = AnyInput();
+    const auto repeatable = DecideEscalation(any);
+    any.may_run_again = false;
+    // The reasons that hold for any request are kept.
+    RC_ASSERT(DecideEscalation(any) ==
+              (repeatable == escalation_decision::kEscalate
+                   ? escalation_decision::kRunsOnce
+                   : repeatable));
+  });
+}
+
 TEST_CASE("a size that is not usable counts as unknown") {
   for (const auto ratio : {-1.0, std::numeric_limits<double>::quiet_NaN(),
                            std::numeric_limits<double>::infinity()}) {
