Start a call that may run once on the largest model

Cause: the first model did not depend on whether a second one can follow. relayed_call::FirstModel now decides by the same inputs as an escalation (StartsOnLargestModel, pure): the largest model, unless its answer would be late or more urgent routes need the capacity. If servers refuse that model and nothing has run, the call goes to the smallest, as servers may not have it.

"servers without one of a route's models serve the other ones" used a route whose calls may run once to get a request for a missing model to the servers. Such a call is answered now. The test has the same checks on a repeatable route, where the smallest model still comes first, and "a call that may run once needs only one of its route's models" holds what changed.

Routes whose calls may be repeated, all with models on the users' sites, are not affected.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -171,6 +171,7 @@
   // All requests of a session use the same version of a service.
   session_hash_ =
       HashFields(service_, call_.session.empty() ? call_.id : call_.session);
+  tier_ = FirstModel();
   return std::nullopt;
 }
 
@@ -240,6 +241,8 @@
     return;
   }
   ++model_refusals_;
+  // Servers may have none but the smallest of the route's models loaded.
+  if (runs_ == 0 && !call_.model) tier_ = 0;
 }
 
 template <call_protocol Protocol>
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -179,10 +179,13 @@
   /// budget.
   auto EscalateIfUncertain(const server_handle& server,
                            const server_answer_metadata& metadata) -> bool;
-  /// What the decision about the larger model depends on.
-  auto EscalationInput(double confidence,
-                       const confidence_threshold& threshold) const
-      -> escalation_input;
+  /// Index of the model for the first attempt: the smallest, as a weak answer
+  /// can be replaced, but see StartsOnLargestModel for calls that may run once.
+  auto FirstModel() const -> std::size_t;
+  /// What the decision about the larger model depends on. `assumed_ms`: its
+  /// time to the first event, if few answers are known.
+  auto EscalationInput(double confidence, const confidence_threshold& threshold,
+                       double assumed_ms) const -> escalation_input;
   /// Gives up the attempt at a server that runs, if another attempt may replace
   /// it now; false if it goes on. A silent server is no reason to end a call
   /// before its time limit.
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -75,8 +75,11 @@
   }
   auto& threshold = state_.tiers[{item.name, item.models[tier_]}].threshold;
   threshold.Add(*metadata.confidence);
-  auto decision =
-      DecideEscalation(EscalationInput(*metadata.confidence, threshold));
+  // The small model's answer indicates how busy the servers are.
+  const auto assumed_ms =
+      static_cast<double>(clock_.Now() - sent_ms_) * kLargerModelLatencyFactor;
+  auto decision = DecideEscalation(
+      EscalationInput(*metadata.confidence, threshold, assumed_ms));
   if (decision == escalation_decision::kEscalate &&
       (runs_ >= MaxAttempts() ||
        (!std::exchange(has_reserved_attempt_, false) &&
@@ -96,17 +99,28 @@
   return true;
 }
 
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::FirstModel() const -> std::size_t {
+  const auto& item = *match_.matched_route;
+  if (item.models.empty() || call_.model || MayRepeat()) return 0;
+  const auto& smallest = state_.tiers[{item.name, item.models.front()}];
+  const auto assumed_ms =
+      smallest.first_event.ExpectedMs(clock_.Now(), /*unknown_ms=*/0) *
+      kLargerModelLatencyFactor;
+  return StartsOnLargestModel(
+             EscalationInput(/*confidence=*/0, smallest.threshold, assumed_ms))
+             ? item.models.size() - 1
+             : 0;
+}
+
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::EscalationInput(
-    double confidence, const confidence_threshold& threshold) const
-    -> escalation_input {
+    double confidence, const confidence_threshold& threshold,
+    double assumed_ms) const -> escalation_input {
   const auto now = clock_.Now();
   const auto& item = *match_.matched_route;
   const auto& larger =
       state_.tiers[{item.name, item.models.back()}].first_event;
-  // The small model's answer indicates how busy the servers are.
-  const auto assumed_ms =
-      static_cast<double>(now - sent_ms_) * kLargerModelLatencyFactor;
   escalation_input input;
   input.confidence = confidence;
   input.threshold = threshold.Threshold();
--- a/include/lovagedale/scheduling/model_choice.h
+++ b/include/lovagedale/scheduling/model_choice.h
@@ -61,4 +61,10 @@
 /// with the highest confidence, then the largest. Never kNoAttempt.
 auto DecideEscalation(const escalation_input& input) -> escalation_decision;
 
+/// Whether a request that may run once starts on the largest model: no second
+/// run can replace a weak answer of the smallest. It does unless an escalation
+/// would be given up whatever the confidence. `confidence` and `may_run_again`
+/// are ignored.
+auto StartsOnLargestModel(escalation_input input) -> bool;
+
 }  // namespace lovagedale
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1085,6 +1085,27 @@
   }
 }
 
+// Guards against weak answers to calls that may run once: no second run can
+// replace them.
+TEST_CASE("a call that may run once starts on the largest model in time") {
+  scripted_server server([](const std::string& request) {
+    const bool is_large = request.find("Model: large") != std::string::npos;
+    return Answer("200 OK", "Confidence: 0.1\r\n",
+                  is_large ? "large" : "small");
+  });
+  auto item = MakeRoute(route_kind::kOnce);
+  item.models = {"small", "large"};
+  running_relay relay(item, {server.port()});
+  CHECK(relay.Call().body == "large");
+  // Later than the objective of the route.
+  relay.SetLargestModelAnswers(/*first_event_ms=*/600, /*tokens=*/0);
+  CHECK(relay.Call().body == "small");
+  CHECK(relay.Metrics().find(
+            "lovagedale_escalations_given_up_total{customer=\"\",model="
+            "\"large\",reason=\"late\"} 1") != std::string::npos);
+  CHECK(server.requests() == 2);
+}
+
 // Guards against an entry of an older build that escalates a forwarded call
 // which must not be repeated: it goes by the attempts that are left.
 TEST_CASE("a forwarded call that may run once has one attempt left") {
@@ -1569,7 +1590,7 @@
     return Answer("200 OK", "", "done");
   };
   scripted_server server(script);
-  auto item = MakeRoute(route_kind::kOnce);
+  auto item = MakeRoute(route_kind::kRepeatable);
   item.models = {"absent", "large"};
   const running_relay relay(item, {server.port()}, /*retries=*/100);
   CHECK(relay.Call({{"Model", "*"}}).head.status == 503);
@@ -1579,6 +1600,26 @@
   CHECK(served == 2);
 }
 
+// Guards against calls that may run once and are refused although the smallest
+// model could answer them: they start on the largest one.
+TEST_CASE("a call that may run once needs only one of its route's models") {
+  std::atomic<int> served = 0;
+  scripted_server server([&](const std::string& request) {
+    if (request.find("Model: absent") != std::string::npos) {
+      return Answer("421 Misdirected Request", "", "");
+    }
+    ++served;
+    return Answer("200 OK", "Confidence: 0.1\r\n", "done");
+  });
+  auto item = MakeRoute(route_kind::kOnce);
+  item.models = {"small", "absent"};
+  const running_relay relay(item, {server.port()}, /*retries=*/100);
+  CHECK(relay.Call({{"Model", "*"}}).head.status == 200);
+  CHECK(relay.Call({{"Model", "small"}}).head.status == 200);
+  CHECK(relay.Call({{"Model", "*"}}).head.status == 200);
+  CHECK(served == 3);
+}
+
 // Guards against a server that stays out of use for good after another one had
 // its address for a while.
 TEST_CASE("a server at a reassigned address is asked again after a while") {
--- a/tests/scheduling/model_choice_test.cpp
+++ b/tests/scheduling/model_choice_test.cpp
@@ -104,6 +104,21 @@
   });
 }
 
+// Guards against weak answers to requests that may run once, and against long
+// prompts on the largest model while its answers are late.
+TEST_CASE("a request that may run once starts on the largest model if idle") {
+  auto input = Uncertain();
+  input.may_run_again = false;
+  CHECK(StartsOnLargestModel(input));
+  input.expected_ms = 1'900;
+  CHECK(StartsOnLargestModel(input));
+  input.expected_ms = 2'000;
+  CHECK_FALSE(StartsOnLargestModel(input));
+  input.expected_ms = 600;
+  input.other_routes = {{0, 1'500, 1'500}};
+  CHECK_FALSE(StartsOnLargestModel(input));
+}
+
 TEST_CASE("a size that is not usable counts as unknown") {
   for (const auto ratio : {-1.0, std::numeric_limits<double>::quiet_NaN(),
                            std::numeric_limits<double>::infinity()}) {
