Try requests that may show a quarantined part to be sound

Callers whose prompts share parts with bad ones were refused for an hour, at all entries, with 503 "quarantined", after three crashes within a lull of their own requests; nothing crashed any more.

Cause: crash_attribution blamed one of several parts that explained the crashes equally well (the last in the prompt) and forgot the others. A quarantine is lifted by an answer to a request with its key, but no such request was sent any more. An entry without control renewed its own quarantine with each refusal. Ruled out by control's log: crashes that are not reported, and answers that do not clear (no sound request came between the first and the third crash).

Control now keeps and sends the other candidates that all crashes of a quarantined key had in common. A request that lacks one of them is unlike all that crashed servers, so an entry sends it as a trial. If it is answered, its parts are cleared and the rest is blamed at once, before the former quarantine is lifted; if it crashes a server, requests of its kind are refused. Requests with all common parts are refused as soon as before. The decision is health/quarantine_trials, which needs no network.

The heartbeat's response has a new field, so this is format 5; older builds skip the field and go on as before.

--- a/include/lovagedale/common/format.h
+++ b/include/lovagedale/common/format.h
@@ -16,7 +16,7 @@
 /// Format of builds whose messages and files have no footer.
 inline constexpr format_number kFirstFormat = 1;
 /// Format of this build.
-inline constexpr format_number kFormat = 4;
+inline constexpr format_number kFormat = 5;
 
 /// Last part of each message and stored item: which format it is in and which
 /// formats can read it. Readers of kFirstFormat ignore it.
--- a/include/lovagedale/control/messages.h
+++ b/include/lovagedale/control/messages.h
@@ -163,6 +163,9 @@
   }
 };
 
+/// Oldest format of heartbeat_response::alternatives.
+inline constexpr format_number kAlternativesFormat = 5;
+
 struct heartbeat_response {
   bool is_leader = false;
   std::string leader;            ///< name of the leader, if known
@@ -189,6 +192,9 @@
   std::vector<heavy_work_share> heavy_shares;
   /// Sent by the leader if the heartbeat had `confidences`.
   std::vector<fleet_threshold> thresholds;
+  /// Sent by the leader: of quarantined keys whose crashes it knows; see
+  /// crash_attribution::Alternatives.
+  std::vector<quarantine_alternatives> alternatives;
 
   auto AddedFields() const -> added_fields {
     added_fields fields;
@@ -202,6 +208,9 @@
     if (!thresholds.empty()) {
       fields.emplace(kThresholdsField, EncodeFixed(thresholds));
     }
+    if (!alternatives.empty()) {
+      fields.emplace(kAlternativesField, EncodeFixed(alternatives));
+    }
     return fields;
   }
   auto SetAddedFields(const added_fields& fields) -> void {
@@ -220,6 +229,11 @@
         found != fields.end()) {
       thresholds = DecodeFixed<std::vector<fleet_threshold>>(found->second);
     }
+    if (const auto found = fields.find(kAlternativesField);
+        found != fields.end()) {
+      alternatives =
+          DecodeFixed<std::vector<quarantine_alternatives>>(found->second);
+    }
   }
   template <typename Archive>
   auto serialize(Archive& archive) -> void {
@@ -232,6 +246,7 @@
   static constexpr std::uint16_t kLoadsField = 2;
   static constexpr std::uint16_t kHeavySharesField = 3;
   static constexpr std::uint16_t kThresholdsField = 4;
+  static constexpr std::uint16_t kAlternativesField = 5;
 };
 
 /// A control replica's request to become a member; repeated until a leader
--- a/include/lovagedale/health/crash_attribution.h
+++ b/include/lovagedale/health/crash_attribution.h
@@ -58,6 +58,20 @@
   auto operator==(const crash_finding&) const -> bool = default;
 };
 
+/// What explains the crashes of a quarantined key as well as the key itself:
+/// the other keys that were candidates of each of them. None: the key is the
+/// only explanation.
+struct quarantine_alternatives {
+  crash_key key = 0;
+  std::vector<crash_key> others;
+
+  auto operator==(const quarantine_alternatives&) const -> bool = default;
+  template <typename Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(key, others);
+  }
+};
+
 /// Finds the requests and prompt parts that crash servers, from the candidates
 /// of each crash. A candidate is cleared when a request with it is answered.
 /// The key that is a candidate of most crashes is quarantined and explains
@@ -80,6 +94,9 @@
   static constexpr std::size_t kMaxSuspects = 32;
   /// Candidates in one report.
   static constexpr std::size_t kMaxCandidates = 64;
+  /// Quarantined keys in Alternatives, and other keys of one.
+  static constexpr std::size_t kMaxAlternativesKeys = 4;
+  static constexpr std::size_t kMaxAlternatives = 16;
 
   /// A report with the id of an earlier one is ignored.
   auto ReportCrash(const crash_report& report, monotonic_ms now) -> void;
@@ -97,6 +114,13 @@
   auto SharedSuspects() const -> const std::vector<crash_key>& {
     return shared_suspects_;
   }
+  /// The alternatives of quarantined keys that requests may share, those with
+  /// the latest crashes first; at most kMaxAlternativesKeys, only of keys with
+  /// kCrashesToQuarantineShared known crashes. As of the last call of Decide,
+  /// without keys cleared since.
+  auto Alternatives() const -> const std::vector<quarantine_alternatives>& {
+    return alternatives_;
+  }
   auto IsSuspect(crash_key key) const -> bool;
   auto crashes() const -> std::size_t { return crashes_.size(); }
   /// Forgets the crashes and reports older than kSuspicionLifetimeMs.
@@ -128,6 +152,7 @@
   auto CountCrashes() const -> std::map<crash_candidate, tally>;
   auto UpdateExplained(const std::set<crash_key>& quarantined) -> void;
   auto UpdateSharedSuspects() -> void;
+  auto UpdateAlternatives(const std::set<crash_key>& quarantined) -> void;
 
   std::deque<server_crash> crashes_;
   std::map<std::string, monotonic_ms> report_times_;
@@ -135,6 +160,7 @@
   std::map<crash_key, monotonic_ms> proposed_at_;
   std::set<crash_key> in_force_;
   std::vector<crash_key> shared_suspects_;
+  std::vector<quarantine_alternatives> alternatives_;
   monotonic_ms last_report_at_ = 0;
 };
 
--- a/include/lovagedale/relay/crash_monitor.h
+++ b/include/lovagedale/relay/crash_monitor.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "lovagedale/health/crash_attribution.h"
+#include "lovagedale/health/quarantine_trials.h"
 #include "lovagedale/relay/call.h"
 #include "lovagedale/relay/server_table.h"
 
@@ -41,11 +43,34 @@
     on_report_ = std::move(on_report);
   }
   /// Replaces the keys that control has quarantined.
-  auto SetQuarantined(std::set<crash_key> keys) -> void {
-    quarantined_ = std::move(keys);
-  }
+  auto SetQuarantined(std::set<crash_key> keys) -> void;
   /// Replaces the suspects of control's leader.
   auto SetSuspects(const std::vector<crash_key>& keys) -> void;
+  /// Adopts what control's leader knows of quarantined keys.
+  auto SetAlternatives(const std::vector<quarantine_alternatives>& items)
+      -> void {
+    trials_->Adopt(items, clock_.Now());
+  }
+
+  /// The trial of a call with quarantined candidates; see quarantine_trials. It
+  /// ends with its destruction. May outlive the monitor: the event loop
+  /// destroys the fibers of its calls last.
+  class trial {
+   public:
+    trial(std::shared_ptr<quarantine_trials> trials,
+          std::vector<crash_key> keys);
+    ~trial();
+    trial(const trial&) = delete;
+    auto operator=(const trial&) -> trial& = delete;
+
+   private:
+    const std::shared_ptr<quarantine_trials> trials_;
+    const std::vector<crash_key> keys_;
+  };
+  /// Starts a trial of a call with quarantined candidates. Null if the call is
+  /// to be refused.
+  auto StartTrial(const std::vector<crash_candidate>& candidates)
+      -> std::unique_ptr<trial>;
 
   /// The first candidate that is quarantined.
   auto QuarantinedKey(const std::vector<crash_candidate>& candidates)
@@ -69,6 +94,8 @@
 
   /// Crashes that this entry has detected.
   auto crashes() const -> std::uint64_t { return crash_count_; }
+  /// Trials that this entry has started.
+  auto trials() const -> std::uint64_t { return trial_count_; }
 
  private:
   struct recent_report {
@@ -83,6 +110,10 @@
   auto Report(const server_handle& server,
               const std::set<crash_candidate>& candidates) -> void;
   auto UpdateOwnQuarantines() -> void;
+  /// Records that the key does not crash servers.
+  auto Clear(crash_key key) -> void;
+  /// Forgets the trials of keys that are not quarantined any more.
+  auto RetainTrials() -> void;
   auto IsQuarantined(crash_key key) const -> bool {
     return quarantined_.contains(key) || own_quarantines_.contains(key);
   }
@@ -93,14 +124,18 @@
   std::function<void()> on_report_;
   crash_attribution attribution_;
   std::set<crash_key> quarantined_;  ///< by control
-  /// By this entry's own evidence, and when each ends.
+  /// By this entry's own evidence, and when the next request with the key is a
+  /// trial, whatever else it holds.
   std::map<crash_key, monotonic_ms> own_quarantines_;
+  const std::shared_ptr<quarantine_trials> trials_ =
+      std::make_shared<quarantine_trials>();
   std::map<crash_key, monotonic_ms> suspects_;  ///< and since when
   std::set<crash_key> cleared_;
   /// Candidates of the servers that ConfirmCrash examines, by server id.
   std::map<std::string, std::set<crash_candidate>> unconfirmed_;
   std::deque<recent_report> reports_;
   std::uint64_t crash_count_ = 0;
+  std::uint64_t trial_count_ = 0;
   monotonic_ms next_decision_ms_ = 0;
   std::optional<monotonic_ms> leader_heard_ms_;
 };
--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -146,8 +146,13 @@
     return false;
   }
   if (IsQuarantined()) {
-    Refuse(refusal::kQuarantined, "");
-    return false;
+    trial_ = state_.crashes.StartTrial(crash_candidates_);
+    if (!trial_) {
+      Refuse(refusal::kQuarantined, "");
+      return false;
+    }
+    log_line(log_level::kInfo, "quarantine_trial_started")
+        .With("request", call_.id);
   }
   CountRequest();
   return true;
@@ -262,7 +267,7 @@
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::IsQuarantined() -> bool {
-  return state_.crashes.QuarantinedKey(crash_candidates_).has_value();
+  return !trial_ && state_.crashes.QuarantinedKey(crash_candidates_);
 }
 
 template <call_protocol Protocol>
@@ -271,6 +276,7 @@
     -> void {
   if (failure.timed_out() || is_settled_ || !server->TakesCalls()) return;
   ++broken_unanswered_;
+  trial_.reset();
   state_.crashes.RecordBroken(server, crash_candidates_);
 }
 
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -232,7 +232,8 @@
   /// Servers that another entry may still try; at least 1.
   auto AttemptsLeft() const -> std::uint32_t;
   auto MayRepeat() const -> bool;
-  /// Whether the call, or a part of its prompt, is known to crash servers.
+  /// Whether the call, or a part of its prompt, is known to crash servers and
+  /// it is no trial.
   auto IsQuarantined() -> bool;
   /// Called when an attempt has failed. Servers may have crashed by calls that
   /// they had not begun to answer.
@@ -338,6 +339,8 @@
   std::optional<monotonic_ms> first_event_ms_;
   bool is_settled_ = false;  ///< see RecordSettled
   std::vector<crash_candidate> crash_candidates_;
+  /// Set while the call runs although it is quarantined.
+  std::unique_ptr<crash_monitor::trial> trial_;
   std::uint32_t broken_unanswered_ = 0;  ///< attempts; see RecordBroken
   std::vector<std::string> tried_servers_;
   /// Servers that have refused the call. A later attempt there needs a
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -397,9 +397,12 @@
         .With("candidates", report.candidates.size());
     crashes_.ReportCrash(report, now);
   }
+  for (const auto key : heartbeat.cleared_suspects) crashes_.Clear(key, now);
+  // What explains the crashes instead is quarantined first: the requests with
+  // it must not be let through in between.
+  if (!heartbeat.cleared_suspects.empty()) QuarantineCrashers();
   const auto& quarantines = machine_.view().quarantines;
   for (const auto key : heartbeat.cleared_suspects) {
-    crashes_.Clear(key, now);
     const auto in_force = std::find_if(
         quarantines.begin(), quarantines.end(),
         [&](const quarantine& item) { return item.fingerprint == key; });
@@ -482,6 +485,7 @@
         response.loads = FleetLoads();
       }
       response.relay->suspects = crashes_.SharedSuspects();
+      response.alternatives = crashes_.Alternatives();
       AddHelpers(due.heartbeat, *response.relay);
     }
   }
--- a/src/health/crash_attribution.cpp
+++ b/src/health/crash_attribution.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <optional>
 #include <tuple>
 
@@ -38,6 +39,10 @@
 auto crash_attribution::Clear(crash_key key, monotonic_ms now) -> void {
   Erase(key);
   std::erase(shared_suspects_, key);
+  std::erase_if(alternatives_, [&](const quarantine_alternatives& item) {
+    return item.key == key;
+  });
+  for (auto& item : alternatives_) std::erase(item.others, key);
   cleared_at_[key] = now;
 }
 
@@ -126,6 +131,7 @@
     quarantined.insert(best->key);
   }
   UpdateSharedSuspects();
+  UpdateAlternatives(quarantined);
   return findings;
 }
 
@@ -141,6 +147,46 @@
   for (const auto& [count, key] : ranked) shared_suspects_.push_back(key);
 }
 
+auto crash_attribution::UpdateAlternatives(
+    const std::set<crash_key>& quarantined) -> void {
+  struct key_crashes {
+    std::size_t count = 0;
+    std::set<crash_key> common;  ///< candidates of all of them
+  };
+  std::map<crash_key, key_crashes> by_key;
+  std::vector<crash_key> latest_first;
+  for (auto crash = crashes_.rbegin(); crash != crashes_.rend(); ++crash) {
+    std::set<crash_key> shared;
+    for (const auto& candidate : crash->candidates) {
+      if (IsShared(candidate)) shared.insert(candidate.key);
+    }
+    for (const auto key : shared) {
+      if (!quarantined.contains(key)) continue;
+      auto& crashes = by_key[key];
+      if (crashes.count++ == 0) {
+        crashes.common = shared;
+        crashes.common.erase(key);
+        latest_first.push_back(key);
+      } else {
+        std::erase_if(crashes.common,
+                      [&](crash_key other) { return !shared.contains(other); });
+      }
+    }
+  }
+  alternatives_.clear();
+  for (const auto key : latest_first) {
+    const auto& crashes = by_key[key];
+    if (crashes.count < kCrashesToQuarantineShared) continue;
+    if (alternatives_.size() == kMaxAlternativesKeys) break;
+    quarantine_alternatives item{key, {}};
+    for (const auto other : crashes.common) {
+      if (item.others.size() == kMaxAlternatives) break;
+      item.others.push_back(other);
+    }
+    alternatives_.push_back(std::move(item));
+  }
+}
+
 auto crash_attribution::IsSuspect(crash_key key) const -> bool {
   return std::any_of(
       crashes_.begin(), crashes_.end(), [&](const server_crash& crash) {
@@ -155,6 +201,7 @@
   std::erase_if(crashes_, [&](const server_crash& crash) {
     return now - crash.at > kSuspicionLifetimeMs;
   });
+  if (crashes_.empty()) alternatives_.clear();
   std::erase_if(report_times_, [&](const auto& item) {
     return now - item.second > kSuspicionLifetimeMs;
   });
--- a/src/relay/crash_monitor.cpp
+++ b/src/relay/crash_monitor.cpp
@@ -26,6 +26,7 @@
     std::chrono::milliseconds(20), std::chrono::milliseconds(100)};
 /// Own evidence is used after a suspect could be cleared for this time.
 constexpr monotonic_ms kOwnObservationMs = 600;
+/// Interval between trials of a key that this entry has quarantined by itself.
 constexpr monotonic_ms kOwnQuarantineMs = 60'000;
 constexpr monotonic_ms kOwnDecisionPeriodMs = 100;
 /// The leader answers each heartbeat within a second.
@@ -54,6 +55,50 @@
   return candidates;
 }
 
+auto crash_monitor::SetQuarantined(std::set<crash_key> keys) -> void {
+  quarantined_ = std::move(keys);
+  RetainTrials();
+}
+
+auto crash_monitor::RetainTrials() -> void {
+  auto keys = quarantined_;
+  for (const auto& [key, until_ms] : own_quarantines_) keys.insert(key);
+  trials_->Retain(keys);
+}
+
+crash_monitor::trial::trial(std::shared_ptr<quarantine_trials> trials,
+                            std::vector<crash_key> keys)
+    : trials_(std::move(trials)), keys_(std::move(keys)) {
+  for (const auto key : keys_) trials_->RecordStarted(key);
+}
+
+crash_monitor::trial::~trial() {
+  for (const auto key : keys_) trials_->RecordEnded(key);
+}
+
+auto crash_monitor::StartTrial(const std::vector<crash_candidate>& candidates)
+    -> std::unique_ptr<trial> {
+  const auto now = clock_.Now();
+  std::vector<crash_key> keys;
+  for (const auto& candidate : candidates) {
+    if (!IsQuarantined(candidate.key)) continue;
+    const auto own = own_quarantines_.find(candidate.key);
+    const bool is_due = own != own_quarantines_.end() && now >= own->second &&
+                        !quarantined_.contains(candidate.key);
+    if (!is_due && !trials_->MayStart(candidate.key, candidates, now)) {
+      return nullptr;
+    }
+    keys.push_back(candidate.key);
+  }
+  for (const auto key : keys) {
+    const auto own = own_quarantines_.find(key);
+    // Renewed now: if the trial crashes its server, the next one has to wait.
+    if (own != own_quarantines_.end()) own->second = now + kOwnQuarantineMs;
+  }
+  ++trial_count_;
+  return std::make_unique<trial>(trials_, std::move(keys));
+}
+
 auto crash_monitor::SetSuspects(const std::vector<crash_key>& keys) -> void {
   const auto now = clock_.Now();
   leader_heard_ms_ = now;
@@ -69,12 +114,7 @@
     -> std::optional<crash_key> {
   UpdateOwnQuarantines();
   for (const auto& candidate : candidates) {
-    if (!IsQuarantined(candidate.key)) continue;
-    const auto own = own_quarantines_.find(candidate.key);
-    if (own != own_quarantines_.end()) {
-      own->second = clock_.Now() + kOwnQuarantineMs;
-    }
-    return candidate.key;
+    if (IsQuarantined(candidate.key)) return candidate.key;
   }
   return std::nullopt;
 }
@@ -86,11 +126,14 @@
   next_decision_ms_ = now + kOwnDecisionPeriodMs;
   if (leader_heard_ms_ && now - *leader_heard_ms_ < kLeaderSilentMs) {
     own_quarantines_.clear();
+    RetainTrials();
     return;
   }
   attribution_.Expire(now);
-  std::erase_if(own_quarantines_,
-                [&](const auto& item) { return item.second <= now; });
+  // No request has come since a trial was due.
+  std::erase_if(own_quarantines_, [&](const auto& item) {
+    return item.second + kOwnQuarantineMs <= now;
+  });
   auto in_force = quarantined_;
   for (const auto& [key, until_ms] : own_quarantines_) in_force.insert(key);
   for (const auto& finding :
@@ -101,11 +144,20 @@
         .With("position", static_cast<int>(finding.candidate.specificity))
         .With("crashes", finding.crashes);
   }
+  // Control knows the crashes of all entries: what it said of its quarantines
+  // stays.
+  auto alternatives = attribution_.Alternatives();
+  std::erase_if(alternatives, [&](const quarantine_alternatives& item) {
+    return !own_quarantines_.contains(item.key);
+  });
+  trials_->Adopt(alternatives, now);
+  RetainTrials();
 }
 
 auto crash_monitor::RecordBroken(const server_handle& server,
                                  const std::vector<crash_candidate>& candidates)
     -> void {
+  trials_->RecordBroken(candidates, clock_.Now());
   const auto [item, is_first] = unconfirmed_.try_emplace(server->listed.id);
   item->second.insert(candidates.begin(), candidates.end());
   if (!is_first) return;
@@ -158,19 +210,26 @@
 auto crash_monitor::RecordAnswered(
     const std::vector<crash_candidate>& candidates, monotonic_ms first_event_ms)
     -> void {
-  if (suspects_.empty()) return;
+  for (const auto key : trials_->RecordAnswered(candidates, first_event_ms)) {
+    Clear(key);
+  }
   for (const auto& candidate : candidates) {
     const auto suspect = suspects_.find(candidate.key);
     if (suspect == suspects_.end() || first_event_ms < suspect->second) {
       continue;
     }
-    suspects_.erase(suspect);
-    attribution_.Clear(candidate.key, clock_.Now());
-    own_quarantines_.erase(candidate.key);
-    cleared_.insert(candidate.key);
+    Clear(candidate.key);
   }
 }
 
+auto crash_monitor::Clear(crash_key key) -> void {
+  suspects_.erase(key);
+  attribution_.Clear(key, clock_.Now());
+  cleared_.insert(key);
+  // What explains the crashes instead is to be decided before the next call.
+  if (own_quarantines_.erase(key) > 0) next_decision_ms_ = 0;
+}
+
 auto crash_monitor::UnacknowledgedReports(const std::string& leader) const
     -> std::vector<crash_report> {
   std::vector<crash_report> reports;
--- a/src/route_entry/fleet_link.cpp
+++ b/src/route_entry/fleet_link.cpp
@@ -427,7 +427,10 @@
     state_.servers.AdoptServerLimits(response.limits->servers, clock_.Now());
   }
   if (!response.relay) return;
-  if (response.is_leader) state_.crashes.SetSuspects(response.relay->suspects);
+  if (response.is_leader) {
+    state_.crashes.SetSuspects(response.relay->suspects);
+    state_.crashes.SetAlternatives(response.alternatives);
+  }
   const auto& replicas = response.relay->replicas;
   if (!replicas.empty()) replicas_hash_ = HashReplicas(replicas);
   for (const auto& replica : replicas) AddReplica(replica);
--- a/src/route_entry/metrics.cpp
+++ b/src/route_entry/metrics.cpp
@@ -199,6 +199,9 @@
   auto crashes = MakeMetricFamily("lovagedale_server_crashes_detected_total",
                                   MetricType::Counter);
   AddMetricValue(crashes, static_cast<double>(state.crashes.crashes()));
+  auto trials = MakeMetricFamily("lovagedale_quarantine_trials_total",
+                                 MetricType::Counter);
+  AddMetricValue(trials, static_cast<double>(state.crashes.trials()));
   const admission_metrics admission(state.admission);
   return prometheus::TextSerializer().Serialize({calls,
                                                  attempts,
@@ -218,6 +221,7 @@
                                                  list,
                                                  suppressed,
                                                  crashes,
+                                                 trials,
                                                  limits.requests,
                                                  limits.limit,
                                                  limits.demand,
--- a/tests/formats/samples.h
+++ b/tests/formats/samples.h
@@ -51,6 +51,8 @@
   response.loads = MakeSample<fleet_loads>();
   response.heavy_shares = MakeSample<std::vector<heavy_work_share>>();
   response.thresholds = MakeSample<std::vector<fleet_threshold>>();
+  if (format < kAlternativesFormat) return;
+  response.alternatives = MakeSample<std::vector<quarantine_alternatives>>();
 }
 
 inline auto AddFieldsOf(format_number format, view_update& update) -> void {
--- a/tests/health/crash_attribution_test.cpp
+++ b/tests/health/crash_attribution_test.cpp
@@ -201,6 +201,52 @@
   });
 }
 
+// Guards against a sound part that is blamed for crashes while the sound
+// requests with it pause, and cannot be told from the deadly one any more.
+TEST_CASE("the other common parts are the alternatives of a blamed one") {
+  crash_attribution crashes;
+  for (int i = 0; i < 3; ++i) {
+    const auto name = std::to_string(i);
+    // Part 2 is shared with sound requests of another customer.
+    auto candidates = Parts({1, 7, 3});
+    if (i > 0) candidates.push_back({2, 0});
+    candidates.push_back(
+        {static_cast<crash_key>(100 + i), crash_candidate::kSharedRequest});
+    crashes.ReportCrash({"s" + name, candidates, "r" + name}, 500 * i);
+  }
+  CHECK(Decide(crashes, 1'500) == keys{3});
+  using alternatives = std::vector<quarantine_alternatives>;
+  CHECK(crashes.Alternatives() == alternatives{{3, {1, 7}}});
+  // A request with parts 1 and 3 is answered.
+  crashes.Clear(1, 2'000);
+  CHECK(crashes.Alternatives() == alternatives{{3, {7}}});
+  crashes.Clear(3, 2'000);
+  CHECK(crashes.Alternatives().empty());
+  CHECK(Decide(crashes, 2'000, {3}) == keys{7});
+  CHECK(crashes.Alternatives() == alternatives{{7, {}}});
+}
+
+TEST_CASE("a crash without a key rules it out as an alternative") {
+  crash_attribution crashes;
+  for (int i = 0; i < 3; ++i) {
+    const auto name = std::to_string(i);
+    crashes.ReportCrash({"s" + name, Parts({1, 2, 3}), "r" + name}, 500 * i);
+  }
+  CHECK(Decide(crashes, 1'500) == keys{3});
+  crashes.ReportCrash({"s3", Parts({1, 5, 3}), "r3"}, 2'000);
+  Decide(crashes, 2'000, {3});
+  CHECK(crashes.Alternatives() ==
+        std::vector<quarantine_alternatives>{{3, {1}}});
+}
+
+TEST_CASE("nothing is said of a quarantine whose crashes are not known") {
+  crash_attribution crashes;
+  crashes.ReportCrash({"s1", Parts({1, 3}), "r1"}, 0);
+  crashes.ReportCrash({"s2", Parts({1, 3}), "r2"}, 500);
+  CHECK(Decide(crashes, 1'500, {3}).empty());
+  CHECK(crashes.Alternatives().empty());
+}
+
 TEST_CASE("reports of crashes and lists of suspects are bounded") {
   entry_heartbeat heartbeat;
   const auto empty_bytes = Encode(control_request(heartbeat)).size();
@@ -219,6 +265,18 @@
   response.relay->suspects = crashes.SharedSuspects();
   CHECK(response.relay->suspects.size() == crash_attribution::kMaxSuspects);
   CHECK(Encode(response).size() - empty_response_bytes <= 264);
+  response.relay->suspects.clear();
+  for (int i = 2; i < 5; ++i) {
+    const auto name = std::to_string(i);
+    crashes.ReportCrash({"s" + name, many, "r" + name}, 1'000 * i);
+  }
+  std::set<crash_key> quarantined;
+  for (crash_key key = 0; key < 10; ++key) quarantined.insert(key);
+  crashes.Decide(quarantined, kObservationMs, 5'000);
+  response.alternatives = crashes.Alternatives();
+  CHECK(response.alternatives.size() ==
+        crash_attribution::kMaxAlternativesKeys);
+  CHECK(Encode(response).size() - empty_response_bytes <= 650);
 }
 
 }  // namespace lovagedale::testing
--- a/tests/platform/listed_servers.cpp
+++ b/tests/platform/listed_servers.cpp
@@ -1,11 +1,12 @@
 // Stand-ins of the platform's servers and of its list of them, in one process.
 //   listed_servers LIST_PORT ID:SERVICE:ZONE:PORT...
 // A path that begins with /stream/ is answered with events, each other one with
-// a short body, and after a while if it begins with /slow/. GET /record on the
-// list's port tells how often requests ran, GET /cold/MS lists all servers as
-// cold for a time, GET /count/MS counts requests of each server after a time,
-// and GET /seconds tells the total and the most in a second for the busiest
-// server since.
+// a short body, and after a while if it begins with /slow/. A request whose
+// prompt has the part dead1 crashes its server, which is back after a while.
+// GET /record on the list's port tells how often requests ran and servers
+// crashed, GET /cold/MS lists all servers as cold for a time, GET /count/MS
+// counts requests of each server after a time, and GET /seconds tells the total
+// and the most in a second for the busiest server since.
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
@@ -19,6 +20,7 @@
 #include <vector>
 
 #include "lovagedale/common/fiber_event.h"
+#include "lovagedale/common/spawn.h"
 #include "lovagedale/http/server.h"
 #include "lovagedale/standin/arrival_windows.h"
 #include "wire.h"
@@ -33,6 +35,9 @@
 constexpr std::chrono::milliseconds kEventPause{30};
 constexpr std::chrono::milliseconds kAnswerTime{20};
 constexpr std::chrono::milliseconds kSlowAnswerTime{2'000};
+constexpr std::chrono::milliseconds kDownTime{1'500};
+/// The id of the part, in a prompt's list of parts.
+constexpr std::string_view kDeadlyPart = ",dead1:";
 
 struct stand_in {
   std::string id;
@@ -47,22 +52,32 @@
                  const std::vector<stand_in>& servers)
       : context_(context), servers_(servers) {
     Listen(list_port, [this](http_exchange& exchange) { List(exchange); });
-    for (const auto& server : servers_) {
-      Listen(server.port, [this, &server](http_exchange& exchange) {
-        Run(exchange, server);
-      });
-    }
+    for (const auto& server : servers_) Start(server);
   }
 
  private:
   auto Listen(std::uint16_t port, http_handler handler) -> void {
-    listeners_.push_back(std::make_unique<http_server>(
-        context_, "127.0.0.1", port, false, http_limits{}, std::move(handler)));
+    listeners_[port] = std::make_unique<http_server>(
+        context_, "127.0.0.1", port, false, http_limits{}, std::move(handler));
+  }
+  auto Start(const stand_in& server) -> void {
+    Listen(server.port,
+           [this, &server](http_exchange& exchange) { Run(exchange, server); });
+  }
+  auto Crash(const stand_in& server) -> void {
+    ++crashes_;
+    listeners_.at(server.port)->CloseIdle();
+    listeners_.erase(server.port);
+    SpawnTask(context_, [this, &server](boost::asio::yield_context yield) {
+      Pause(context_.get_executor(), kDownTime, yield);
+      Start(server);
+    });
   }
   auto List(http_exchange& exchange) -> void {
     if (exchange.request().Path() == "/record") {
       json::object record{{"orders", orders_.size()},
-                          {"repeated", repeated_orders_}};
+                          {"repeated", repeated_orders_},
+                          {"crashes", crashes_}};
       for (const auto& [zone, count] : requests_by_zone_) {
         record["requests in " + zone] = count;
       }
@@ -122,6 +137,13 @@
       exchange.Respond(421, "", "", {{std::string(wire::kRequestId), id}});
       return;
     }
+    if (!listeners_.contains(server.port) ||
+        request.Header(wire::kPromptParts).find(kDeadlyPart) !=
+            std::string_view::npos) {
+      if (listeners_.contains(server.port)) Crash(server);
+      exchange.CloseAfterResponse();
+      return;
+    }
     arrivals_.try_emplace(server.id, kSecondMs).first->second.Add(clock_.Now());
     const header_list headers = {
         {std::string(wire::kRequestId), id},
@@ -156,7 +178,9 @@
   monotonic_ms cold_until_ms_ = 0;
   std::map<std::string, arrival_windows> arrivals_;  ///< by id, in seconds
   const std::vector<stand_in> servers_;
-  std::vector<std::unique_ptr<http_server>> listeners_;
+  std::map<std::uint16_t, std::unique_ptr<http_server>>
+      listeners_;  ///< by port
+  std::uint64_t crashes_ = 0;
   std::set<std::string> orders_;
   std::uint64_t repeated_orders_ = 0;
   std::map<std::string, std::uint64_t> requests_by_zone_;  ///< that ran
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1644,6 +1644,50 @@
   CHECK(answered_by_it > 0);
 }
 
+// Guards against sound calls that are refused as long as they come, after
+// another part of prompts has crashed servers while they paused: the entry has
+// blamed a part that they share.
+TEST_CASE("a call without the bad part ends the quarantine of a sound one") {
+  std::vector<std::unique_ptr<scripted_server>> servers;
+  std::vector<std::uint16_t> ports;
+  for (int i = 0; i < 5; ++i) {
+    servers.push_back(std::make_unique<scripted_server>(
+        [](const std::string& request) {
+          const bool is_bad = request.find("Parts: 17") != std::string::npos;
+          return is_bad ? "" : Answer("200 OK", "", "done");
+        },
+        std::chrono::milliseconds(0), "", std::chrono::milliseconds(1'200)));
+    ports.push_back(servers.back()->port());
+  }
+  auto item = MakeRoute(route_kind::kRepeatable);
+  item.max_attempts = 1;
+  const running_relay relay(item, ports);
+  int number = 0;
+  // Parts 1 and 3 are shared, 7 is the bad one, the last part is the call's
+  // own.
+  const auto call = [&](const std::string& shared) {
+    ++number;
+    return relay.Call({{"Parts", shared + "9"}}, std::to_string(number));
+  };
+  const auto is_refused = [&](const std::string& shared) {
+    return call(shared).body.find("quarantined") != std::string::npos;
+  };
+  const auto wait_for = [](const auto& condition) {
+    for (int i = 0; i < 100; ++i) {
+      if (condition()) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return false;
+  };
+  REQUIRE(wait_for([&] { return is_refused("173"); }));
+  CHECK(wait_for([&] { return call("13").head.status == 200; }));
+  CHECK(wait_for([&] { return call("13").head.status == 200; }));
+  // The bad part is blamed at once.
+  CHECK(is_refused("173"));
+  CHECK(is_refused("17"));
+  CHECK(call("13").head.status == 200);
+}
+
 // Guards against light prompts at servers whose streams heavy ones may delay
 // anyway, although their own group is idle.
 TEST_CASE("light prompts go to the servers of their group") {
