Count the first parts of long prompts as a crash candidate

Of a prompt with more than 16 shared parts only the last 16 were candidates. A bad part before them crashes servers without being a suspect, so a sound part is blamed, and sound requests, which share all of the candidates, are refused as well: nothing tells them from the bad ones.

The parts before the last 16 are now one candidate together, the most general one. Requests with the bad part and without it differ in it, so a trial clears the parts that they share and the blame falls on the rest.

--- a/include/lovagedale/relay/crash_monitor.h
+++ b/include/lovagedale/relay/crash_monitor.h
@@ -21,7 +21,8 @@
 namespace lovagedale {
 
 /// What may make a call crash servers: the shared parts of its prompt, for any
-/// caller, and the customer's whole request.
+/// caller, and the customer's whole request. In a long prompt, the first parts
+/// are one candidate together, so that they are never without a suspect.
 auto CrashCandidates(const call_request& call, const std::string& customer,
                      const http_request& request)
     -> std::vector<crash_candidate>;
--- a/src/relay/crash_monitor.cpp
+++ b/src/relay/crash_monitor.cpp
@@ -19,7 +19,9 @@
 
 /// Separates the keys of prompt parts from those of requests.
 constexpr std::uint64_t kPartSalt = 0x70726f6d70742d70;
-/// Shared parts of one prompt that are considered, from its end.
+/// Separates the keys of the parts before those from all others.
+constexpr std::uint64_t kLeadingPartsSalt = 0x6c656164696e672d;
+/// Shared parts of one prompt that are candidates of their own, from its end.
 constexpr std::size_t kMaxParts = 16;
 /// A process that ends closes its connections before its listening socket.
 constexpr std::array<std::chrono::milliseconds, 2> kConfirmDelays{
@@ -45,6 +47,13 @@
   std::vector<crash_candidate> candidates;
   const auto shared = call.parts.empty() ? 0 : call.parts.size() - 1;
   const auto first = shared - std::min(shared, kMaxParts);
+  if (first > 0) {
+    auto key = kLeadingPartsSalt;
+    for (std::size_t i = 0; i < first; ++i) {
+      key = MixBits(key ^ call.parts[i].id);
+    }
+    candidates.push_back({key, 0});
+  }
   for (auto i = first; i < shared; ++i) {
     candidates.push_back({MixBits(call.parts[i].id ^ kPartSalt),
                           static_cast<std::uint8_t>(i - first)});
