Report the prompts' parts of a crash first

A report of a crash names at most 64 candidates; those beyond were left out by the value of their keys, which is random. A busy server has a candidate for each call, the whole request, so a bad part of prompts might be missing in most reports: it is found late, and a sound part may be blamed instead, with nothing left that a trial could rule out.

Parts come first now, the most general ones before the others, then whole requests. Not seen with real processes; the test is of the new function, which did not exist before.

--- a/include/lovagedale/health/crash_attribution.h
+++ b/include/lovagedale/health/crash_attribution.h
@@ -50,6 +50,12 @@
   }
 };
 
+/// The candidates of a crash that are reported, at most
+/// crash_attribution::kMaxCandidates: parts of prompts before whole requests,
+/// of which a busy server has one for each call.
+auto CandidatesToReport(const std::set<crash_candidate>& candidates)
+    -> std::vector<crash_candidate>;
+
 /// A key to be quarantined, and why.
 struct crash_finding {
   crash_candidate candidate;
--- a/src/health/crash_attribution.cpp
+++ b/src/health/crash_attribution.cpp
@@ -15,6 +15,17 @@
 
 }  // namespace
 
+auto CandidatesToReport(const std::set<crash_candidate>& candidates)
+    -> std::vector<crash_candidate> {
+  std::vector<crash_candidate> reported(candidates.begin(), candidates.end());
+  std::stable_sort(reported.begin(), reported.end(),
+                   [](const crash_candidate& a, const crash_candidate& b) {
+                     return a.specificity < b.specificity;
+                   });
+  reported.resize(std::min(reported.size(), crash_attribution::kMaxCandidates));
+  return reported;
+}
+
 auto crash_attribution::ReportCrash(const crash_report& report,
                                     monotonic_ms now) -> void {
   if (!report_times_.emplace(report.report_id, now).second) return;
--- a/src/relay/crash_monitor.cpp
+++ b/src/relay/crash_monitor.cpp
@@ -199,10 +199,9 @@
     -> void {
   const auto now = clock_.Now();
   ++crash_count_;
-  crash_report report{server->listed.id, {}, ToHex(random_())};
-  for (const auto& candidate : candidates) {
-    if (report.candidates.size() == crash_attribution::kMaxCandidates) break;
-    report.candidates.push_back(candidate);
+  crash_report report{server->listed.id, CandidatesToReport(candidates),
+                      ToHex(random_())};
+  for (const auto& candidate : report.candidates) {
     suspects_.try_emplace(candidate.key, now);
   }
   log_line(log_level::kWarning, "server_crash_detected")
--- a/tests/health/crash_attribution_test.cpp
+++ b/tests/health/crash_attribution_test.cpp
@@ -247,6 +247,20 @@
   CHECK(crashes.Alternatives().empty());
 }
 
+// Guards against a bad part that busy servers' crashes never name, as their
+// reports are full of the whole requests that ran there.
+TEST_CASE(
+    "a report has the prompts' parts though it cannot have all requests") {
+  std::set<crash_candidate> candidates = {{1'000, 0}, {2'000, 1}};
+  for (crash_key key = 0; key < 100; ++key) {
+    candidates.insert({key, crash_candidate::kSharedRequest});
+  }
+  const auto reported = CandidatesToReport(candidates);
+  CHECK(reported.size() == crash_attribution::kMaxCandidates);
+  CHECK(reported[0] == crash_candidate{1'000, 0});
+  CHECK(reported[1] == crash_candidate{2'000, 1});
+}
+
 TEST_CASE("reports of crashes and lists of suspects are bounded") {
   entry_heartbeat heartbeat;
   const auto empty_bytes = Encode(control_request(heartbeat)).size();
