Let twelve property tests fail

rc::check returns whether a property holds; in these four test files the result was not checked, so a property that does not hold was printed ("Falsifiable") and the test passed. Seen on a scratch copy of the new test of quarantine trials: with trials switched off, and with trials of all requests, its property was falsified and the test passed.

The results are checked now, as in all other property tests.

--- a/tests/health/crash_attribution_test.cpp
+++ b/tests/health/crash_attribution_test.cpp
@@ -150,7 +150,7 @@
 
 // Guards against blaming sound requests beside one deadly part.
 TEST_CASE("beside sound traffic only the deadly part is quarantined") {
-  rc::check([] {
+  CHECK(rc::check([] {
     constexpr crash_key kDeadly = 1'000;
     const auto first_parts = *rc::gen::inRange<crash_key>(1, 5);
     const auto subjects = *rc::gen::inRange<crash_key>(20, 300);
@@ -198,7 +198,7 @@
     RC_ASSERT(fifth_at < 0 || quarantined_at <= fifth_at);
     // Sound keys are answered meanwhile, so none of them is blamed.
     RC_ASSERT(in_force == std::set<crash_key>{kDeadly});
-  });
+  }));
 }
 
 // Guards against a sound part that is blamed for crashes while the sound
--- a/tests/health/quarantine_trials_test.cpp
+++ b/tests/health/quarantine_trials_test.cpp
@@ -99,7 +99,7 @@
 // Guards, over many rates of both kinds of requests, against a sound part that
 // stays quarantined and against a deadly one that goes on crashing servers.
 TEST_CASE("entries and control find the deadly part of any prompts") {
-  rc::check([] {
+  CHECK(rc::check([] {
     constexpr monotonic_ms kStepMs = 20;
     // Until the entries have a quarantine, or what control knows of it.
     constexpr monotonic_ms kPropagationMs = 300;
@@ -213,7 +213,7 @@
     // As many as half of those before, which all started.
     RC_ASSERT(2 * sound_started >= sound_sent);
     RC_ASSERT(control.Alternatives().empty() || in_force.contains(kDeadly));
-  });
+  }));
 }
 
 }  // namespace lovagedale::testing
--- a/tests/relay/server_groups_test.cpp
+++ b/tests/relay/server_groups_test.cpp
@@ -98,7 +98,7 @@
 // Guards against requests that are refused, or sent to an ejected server,
 // because their group has no candidate, as with one version of a roll-out.
 TEST_CASE("any candidates give a choice, whatever the boundary") {
-  rc::check([] {
+  CHECK(rc::check([] {
     auto servers = MakeServers(*rc::gen::inRange<std::size_t>(1, 20));
     bool is_any_usable = false;
     for (auto& server : servers) {
@@ -116,13 +116,13 @@
     RC_ASSERT(chosen.has_value());
     RC_ASSERT(*chosen < servers.size());
     RC_ASSERT(!is_any_usable || !servers[*chosen].ejected);
-  });
+  }));
 }
 
 // Guards against heavy requests that spread to the light ones' servers as soon
 // as these are less busy, which they are meant to be.
 TEST_CASE("a request leaves its group only to save the cost of doing so") {
-  rc::check([] {
+  CHECK(rc::check([] {
     auto servers = MakeServers(*rc::gen::inRange<std::size_t>(8, 40));
     for (auto& server : servers) server.work = *rc::gen::inRange(0, 150'000);
     choice_input input;
@@ -141,11 +141,11 @@
                 2 * chosen.work +
                     groups.OverflowCost(input.prompt->total_work));
     }
-  });
+  }));
 }
 
 TEST_CASE("a change of the share moves only as many servers as it must") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto count = *rc::gen::inRange<std::size_t>(8, 300);
     const auto servers = Grouped(MakeServers(count));
     const auto before = *rc::gen::inRange(5, 96) / 100.0;
@@ -157,11 +157,11 @@
         std::abs(HeavyServerFraction(after) - HeavyServerFraction(before)) *
         static_cast<double>(count);
     RC_ASSERT(static_cast<double>(moved) <= needed + 1);
-  });
+  }));
 }
 
 TEST_CASE("a server that enters or leaves moves at most one other") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto count = *rc::gen::inRange<std::size_t>(9, 300);
     const auto share = *rc::gen::inRange(5, 96) / 100.0;
     const auto all = Grouped(MakeServers(count));
@@ -171,7 +171,7 @@
     const auto moved = CountChanges(HeavyServers(GroupsAt(share, all), all),
                                     HeavyServers(GroupsAt(share, rest), rest));
     RC_ASSERT(moved <= 2);  // with the server itself
-  });
+  }));
 }
 
 // Guards against entries whose groups differ: heavy requests of one would run
--- a/tests/scheduling/model_choice_test.cpp
+++ b/tests/scheduling/model_choice_test.cpp
@@ -54,7 +54,7 @@
 // Guards against fewer answers of the larger model while capacity is plentiful.
 TEST_CASE(
     "a request of mean size on an idle fleet is decided by the threshold") {
-  rc::check([] {
+  CHECK(rc::check([] {
     auto input = AnyInput();
     input.elapsed_ms = 0;
     input.size_ratio = 1;
@@ -63,7 +63,7 @@
               (input.confidence < ThresholdUnderLoad(input.threshold,
                                                      input.expected_ms,
                                                      input.objective_ms)));
-  });
+  }));
 }
 
 // Guards against long prompts that are asked again of the larger model, and
@@ -92,7 +92,7 @@
   auto input = Uncertain();
   input.may_run_again = false;
   CHECK(DecideEscalation(input) == escalation_decision::kRunsOnce);
-  rc::check([] {
+  CHECK(rc::check([] {
     auto any = AnyInput();
     const auto repeatable = DecideEscalation(any);
     any.may_run_again = false;
@@ -101,7 +101,7 @@
               (repeatable == escalation_decision::kEscalate
                    ? escalation_decision::kRunsOnce
                    : repeatable));
-  });
+  }));
 }
 
 // Guards against weak answers to requests that may run once, and against long
@@ -142,28 +142,28 @@
 }
 
 TEST_CASE("what is worth more is given up later") {
-  rc::check("a lower confidence", [] {
+  CHECK(rc::check("a lower confidence", [] {
     auto input = AnyInput();
     auto lower = input;
     lower.confidence *= *Fraction();
     RC_ASSERT(!Escalates(input) || Escalates(lower));
-  });
-  rc::check("a smaller request", [] {
+  }));
+  CHECK(rc::check("a smaller request", [] {
     auto input = AnyInput();
     auto smaller = input;
     smaller.size_ratio *= *Fraction();
     RC_ASSERT(!Escalates(input) || Escalates(smaller));
-  });
-  rc::check("a more urgent request", [] {
+  }));
+  CHECK(rc::check("a more urgent request", [] {
     auto input = AnyInput();
     auto more_urgent = input;
     more_urgent.priority = *rc::gen::inRange(0U, input.priority + 1);
     RC_ASSERT(!Escalates(input) || Escalates(more_urgent));
-  });
+  }));
 }
 
 TEST_CASE("no price exceeds 1, and other routes never cause an escalation") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto input = AnyInput();
     const auto price = CapacityPrice(input);
     RC_ASSERT(price >= 0);
@@ -171,7 +171,7 @@
     auto alone = input;
     alone.other_routes.clear();
     RC_ASSERT(!Escalates(input) || Escalates(alone));
-  });
+  }));
 }
 
 TEST_CASE("the size is compared with that of recent answers") {
