Let answers clear what a quarantine explains

Cause: entries report answers only for the suspects that control names, and a candidate was a suspect only while it had crashes that no quarantine explained. What was answered meanwhile did not count, and was blamed at once when the quarantine ended. Candidates of two crashes or more are suspects now, explained or not; those with unexplained crashes still come first.

Evidence: "what a quarantine explains is still cleared by answers" failed before: the list of suspects was empty.

--- a/include/lovagedale/health/crash_attribution.h
+++ b/include/lovagedale/health/crash_attribution.h
@@ -115,8 +115,10 @@
   /// cleared.
   auto Decide(const std::set<crash_key>& in_force, monotonic_ms observation_ms,
               monotonic_ms now) -> std::vector<crash_finding>;
-  /// Suspects that requests may share, those with most crashes first; at most
-  /// kMaxSuspects. As of the last call of Decide, without those cleared since.
+  /// Suspects that requests may share, those with most unexplained crashes
+  /// first; at most kMaxSuspects. Among them are candidates of several crashes
+  /// that a quarantine explains, as it may be lifted. As of the last call of
+  /// Decide, without those cleared since.
   auto SharedSuspects() const -> const std::vector<crash_key>& {
     return shared_suspects_;
   }
--- a/src/health/crash_attribution.cpp
+++ b/src/health/crash_attribution.cpp
@@ -147,15 +147,20 @@
 }
 
 auto crash_attribution::UpdateSharedSuspects() -> void {
-  std::vector<std::pair<std::size_t, crash_key>> ranked;
+  std::vector<std::tuple<std::size_t, std::size_t, crash_key>> ranked;
   for (const auto& [candidate, counts] : CountCrashes()) {
-    if (counts.unexplained == 0 || !IsShared(candidate)) continue;
-    ranked.emplace_back(counts.unexplained, candidate.key);
+    if (!IsShared(candidate)) continue;
+    // A key that explains several crashes is blamed next if their quarantine is
+    // lifted.
+    if (counts.unexplained == 0 && counts.total < 2) continue;
+    ranked.emplace_back(counts.unexplained, counts.total, candidate.key);
   }
   std::sort(ranked.rbegin(), ranked.rend());
   ranked.resize(std::min(ranked.size(), kMaxSuspects));
   shared_suspects_.clear();
-  for (const auto& [count, key] : ranked) shared_suspects_.push_back(key);
+  for (const auto& [unexplained, total, key] : ranked) {
+    shared_suspects_.push_back(key);
+  }
 }
 
 auto crash_attribution::UpdateAlternatives(
--- a/tests/health/crash_attribution_test.cpp
+++ b/tests/health/crash_attribution_test.cpp
@@ -239,6 +239,21 @@
         std::vector<quarantine_alternatives>{{3, {1}}});
 }
 
+// Guards against sound parts that are blamed one after the other as each
+// quarantine is lifted: their answers did not count while it explained crashes.
+TEST_CASE("what a quarantine explains is still cleared by answers") {
+  crash_attribution crashes;
+  for (int i = 0; i < 3; ++i) {
+    const auto name = std::to_string(i);
+    crashes.ReportCrash({"s" + name, Parts({1, 7, 3}), "r" + name}, 500 * i);
+  }
+  CHECK(Decide(crashes, 1'500) == keys{3});
+  CHECK(Decide(crashes, 2'000, {3}).empty());
+  const auto& suspects = crashes.SharedSuspects();
+  CHECK(std::set<crash_key>(suspects.begin(), suspects.end()) ==
+        std::set<crash_key>{1, 3, 7});
+}
+
 TEST_CASE("nothing is said of a quarantine whose crashes are not known") {
   crash_attribution crashes;
   crashes.ReportCrash({"s1", Parts({1, 3}), "r1"}, 0);
