Decide early about crashes only when a quarantine is lifted

Since control decided at once when a heartbeat cleared any suspect, not only a quarantined one.

The early decision is there so that no bad request passes between two quarantines, which needs a quarantine that is lifted. All others wait for the next tick again, as before.

--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -397,17 +397,21 @@
         .With("candidates", report.candidates.size());
     crashes_.ReportCrash(report, now);
   }
-  for (const auto key : heartbeat.cleared_suspects) crashes_.Clear(key, now);
-  // What explains the crashes instead is quarantined first: the requests with
-  // it must not be let through in between.
-  if (!heartbeat.cleared_suspects.empty()) QuarantineCrashers();
-  const auto& quarantines = machine_.view().quarantines;
+  std::vector<quarantine> lifted;
   for (const auto key : heartbeat.cleared_suspects) {
+    crashes_.Clear(key, now);
+    const auto& quarantines = machine_.view().quarantines;
     const auto in_force = std::find_if(
         quarantines.begin(), quarantines.end(),
         [&](const quarantine& item) { return item.fingerprint == key; });
-    if (in_force == quarantines.end()) continue;
-    ProposeLift(*in_force, "a request with it was answered");
+    if (in_force != quarantines.end()) lifted.push_back(*in_force);
+  }
+  if (lifted.empty()) return;
+  // What explains the crashes instead is quarantined first: the requests with
+  // it must not be let through in between.
+  QuarantineCrashers();
+  for (const auto& item : lifted) {
+    ProposeLift(item, "a request with it was answered");
   }
 }
 
