Give a call that may run once the best model that there is room for

A call that must not be repeated started on the largest model of its route or on the smallest. Its caller got the smallest model's answer where a middle one would have been in time, and if admission had no room for the work of the largest model, it was refused with 503 though a smaller one could have answered.

Cause: compared the largest model only, and the gate was asked once. FirstModel now takes the largest model whose answer would be in time. While nothing has run, the call goes down one model if admission refuses it or a server does not have the model.

Evidence: "a call that may run once starts on the largest model in time of many" (small instead of medium) and "a call that may run once goes to the model for which there is room" (refused as overloaded) failed before.

Calls that may be repeated start on the smallest model as before, so neither path concerns them.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -246,8 +246,9 @@
     return;
   }
   ++model_refusals_;
-  // Servers may have none but the smallest of the route's models loaded.
-  if (runs_ == 0 && !call_.model) tier_ = 0;
+  // A call that may run once has started on a larger model; servers may not
+  // have it.
+  if (runs_ == 0 && !call_.model && tier_ > 0) --tier_;
 }
 
 template <call_protocol Protocol>
--- a/include/lovagedale/relay/relay.h
+++ b/include/lovagedale/relay/relay.h
@@ -125,6 +125,8 @@
   auto CountRequest() -> void;
   /// Waits for the call's turn; false if it was refused.
   auto AwaitTurn() -> bool;
+  /// Waits for the turn of the call on its current model.
+  auto EnterGate() -> admission_decision;
   /// Ends AwaitTurn early.
   auto EndWait() -> void;
   auto RunAttempts() -> void;
@@ -180,11 +182,13 @@
   auto EscalateIfUncertain(const server_handle& server,
                            const server_answer_metadata& metadata) -> bool;
   /// Index of the model for the first attempt: the smallest, as a weak answer
-  /// can be replaced, but see StartsOnLargestModel for calls that may run once.
+  /// can be replaced. A call that may run once starts on the largest one that
+  /// StartsOnLargerModel allows.
   auto FirstModel() const -> std::size_t;
-  /// What the decision about the larger model depends on. `assumed_ms`: its
-  /// time to the first event, if few answers are known.
-  auto EscalationInput(double confidence, const confidence_threshold& threshold,
+  /// What the decision about a larger model, an index, depends on.
+  /// `assumed_ms`: its time to the first event, if few answers are known.
+  auto EscalationInput(std::size_t model, double confidence,
+                       const confidence_threshold& threshold,
                        double assumed_ms) const -> escalation_input;
   /// Gives up the attempt at a server that runs, if another attempt may replace
   /// it now; false if it goes on. A silent server is no reason to end a call
--- a/include/lovagedale/relay/relay_admission-inl.h
+++ b/include/lovagedale/relay/relay_admission-inl.h
@@ -10,15 +10,30 @@
 auto relayed_call<Protocol>::AwaitTurn() -> bool {
   // A resumed stream runs already; another entry has admitted what it forwards.
   if (!state_.settings.admission || origin_ != call_origin::kCaller ||
-      call_.after_event) {
+      call_.after_event || !PromptWork()) {
     return true;
   }
-  const auto prompt = PromptWork();
-  if (!prompt) return true;
+  auto decision = EnterGate();
+  // A call that may run once starts on a larger model, for which there may be
+  // no room.
+  while (decision.verdict == admission_verdict::kRefuse && tier_ > 0) {
+    --tier_;
+    decision = EnterGate();
+  }
+  if (decision.verdict != admission_verdict::kRefuse) return true;
+  limited_until_ms_ = clock_.Now() + decision.retry_after_ms;
+  Refuse(refusal::kOverloaded, decision.is_beyond_limit
+                                   ? "it could not begin in its time limit"
+                                   : "it would be late");
+  return false;
+}
+
+template <call_protocol Protocol>
+auto relayed_call<Protocol>::EnterGate() -> admission_decision {
   const auto& item = *match_.matched_route;
   admission_call call{service_, item.name, match_.Priority(), {}};
   if (match_.customer != nullptr) call.request.customer = match_.customer->name;
-  call.request.work = prompt->total_work;
+  call.request.work = PromptWork()->total_work;
   call.request.due_ms = started_ms_ + item.objective_ms;
   call.request.deadline_ms = deadline_ms_;
   turn_.emplace(state_.context.get_executor());
@@ -27,12 +42,7 @@
   const auto decision = state_.admission.Enter(
       std::move(call), view_->table, state_.entries, turn, exchange_.yield());
   turn_.reset();
-  if (decision.verdict != admission_verdict::kRefuse) return true;
-  limited_until_ms_ = clock_.Now() + decision.retry_after_ms;
-  Refuse(refusal::kOverloaded, decision.is_beyond_limit
-                                   ? "it could not begin in its time limit"
-                                   : "it would be late");
-  return false;
+  return decision;
 }
 
 template <call_protocol Protocol>
--- a/include/lovagedale/relay/relay_answers-inl.h
+++ b/include/lovagedale/relay/relay_answers-inl.h
@@ -78,8 +78,8 @@
   // The small model's answer indicates how busy the servers are.
   const auto assumed_ms =
       static_cast<double>(clock_.Now() - sent_ms_) * kLargerModelLatencyFactor;
-  auto decision = DecideEscalation(
-      EscalationInput(*metadata.confidence, threshold, assumed_ms));
+  auto decision = DecideEscalation(EscalationInput(
+      item.models.size() - 1, *metadata.confidence, threshold, assumed_ms));
   if (decision == escalation_decision::kEscalate &&
       (runs_ >= MaxAttempts() ||
        (!std::exchange(has_reserved_attempt_, false) &&
@@ -107,20 +107,23 @@
   const auto assumed_ms =
       smallest.first_event.ExpectedMs(clock_.Now(), /*unknown_ms=*/0) *
       kLargerModelLatencyFactor;
-  return StartsOnLargestModel(
-             EscalationInput(/*confidence=*/0, smallest.threshold, assumed_ms))
-             ? item.models.size() - 1
-             : 0;
+  for (auto model = item.models.size() - 1; model > 0; --model) {
+    if (StartsOnLargerModel(EscalationInput(model, /*confidence=*/0,
+                                            smallest.threshold, assumed_ms))) {
+      return model;
+    }
+  }
+  return 0;
 }
 
 template <call_protocol Protocol>
 auto relayed_call<Protocol>::EscalationInput(
-    double confidence, const confidence_threshold& threshold,
+    std::size_t model, double confidence, const confidence_threshold& threshold,
     double assumed_ms) const -> escalation_input {
   const auto now = clock_.Now();
   const auto& item = *match_.matched_route;
   const auto& larger =
-      state_.tiers[{item.name, item.models.back()}].first_event;
+      state_.tiers[{item.name, item.models[model]}].first_event;
   escalation_input input;
   input.confidence = confidence;
   input.threshold = threshold.Threshold();
--- a/include/lovagedale/scheduling/model_choice.h
+++ b/include/lovagedale/scheduling/model_choice.h
@@ -61,10 +61,10 @@
 /// with the highest confidence, then the largest. Never kNoAttempt.
 auto DecideEscalation(const escalation_input& input) -> escalation_decision;
 
-/// Whether a request that may run once starts on the largest model: no second
-/// run can replace a weak answer of the smallest. It does unless an escalation
-/// would be given up whatever the confidence. `confidence` and `may_run_again`
-/// are ignored.
-auto StartsOnLargestModel(escalation_input input) -> bool;
+/// Whether a request that may run once starts on a larger model than the
+/// smallest: no second run can replace a weak answer. It does unless an
+/// escalation to that model would be given up whatever the confidence.
+/// `confidence` and `may_run_again` are ignored.
+auto StartsOnLargerModel(escalation_input input) -> bool;
 
 }  // namespace lovagedale
--- a/src/scheduling/model_choice.cpp
+++ b/src/scheduling/model_choice.cpp
@@ -96,7 +96,7 @@
                              : escalation_decision::kRunsOnce;
 }
 
-auto StartsOnLargestModel(escalation_input input) -> bool {
+auto StartsOnLargerModel(escalation_input input) -> bool {
   input.confidence = 0;
   input.may_run_again = true;
   return DecideEscalation(input) == escalation_decision::kEscalate;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1106,6 +1106,23 @@
   CHECK(server.requests() == 2);
 }
 
+// Guards against the smallest model's answer where a larger one than that is in
+// time, though the largest is not.
+TEST_CASE(
+    "a call that may run once starts on the largest model in time of many") {
+  scripted_server server([](const std::string& request) {
+    const auto at = request.find("Model: ") + 7;
+    return Answer("200 OK", "",
+                  request.substr(at, request.find('\r', at) - at));
+  });
+  auto item = MakeRoute(route_kind::kOnce);
+  item.models = {"small", "medium", "large"};
+  running_relay relay(item, {server.port()});
+  CHECK(relay.Call().body == "large");
+  relay.SetLargestModelAnswers(/*first_event_ms=*/600, /*tokens=*/0);
+  CHECK(relay.Call().body == "medium");
+}
+
 // Guards against an entry of an older build that escalates a forwarded call
 // which must not be repeated: it goes by the attempts that are left.
 TEST_CASE("a forwarded call that may run once has one attempt left") {
@@ -1443,6 +1460,37 @@
   CHECK(server.requests() == 2);
 }
 
+// Guards against calls that may run once and are refused for the work of a
+// model that this process has chosen for them, although there is room for a
+// smaller.
+TEST_CASE(
+    "a call that may run once goes to the model for which there is room") {
+  scripted_server server([](const std::string& request) {
+    const bool is_large = request.find("Model: large") != std::string::npos;
+    return Answer("200 OK", "", is_large ? "large" : "small");
+  });
+  auto item = MakeRoute(route_kind::kOnce);
+  item.prompts = true;
+  item.priority = 1;
+  item.objective_ms = 1'500;
+  item.models = {"small", "large"};
+  relay_settings settings;
+  settings.admission = true;
+  running_relay relay(item, {server.port()}, {}, settings);
+  const auto set_cost = [&](double cost) {
+    relay.ChangeRoutes([&](route_config& routes) {
+      routes.services[0].models = {{"small", 1}, {"large", cost}};
+    });
+  };
+  set_cost(2);
+  relay.ReportQueue(10);
+  CHECK(relay.Call({{"Parts", "12"}}).body == "large");
+  // Its work alone takes longer than the caller's limit.
+  set_cost(5'000);
+  relay.ReportQueue(10);
+  CHECK(relay.Call({{"Parts", "12"}}).body == "small");
+}
+
 // Guards against calls that wait in deployments that do not ask for it.
 TEST_CASE("no call waits for its turn unless admission is switched on") {
   scripted_server server(
--- a/tests/scheduling/model_choice_test.cpp
+++ b/tests/scheduling/model_choice_test.cpp
@@ -106,17 +106,18 @@
 
 // Guards against weak answers to requests that may run once, and against long
 // prompts on the largest model while its answers are late.
-TEST_CASE("a request that may run once starts on the largest model if idle") {
+TEST_CASE(
+    "a request that may run once starts on a larger model if there is room") {
   auto input = Uncertain();
   input.may_run_again = false;
-  CHECK(StartsOnLargestModel(input));
+  CHECK(StartsOnLargerModel(input));
   input.expected_ms = 1'900;
-  CHECK(StartsOnLargestModel(input));
+  CHECK(StartsOnLargerModel(input));
   input.expected_ms = 2'000;
-  CHECK_FALSE(StartsOnLargestModel(input));
+  CHECK_FALSE(StartsOnLargerModel(input));
   input.expected_ms = 600;
   input.other_routes = {{0, 1'500, 1'500}};
-  CHECK_FALSE(StartsOnLargestModel(input));
+  CHECK_FALSE(StartsOnLargerModel(input));
 }
 
 TEST_CASE("a size that is not usable counts as unknown") {
