Count log lines of trials in the log budget

An entry that knows a quarantined part to be sound sends its requests as trials until control lifts the quarantine, which takes as long as control is away. Each wrote a line, without regard to the budget that all other lines of calls obey. They obey it too now, and name the route; the metric still counts each trial. Found by reading; no test.

--- a/include/lovagedale/relay/relay-inl.h
+++ b/include/lovagedale/relay/relay-inl.h
@@ -151,8 +151,11 @@
       Refuse(refusal::kQuarantined, "");
       return false;
     }
-    log_line(log_level::kInfo, "quarantine_trial_started")
-        .With("request", call_.id);
+    if (state_.log.AllowFailure(clock_.Now())) {
+      log_line(log_level::kInfo, "quarantine_trial_started")
+          .With("request", call_.id)
+          .With("route", match_.matched_route->name);
+    }
   }
   CountRequest();
   return true;
