Start trials a second after a quarantine is known

Cause: what is common to the first crashes includes sound parts of other requests that ran at the same servers. Few answers arrive while servers crash, so these parts are not cleared yet, and a bad request that lacks one of them seems unlike those that crashed servers. After a second without a quarantined part in the way they are cleared by ordinary answers.

The model of control and entries now has such requests beside the bad ones. A sound caller waits up to a second longer; the bad part is quarantined as soon as before.

--- a/include/lovagedale/health/quarantine_trials.h
+++ b/include/lovagedale/health/quarantine_trials.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,6 +22,9 @@
 /// refused from then on. Not thread-safe.
 class quarantine_trials {
  public:
+  /// The alternatives of a quarantine that this process has known for less may
+  /// be sound parts of which no request was answered meanwhile.
+  static constexpr monotonic_ms kMinKnownMs = 1'000;
   /// After a trial's server has broken off, no further trial of its keys starts
   /// here for this time: control's next answer takes the crash into account.
   static constexpr monotonic_ms kPauseAfterBrokenMs = 2'000;
@@ -39,8 +41,8 @@
   auto IsUnlikeCrashed(crash_key key,
                        const std::vector<crash_candidate>& candidates) const
       -> bool;
-  /// Whether such a request may be sent now. Until one was answered, one trial
-  /// of a key runs at a time.
+  /// Whether a request may be sent now although `key` is quarantined. Until one
+  /// was answered, one trial of a key runs at a time.
   auto MayStart(crash_key key, const std::vector<crash_candidate>& candidates,
                 monotonic_ms now) const -> bool;
   auto RecordStarted(crash_key key) -> void;
@@ -62,6 +64,9 @@
     monotonic_ms next_start_ms = 0;
   };
 
+  /// The state of a key, which is known from now on if it was not.
+  auto StateOf(crash_key key, monotonic_ms now) -> trial_state&;
+
   std::map<crash_key, trial_state> states_;
 };
 
--- a/src/health/quarantine_trials.cpp
+++ b/src/health/quarantine_trials.cpp
@@ -14,12 +14,17 @@
 
 }  // namespace
 
+auto quarantine_trials::StateOf(crash_key key, monotonic_ms now)
+    -> trial_state& {
+  const auto [found, is_new] = states_.try_emplace(key);
+  if (is_new) found->second.known_since_ms = now;
+  return found->second;
+}
+
 auto quarantine_trials::Adopt(const std::vector<quarantine_alternatives>& items,
                               monotonic_ms now) -> void {
   for (const auto& item : items) {
-    const auto [found, is_new] = states_.try_emplace(item.key);
-    auto& state = found->second;
-    if (is_new) state.known_since_ms = now;
+    auto& state = StateOf(item.key, now);
     // The sender may not know of the answer yet.
     if (state.is_answered) continue;
     state.alternatives = {item.others.begin(), item.others.end()};
@@ -46,15 +51,19 @@
 auto quarantine_trials::MayStart(crash_key key,
                                  const std::vector<crash_candidate>& candidates,
                                  monotonic_ms now) const -> bool {
+  const auto found = states_.find(key);
+  if (found == states_.end()) return false;
+  const auto& state = found->second;
   if (!IsUnlikeCrashed(key, candidates)) return false;
-  const auto& state = states_.at(key);
-  return state.is_answered ||
-         (state.running == 0 && now >= state.next_start_ms);
+  const auto earliest_ms =
+      std::max(state.known_since_ms + kMinKnownMs, state.next_start_ms);
+  return state.is_answered || (state.running == 0 && now >= earliest_ms);
 }
 
 auto quarantine_trials::RecordStarted(crash_key key) -> void {
   const auto found = states_.find(key);
-  if (found != states_.end()) ++found->second.running;
+  if (found == states_.end()) return;
+  ++found->second.running;
 }
 
 auto quarantine_trials::RecordEnded(crash_key key) -> void {
--- a/tests/health/quarantine_trials_test.cpp
+++ b/tests/health/quarantine_trials_test.cpp
@@ -22,10 +22,11 @@
   return candidates;
 }
 
-/// Part 3 is quarantined; parts 1 and 7 explain its crashes as well.
+/// Part 3 is quarantined; parts 1 and 7 explain its crashes as well. Known for
+/// long enough at 0.
 auto Ambiguous() -> quarantine_trials {
   quarantine_trials trials;
-  trials.Adopt({{3, {1, 7}}}, 0);
+  trials.Adopt({{3, {1, 7}}}, -quarantine_trials::kMinKnownMs);
   return trials;
 }
 
@@ -48,6 +49,16 @@
   CHECK_FALSE(trials.MayStart(3, Request({7, 3}), 300));
 }
 
+// Guards against trials of bad requests which lack a sound part that was in use
+// at the crashed servers as well, before its answers have cleared it.
+TEST_CASE("no request is tried as soon as a quarantine is known") {
+  quarantine_trials trials;
+  trials.Adopt({{3, {1, 7}}}, 0);
+  const auto sound = Request({1, 3});
+  CHECK_FALSE(trials.MayStart(3, sound, quarantine_trials::kMinKnownMs - 1));
+  CHECK(trials.MayStart(3, sound, quarantine_trials::kMinKnownMs));
+}
+
 TEST_CASE("no request is tried if nothing else explains the crashes") {
   quarantine_trials trials;
   CHECK_FALSE(trials.MayStart(3, Request({1, 3}), 0));
@@ -108,11 +119,15 @@
     // After the fifth crash, or the last one of fewer.
     constexpr monotonic_ms kSettledMs = 3'000;
     constexpr crash_key kDeadly = 7;
+    constexpr std::uint64_t kOtherParts = 4;
     const auto position = *rc::gen::inRange<std::size_t>(0, 3);
     const auto customers = *rc::gen::inRange<std::uint64_t>(1, 4);
     const auto entry_count = *rc::gen::inRange<std::size_t>(1, 9);
     const auto deadly_pause = *rc::gen::inRange<monotonic_ms>(50, 1'500);
     const auto sound_pause = *rc::gen::inRange<monotonic_ms>(20, 4'000);
+    // Requests of others, with sound parts of their own, at each server.
+    const auto others = *rc::gen::inRange<int>(0, 6);
+    const auto other_pause = *rc::gen::inRange<monotonic_ms>(20, 500);
     std::uint64_t state = *rc::gen::arbitrary<std::uint64_t>();
     const auto random = [&](std::uint64_t below) {
       state = MixBits(state);
@@ -149,15 +164,22 @@
           const auto name = std::to_string(crashes.size());
           crashes.push_back(at);
           entries[entry].RecordBroken(candidates, at);
-          control.ReportCrash({"s" + name, candidates, "r" + name}, at);
+          auto running = candidates;
+          for (int i = 0; i < others; ++i) {
+            running.push_back({200 + random(kOtherParts), 0});
+          }
+          control.ReportCrash({"s" + name, running, "r" + name}, at);
         } else {
           for (const auto key : entries[entry].RecordAnswered(candidates, at)) {
             control.Clear(key, at);
             in_force.erase(key);
           }
           for (const auto& candidate : candidates) {
-            if (control.IsSuspect(candidate.key)) {
+            const auto& suspects = control.SharedSuspects();
+            if (std::find(suspects.begin(), suspects.end(), candidate.key) !=
+                suspects.end()) {
               control.Clear(candidate.key, at);
+              in_force.erase(candidate.key);
             }
           }
         }
@@ -188,6 +210,17 @@
               trials.Adopt(known, now + kPropagationMs);
             }
           });
+      // Control hears of answers that clear a suspect with the heartbeats.
+      if (random(static_cast<std::uint64_t>(other_pause)) < kStepMs) {
+        const auto part = 200 + random(kOtherParts);
+        const auto& suspects = control.SharedSuspects();
+        if (std::find(suspects.begin(), suspects.end(), part) !=
+            suspects.end()) {
+          later.emplace_back(now + kPropagationMs, [&, part, now] {
+            control.Clear(part, now + kPropagationMs);
+          });
+        }
+      }
       if (random(static_cast<std::uint64_t>(deadly_pause)) < kStepMs) {
         send(random(entry_count), true, now);
       }
